Add the settings loader and the validation and JSON codec of contracts

Cause: the daemon and the operators' command need settings and contracts that are checked before anything acts on them.

Change: packages/settings reads TOML into plain structs. toml++ is confined to tomlreader.cpp, which flattens a file to dotted keys with lines; a table of rules holds key, type, bounds, default and meaning of each setting, so that the loader and the documentation have one source. All faults of a file are reported at once. A syntax error ends the parse, so it is reported alone. packages/contract validates contracts and reads and writes JSON with POCO. POCO keeps the last of two equal fields, so a parse handler refuses them, and the depth of a text is bounded.

Ruled out: relative file names that depend on the folder of the process; they start at the folder of the settings file. An objective of 1,000 permille, which leaves no failures to divide a burn rate by.

The test of faulty files found that an empty element of control.replicas was ignored; it is a fault now.

--- /dev/null
+++ b/packages/contract/contract/contractjson.cpp
@@ -0,0 +1,223 @@
+#include "contract/contractjson.h"
+
+#include <algorithm>
+#include <limits>
+#include <sstream>
+
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+
+#include "contract/contractrules.h"
+#include "contract/jsonobject.h"
+
+namespace Galenabarrow
+{
+
+namespace
+{
+
+using Poco::JSON::Array;
+using Poco::JSON::Object;
+
+constexpr std::uint64_t MaxNumber = std::numeric_limits<std::uint32_t>::max();
+constexpr std::uint64_t MaxVersion = std::numeric_limits<std::int64_t>::max();
+
+std::int64_t milliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+Duration duration(JsonFields &fields, const std::string &name)
+{
+    return std::chrono::milliseconds(fields.number(name, MaxNumber));
+}
+
+std::uint32_t number(JsonFields &fields, const std::string &name)
+{
+    return static_cast<std::uint32_t>(fields.number(name, MaxNumber));
+}
+
+std::string toText(const Object::Ptr &object)
+{
+    std::ostringstream text;
+    object->stringify(text);
+    return text.str();
+}
+
+Object::Ptr termsObject(const ServiceTerms &terms)
+{
+    Array::Ptr paths = new Array;
+    for (const std::string &it : terms.idempotentPaths) {
+        paths->add(it);
+    }
+    Object::Ptr object = new Object(Poco::JSON_PRESERVE_KEY_ORDER);
+    object->set("service", terms.service.value());
+    object->set("idempotentPaths", paths);
+    object->set("maxDeadlineMs", milliseconds(terms.maxDeadline));
+    object->set("hedgePermille", terms.hedgePermille);
+    object->set("retryPermille", terms.retryPermille);
+    return object;
+}
+
+Object::Ptr contractObject(const Contract &contract)
+{
+    Array::Ptr services = new Array;
+    for (const ServiceTerms &it : contract.services) {
+        services->add(termsObject(it));
+    }
+    Object::Ptr object = new Object(Poco::JSON_PRESERVE_KEY_ORDER);
+    object->set("customer", contract.customer.value());
+    object->set("version", contract.version.value());
+    object->set("services", services);
+    object->set("ratePerSecond", contract.ratePerSecond);
+    object->set("burst", contract.burst);
+    object->set("concurrency", contract.concurrency);
+    object->set("objectivePermille", contract.objectivePermille);
+    object->set("objectiveLatencyMs", milliseconds(contract.objectiveLatency));
+    return object;
+}
+
+ServiceTerms readTerms(const Object &object, const std::string &path, std::vector<std::string> &faults)
+{
+    JsonFields fields(object, path, faults);
+    ServiceTerms terms;
+    terms.service = ServiceId(fields.text("service"));
+    terms.idempotentPaths = fields.texts("idempotentPaths");
+    terms.maxDeadline = duration(fields, "maxDeadlineMs");
+    terms.hedgePermille = number(fields, "hedgePermille");
+    terms.retryPermille = number(fields, "retryPermille");
+    fields.refuseOthers();
+    return terms;
+}
+
+Contract readContract(const Object &object, const std::string &path, std::vector<std::string> &faults)
+{
+    JsonFields fields(object, path, faults);
+    Contract contract;
+    contract.customer = CustomerId(fields.text("customer"));
+    contract.version = Version(fields.optionalNumber("version", MaxVersion).value_or(0));
+    const std::vector<Object::Ptr> services = fields.objects("services");
+    for (std::size_t n = 0; n < services.size(); ++n) {
+        contract.services.push_back(readTerms(*services[n], fields.pathOf("services[" + std::to_string(n) + "]."), faults));
+    }
+    contract.ratePerSecond = number(fields, "ratePerSecond");
+    contract.burst = number(fields, "burst");
+    contract.concurrency = number(fields, "concurrency");
+    contract.objectivePermille = number(fields, "objectivePermille");
+    contract.objectiveLatency = duration(fields, "objectiveLatencyMs");
+    fields.refuseOthers();
+    return contract;
+}
+
+bool hasFault(const std::vector<std::string> &faults, const std::string &fault)
+{
+    const std::string field = fault.substr(0, fault.find(": ") + 2);
+    return std::any_of(faults.begin(), faults.end(), [&](const std::string &it) { return it.starts_with(field); });
+}
+
+/// Reads a contract and adds the faults of its values to those of its shape, one fault per field.
+Contract readValidContract(const Object &object, const std::string &path, std::vector<std::string> &faults)
+{
+    Contract contract = readContract(object, path, faults);
+    for (const std::string &it : contractFaults(contract)) {
+        const std::string fault = path + it;
+        if (!hasFault(faults, fault)) {
+            faults.push_back(fault);
+        }
+    }
+    return contract;
+}
+
+std::string lines(const std::vector<std::string> &faults)
+{
+    std::string text;
+    for (const std::string &it : faults) {
+        text += text.empty() ? it : '\n' + it;
+    }
+    return text;
+}
+
+}
+
+std::string toJson(const Contract &contract)
+{
+    return toText(contractObject(contract));
+}
+
+std::string toJson(std::span<const Contract> contracts)
+{
+    Array::Ptr array = new Array;
+    for (const Contract &it : contracts) {
+        array->add(contractObject(it));
+    }
+    Object::Ptr object = new Object;
+    object->set("contracts", array);
+    return toText(object);
+}
+
+std::string toJson(const ChangeResult &result)
+{
+    Object::Ptr object = new Object(Poco::JSON_PRESERVE_KEY_ORDER);
+    object->set("code", static_cast<unsigned>(result.code));
+    object->set("version", result.version.value());
+    object->set("winner", result.winner.value());
+    return toText(object);
+}
+
+Result<Contract> contractFromJson(std::string_view text)
+{
+    const Result<Object::Ptr> object = parseJsonObject(text);
+    if (!object) {
+        return tl::make_unexpected(object.error());
+    }
+    std::vector<std::string> faults;
+    Contract contract = readValidContract(**object, "", faults);
+    if (!faults.empty()) {
+        return failure(ResultCode::ContractInvalid, lines(faults));
+    }
+    return contract;
+}
+
+Result<std::vector<Contract>> contractsFromJson(std::string_view text)
+{
+    const Result<Object::Ptr> object = parseJsonObject(text);
+    if (!object) {
+        return tl::make_unexpected(object.error());
+    }
+    std::vector<std::string> faults;
+    JsonFields fields(**object, "", faults);
+    std::vector<Contract> contracts;
+    const std::vector<Object::Ptr> objects = fields.objects("contracts");
+    fields.refuseOthers();
+    for (std::size_t n = 0; n < objects.size(); ++n) {
+        contracts.push_back(readValidContract(*objects[n], "contracts[" + std::to_string(n) + "].", faults));
+    }
+    if (!faults.empty()) {
+        return failure(ResultCode::ContractInvalid, lines(faults));
+    }
+    return contracts;
+}
+
+Result<ChangeResult> changeResultFromJson(std::string_view text)
+{
+    const Result<Object::Ptr> object = parseJsonObject(text);
+    if (!object) {
+        return tl::make_unexpected(object.error());
+    }
+    std::vector<std::string> faults;
+    JsonFields fields(**object, "", faults);
+    ChangeResult result;
+    result.code = static_cast<ResultCode>(fields.number("code", std::numeric_limits<std::uint16_t>::max()));
+    result.version = Version(fields.number("version", MaxVersion));
+    result.winner = ChangeId(fields.text("winner"));
+    fields.refuseOthers();
+    if (faults.empty() && resultCodeName(result.code) == "Unlisted") {
+        faults.emplace_back("code: is not a result code");
+    }
+    if (!faults.empty()) {
+        return failure(ResultCode::BodyMalformed, lines(faults));
+    }
+    return result;
+}
+
+}
--- /dev/null
+++ b/packages/contract/contract/jsonobject.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <Poco/Dynamic/Var.h>
+#include <Poco/JSON/Object.h>
+
+#include "base/resultcode.h"
+
+namespace Galenabarrow
+{
+
+/// Parses a JSON text strictly: one object, no comments, no field twice, few levels. Fails with BodyMalformed.
+Result<Poco::JSON::Object::Ptr> parseJsonObject(std::string_view text);
+
+/// Reads the fields of one JSON object and notes every fault: a missing, unknown or wrongly typed field.
+class JsonFields
+{
+public:
+    /// \p path stands before the names of fields in faults.
+    JsonFields(const Poco::JSON::Object &object, std::string path, std::vector<std::string> &faults);
+
+    /// A number from 0 to \p max; 0 after a fault.
+    std::uint64_t number(const std::string &name, std::uint64_t max);
+    /// The same for a field that may be missing.
+    std::optional<std::uint64_t> optionalNumber(const std::string &name, std::uint64_t max);
+    std::string text(const std::string &name);
+    std::vector<std::string> texts(const std::string &name);
+    std::vector<Poco::JSON::Object::Ptr> objects(const std::string &name);
+    /// The name of a field for faults.
+    std::string pathOf(const std::string &name) const;
+    /// Notes the fields that were not read.
+    void refuseOthers();
+
+private:
+    Poco::Dynamic::Var take(const std::string &name);
+    void addFault(const std::string &name, const std::string &message);
+
+    const Poco::JSON::Object &m_object;
+    std::string m_path;
+    std::vector<std::string> &m_faults;
+    std::vector<std::string> m_taken;
+};
+
+}
--- /dev/null
+++ b/packages/settings/settings/reader.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "settings/faults.h"
+#include "settings/rules.h"
+
+namespace Galenabarrow::Settings
+{
+
+/// Fills settings from assignments by the table of rules.
+class Reader
+{
+public:
+    Reader(DaemonSettings &settings, Faults &faults);
+
+    void read(const Assignment &assignment);
+    /// Adds a fault for each required key that was not read. Called after the last read().
+    void checkRequired();
+    bool isSet(std::string_view key) const;
+
+private:
+    void refuseUnknown(const Assignment &assignment);
+    void require(const std::string &key, std::string_view reason);
+
+    DaemonSettings &m_settings;
+    Faults &m_faults;
+    std::set<std::string, std::less<>> m_keys;
+};
+
+/// The type and bounds of \p body for people.
+std::string typeText(const RuleBody &body);
+/// The default value of \p body for people; "none" for texts and lists.
+std::string standardText(const RuleBody &body);
+
+}
--- /dev/null
+++ b/packages/settings/settings/rules.cpp
@@ -0,0 +1,150 @@
+#include "settings/rules.h"
+
+#include <algorithm>
+#include <array>
+
+namespace Galenabarrow::Settings
+{
+
+namespace
+{
+
+constexpr auto Strategies =
+    std::to_array<std::string_view>({ "round-robin", "least-in-flight", "two-choices", "two-choices-reports", "leased-slots" });
+constexpr auto Thresholds = std::to_array<std::string_view>({ "debug", "info", "warn", "error" });
+
+constexpr Duration Millisecond = std::chrono::milliseconds(1);
+constexpr Duration Second = std::chrono::seconds(1);
+constexpr std::int64_t KiB = 1024;
+constexpr std::int64_t MiB = 1024 * KiB;
+/// A lookup answers with few addresses, so a longer list of seeds has no use.
+constexpr std::size_t MaxSeeds = 64;
+
+using Texts = std::vector<std::string>;
+
+void storeRoles(Slot slot, Texts roles)
+{
+    const auto has = [&](std::string_view role) { return std::find(roles.begin(), roles.end(), role) != roles.end(); };
+    slot.settings.instance.isEntry = has("entry");
+    slot.settings.instance.isControl = has("control");
+}
+
+ReplicaSettings &replica(Slot slot)
+{
+    std::vector<ReplicaSettings> &replicas = slot.settings.control.replicas;
+    replicas.resize(std::max(replicas.size(), slot.index + 1));
+    return replicas[slot.index];
+}
+
+// The freshness limit has an upper bound of 5 s, because commit and distribution need 2 s of the 7 s of property P7.
+const auto Table = std::to_array<Rule>({
+    { "instance.id", Need::Always,
+      TextRule { TextKind::Name, [](Slot it, std::string v) { it.settings.instance.id = InstanceId(std::move(v)); } },
+      "Name of this instance, unique in the cluster." },
+    { "instance.data_centre", Need::Always,
+      TextRule { TextKind::Name, [](Slot it, std::string v) { it.settings.instance.dataCentre = DataCentreId(std::move(v)); } },
+      "Data centre of this instance." },
+    { "instance.roles", Need::Always, ListRule { TextKind::Role, 2, storeRoles }, "What this instance does." },
+    { "cluster.id", Need::Always, TextRule { TextKind::Name, [](Slot it, std::string v) { it.settings.cluster.id = std::move(v); } },
+      "Name of the cluster; frames of another cluster are refused." },
+    { "cluster.key_file", Need::Always,
+      TextRule { TextKind::FileName, [](Slot it, std::string v) { it.settings.cluster.keyFile = std::move(v); } },
+      "File with the key of the digest of frames, equal on all instances." },
+    { "cluster.seeds", Need::Optional,
+      ListRule { TextKind::ConnectAddress, MaxSeeds, [](Slot it, Texts v) { it.settings.cluster.seeds = std::move(v); } },
+      "Peer addresses of instances that a starting instance contacts first." },
+    { "listen.callers", Need::Entry,
+      TextRule { TextKind::ListenAddress, [](Slot it, std::string v) { it.settings.listen.callers = std::move(v); } },
+      "Address for callers." },
+    { "listen.operators", Need::Always,
+      TextRule { TextKind::ListenAddress, [](Slot it, std::string v) { it.settings.listen.operators = std::move(v); } },
+      "Address for operators." },
+    { "listen.announcements", Need::Optional,
+      TextRule { TextKind::ListenAddress, [](Slot it, std::string v) { it.settings.listen.announcements = std::move(v); } },
+      "Address for the announcements of servers; without it, they use the address for callers. Only for the role entry." },
+    { "listen.peers", Need::Always,
+      TextRule { TextKind::ListenAddress, [](Slot it, std::string v) { it.settings.listen.peers = std::move(v); } },
+      "Address for frames of other instances." },
+    { "advertise.callers", Need::Optional,
+      TextRule { TextKind::ConnectAddress, [](Slot it, std::string v) { it.settings.advertise.callers = std::move(v); } },
+      "What lookups return for this instance; without it, the listening address." },
+    { "advertise.operators", Need::Optional,
+      TextRule { TextKind::ConnectAddress, [](Slot it, std::string v) { it.settings.advertise.operators = std::move(v); } },
+      "Where operators reach this instance; without it, the listening address." },
+    { "advertise.announcements", Need::Optional,
+      TextRule { TextKind::ConnectAddress, [](Slot it, std::string v) { it.settings.advertise.announcements = std::move(v); } },
+      "Where servers reach this instance; without it, the listening address." },
+    { "advertise.peers", Need::Optional,
+      TextRule { TextKind::ConnectAddress, [](Slot it, std::string v) { it.settings.advertise.peers = std::move(v); } },
+      "Where other instances reach this one; without it, the listening address." },
+    { "operators.token_file", Need::Always,
+      TextRule { TextKind::FileName, [](Slot it, std::string v) { it.settings.operatorsTokenFile = std::move(v); } },
+      "File with the bearer token that operators have to send." },
+    { "control.data_folder", Need::Control,
+      TextRule { TextKind::FileName, [](Slot it, std::string v) { it.settings.control.dataFolder = std::move(v); } },
+      "Folder for the replicated log and its snapshots." },
+    { "control.bootstrap", Need::Optional, FlagRule { [](Slot it) -> bool & { return it.settings.control.bootstrap; } },
+      "Creates the cluster from an empty data folder; without it, an instance with an empty data folder joins as a learner. Only for the "
+      "role control." },
+    { "control.replicas[].instance", Need::EachReplica,
+      TextRule { TextKind::Name, [](Slot it, std::string v) { replica(it).instance = InstanceId(std::move(v)); } },
+      "Name of a control replica." },
+    { "control.replicas[].data_centre", Need::EachReplica,
+      TextRule { TextKind::Name, [](Slot it, std::string v) { replica(it).dataCentre = DataCentreId(std::move(v)); } },
+      "Data centre of the replica." },
+    { "control.replicas[].peer_address", Need::EachReplica,
+      TextRule { TextKind::ConnectAddress, [](Slot it, std::string v) { replica(it).peerAddress = std::move(v); } },
+      "Peer address of the replica." },
+    { "timings.election_timeout_ms", Need::Optional,
+      DurationRule { 100, 10'000, Millisecond, [](Slot it) -> Duration & { return it.settings.timings.electionTimeout; } },
+      "Time without a leader after which a replica asks for an election." },
+    { "timings.heartbeat_ms", Need::Optional,
+      DurationRule { 10, 3'000, Millisecond, [](Slot it) -> Duration & { return it.settings.timings.heartbeat; } },
+      "Time between the leader's messages; at most a third of the election timeout." },
+    { "timings.freshness_limit_ms", Need::Optional,
+      DurationRule { 500, 5'000, Millisecond, [](Slot it) -> Duration & { return it.settings.timings.freshnessLimit; } },
+      "An entry whose contract table is older takes no work; more than the election timeout." },
+    { "timings.directory_max_age_s", Need::Optional,
+      DurationRule { 1, 300, Second, [](Slot it) -> Duration & { return it.settings.timings.directoryMaxAge; } },
+      "How long a caller may use the answer to a lookup." },
+    { "timings.server_lease_ms", Need::Optional,
+      DurationRule { 1'000, 60'000, Millisecond, [](Slot it) -> Duration & { return it.settings.timings.serverLease; } },
+      "A server that was not heard from for this long is removed." },
+    { "timings.drain_s", Need::Optional, DurationRule { 1, 3'600, Second, [](Slot it) -> Duration & { return it.settings.timings.drain; } },
+      "Longest time of a graceful stop; at least the directory's max-age." },
+    { "limits.header_bytes", Need::Optional,
+      IntegerRule { KiB, MiB, [](Slot it) -> std::uint32_t & { return it.settings.limits.headerBytes; } },
+      "Largest header section of a request." },
+    { "limits.body_bytes", Need::Optional,
+      IntegerRule { KiB, 8 * MiB, [](Slot it) -> std::uint32_t & { return it.settings.limits.bodyBytes; } },
+      "Largest body of a request or response." },
+    { "limits.connections", Need::Optional,
+      IntegerRule { 1, 4'096, [](Slot it) -> std::uint32_t & { return it.settings.limits.connections; } },
+      "Accepted connections per listening address." },
+    { "limits.queue_size", Need::Optional,
+      IntegerRule { 1, 65'536, [](Slot it) -> std::uint32_t & { return it.settings.limits.queueSize; } },
+      "Calls that wait at the entry for a server." },
+    { "measuring.budget_permille", Need::Optional,
+      NumberRule { 0.0, 100.0, [](Slot it) -> double & { return it.settings.measuring.budgetPermille; } },
+      "Share of the servers' slot time, per 1,000, that probes, reports and samples may use." },
+    { "contracts.serve_when_stale", Need::Optional, FlagRule { [](Slot it) -> bool & { return it.settings.contracts.serveWhenStale; } },
+      "Go on serving with an outdated contract table; P7 then does not hold during a partition." },
+    { "routing.strategy", Need::Optional, ChoiceRule { Strategies, [](Slot it) -> std::string & { return it.settings.routing.strategy; } },
+      "How a server is chosen for a call." },
+    { "log.threshold", Need::Optional, ChoiceRule { Thresholds, [](Slot it) -> std::string & { return it.settings.log.threshold; } },
+      "Least severe lines that are written." },
+});
+
+}
+
+std::span<const Rule> rules()
+{
+    return Table;
+}
+
+std::span<const std::string_view> routingStrategies()
+{
+    return Strategies;
+}
+
+}
--- /dev/null
+++ b/packages/settings/settings/rules.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "settings/daemonsettings.h"
+
+namespace Galenabarrow::Settings
+{
+
+/// Where a value goes: the settings, and the position in the list of replicas for keys below it.
+struct Slot {
+    DaemonSettings &settings;
+    std::size_t index = 0;
+};
+
+struct IntegerRule {
+    std::int64_t min;
+    std::int64_t max;
+    std::uint32_t &(*field)(Slot);
+};
+
+/// An integer that counts \p unit.
+struct DurationRule {
+    std::int64_t min;
+    std::int64_t max;
+    Duration unit;
+    Duration &(*field)(Slot);
+};
+
+struct NumberRule {
+    double min;
+    double max;
+    double &(*field)(Slot);
+};
+
+struct FlagRule {
+    bool &(*field)(Slot);
+};
+
+struct ChoiceRule {
+    std::span<const std::string_view> names;
+    std::string &(*field)(Slot);
+};
+
+/// What a text has to be.
+enum class TextKind { Name, FileName, ListenAddress, ConnectAddress, Role };
+
+struct TextRule {
+    TextKind kind;
+    void (*store)(Slot, std::string);
+};
+
+struct ListRule {
+    TextKind kind;
+    std::size_t max;
+    void (*store)(Slot, std::vector<std::string>);
+};
+
+using RuleBody = std::variant<IntegerRule, DurationRule, NumberRule, FlagRule, ChoiceRule, TextRule, ListRule>;
+
+/// When a key has to be there.
+enum class Need { Optional, Always, Entry, Control, EachReplica };
+
+/// One setting.
+struct Rule {
+    /// Dotted path; "[]" stands for any position in a list.
+    std::string_view key;
+    Need need;
+    RuleBody body;
+    std::string_view meaning;
+};
+
+/// All settings in the order of the documentation.
+std::span<const Rule> rules();
+
+/// Names of the routing strategies.
+std::span<const std::string_view> routingStrategies();
+
+}
--- /dev/null
+++ b/packages/settings/settings/tomlreader.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace Galenabarrow::Settings
+{
+
+/// A value of another type than those that settings use; holds the name of the type.
+struct OtherValue {
+    std::string type;
+};
+
+using Value = std::variant<std::int64_t, double, bool, std::string, std::vector<std::string>, OtherValue>;
+
+/// One value of a file.
+struct Assignment {
+    /// Dotted path, such as "control.replicas[0].instance".
+    std::string key;
+    unsigned line = 0;
+    Value value;
+};
+
+/// One fault of a file; the line is 0 when the fault has no place.
+struct Fault {
+    unsigned line = 0;
+    std::string key;
+    std::string message;
+};
+
+/// All values of a TOML text, with tables flattened to dotted paths. Adds to \p faults where parsing ended.
+std::vector<Assignment> readToml(std::string_view text, std::vector<Fault> &faults);
+
+}
