--- a/packages/contract/contract/contractjson.cpp
+++ b/packages/contract/contract/contractjson.cpp
@@ -128,15 +128,6 @@
     return contract;
 }
 
-std::string lines(const std::vector<std::string> &faults)
-{
-    std::string text;
-    for (const std::string &it : faults) {
-        text += text.empty() ? it : '\n' + it;
-    }
-    return text;
-}
-
 }
 
 std::string toJson(const Contract &contract)
@@ -173,7 +164,7 @@
     std::vector<std::string> faults;
     Contract contract = readValidContract(**object, "", faults);
     if (!faults.empty()) {
-        return failure(ResultCode::ContractInvalid, lines(faults));
+        return failure(ResultCode::ContractInvalid, joinLines(faults));
     }
     return contract;
 }
@@ -193,7 +184,7 @@
         contracts.push_back(readValidContract(*objects[n], "contracts[" + std::to_string(n) + "].", faults));
     }
     if (!faults.empty()) {
-        return failure(ResultCode::ContractInvalid, lines(faults));
+        return failure(ResultCode::ContractInvalid, joinLines(faults));
     }
     return contracts;
 }
@@ -215,7 +206,7 @@
         faults.emplace_back("code: is not a result code");
     }
     if (!faults.empty()) {
-        return failure(ResultCode::BodyMalformed, lines(faults));
+        return failure(ResultCode::BodyMalformed, joinLines(faults));
     }
     return result;
 }
--- a/packages/contract/contract/jsonobject.cpp
+++ b/packages/contract/contract/jsonobject.cpp
@@ -69,6 +69,15 @@
     }
 }
 
+std::string joinLines(const std::vector<std::string> &faults)
+{
+    std::string text;
+    for (const std::string &it : faults) {
+        text += text.empty() ? it : '\n' + it;
+    }
+    return text;
+}
+
 JsonFields::JsonFields(const Poco::JSON::Object &object, std::string path, std::vector<std::string> &faults)
     : m_object(object)
     , m_path(std::move(path))
--- a/packages/contract/contract/jsonobject.h
+++ b/packages/contract/contract/jsonobject.h
@@ -18,6 +18,9 @@
 /// Parses a JSON text strictly: one object, no comments, no field twice, few levels. Fails with BodyMalformed.
 Result<Poco::JSON::Object::Ptr> parseJsonObject(std::string_view text);
 
+/// \p faults as one text, one per line.
+std::string joinLines(const std::vector<std::string> &faults);
+
 /// Reads the fields of one JSON object and notes every fault: a missing, unknown or wrongly typed field.
 class JsonFields
 {
