Add galenabarrowctl and the names of the operators' interface

Cause: operators need to change contracts, drain servers and read reports from a terminal, also while instances and answers are lost.

Change: packages/ctl with the program galenabarrowctl. Addresses are tried in turn for several rounds; a change keeps its change id through all sends. A lost, cut or unreadable answer makes the result unknown until an instance tells it. A refusal such as NotAccepted after a lost answer is reported as ChangeOutcomeUnknown, because it speaks only for the last send. The paths, headers, HTTP statuses and the error body of the operators' interface are in packages/contract, so that the daemon and the command share them.

Ruled out: POCO's session connecting by itself, which hides whether a request was sent; the socket is connected first. The help of gflags, which lists flags by source file and exits with 1. gflags itself exits with 1 for a flag that it doesn't know; that status is documented.

--- /dev/null
+++ b/packages/ctl/ctl/contractcommands.cpp
@@ -0,0 +1,159 @@
+#include "ctl/contractcommands.h"
+
+#include <fstream>
+#include <iomanip>
+#include <ostream>
+#include <sstream>
+
+#include <Poco/JSON/Object.h>
+
+#include "base/name.h"
+#include "base/random.h"
+#include "contract/contractjson.h"
+#include "contract/jsonobject.h"
+#include "contract/operatorsapi.h"
+
+namespace Galenabarrow::Ctl
+{
+
+namespace
+{
+
+constexpr int NameWidth = 30;
+constexpr int NumberWidth = 14;
+/// A valid contract is far smaller.
+constexpr std::size_t MaxContractBytes = std::size_t { 1 } << 20U;
+
+std::string contractPath(const std::string &customer)
+{
+    return std::string(OperatorsApi::ContractsPath) + '/' + customer;
+}
+
+Result<std::string> readFile(const std::string &path)
+{
+    std::ifstream file(path, std::ios::binary);
+    std::string text(MaxContractBytes + 1, '\0');
+    if (!file || (!file.read(text.data(), static_cast<std::streamsize>(text.size())) && !file.eof())) {
+        return failure(ResultCode::UsageError, path + ": the file cannot be read");
+    }
+    text.resize(static_cast<std::size_t>(file.gcount()));
+    if (text.size() > MaxContractBytes) {
+        return failure(ResultCode::BodyTooLarge, path + ": the file is larger than a contract can be");
+    }
+    return text;
+}
+
+Result<ChangeId> changeIdOf(const Invocation &invocation)
+{
+    if (invocation.changeId.empty()) {
+        std::ostringstream id;
+        id << "ctl-" << std::hex << std::setw(16) << std::setfill('0') << makeIncarnation().value();
+        return ChangeId(id.str());
+    }
+    if (!isName(invocation.changeId)) {
+        return failure(ResultCode::UsageError, "--change_id: expected 1 to 64 letters, digits, '.', '_' or '-'");
+    }
+    return ChangeId(invocation.changeId);
+}
+
+Result<void> report(const Call &call, const ContractChange &change, const ChangeResult &result)
+{
+    const std::string subject = "the contract of " + change.customer.value();
+    if (result.code == ResultCode::VersionConflict) {
+        return failure(result.code,
+                       subject + " has version " + std::to_string(result.version.value()) + ", made by change " + result.winner.value()
+                           + "; expected version " + std::to_string(change.expected.value()));
+    }
+    if (result.code != ResultCode::Ok) {
+        return failure(result.code, "change " + change.id.value() + " of " + subject);
+    }
+    call.out << subject << (change.kind == ContractChange::Kind::Put ? " has version " : " is withdrawn with version ") << result.version
+             << " (change " << change.id << ")\n";
+    return {};
+}
+
+Result<void> submit(const Call &call, ContractChange change)
+{
+    Result<ChangeId> id = changeIdOf(call.invocation);
+    if (!id) {
+        return tl::make_unexpected(id.error());
+    }
+    change.id = std::move(*id);
+    Result<ChangeResult> result = call.client.change(change);
+    if (result) {
+        return report(call, change, *result);
+    }
+    if (result.error().code == ResultCode::ChangeOutcomeUnknown) {
+        result.error().detail += "\nTo learn the result, repeat the command with --change_id=" + change.id.value()
+            + " --expect=" + std::to_string(change.expected.value());
+    }
+    return tl::make_unexpected(result.error());
+}
+
+}
+
+Result<void> contractList(const Call &call)
+{
+    const Result<std::vector<Contract>> contracts = call.client.get(OperatorsApi::ContractsPath).and_then(contractsFromJson);
+    if (!contracts) {
+        return tl::make_unexpected(contracts.error());
+    }
+    call.out << std::left << std::setw(NameWidth) << "customer" << std::right;
+    for (const char *it : { "version", "services", "rate/s", "burst", "concurrency" }) {
+        call.out << std::setw(NumberWidth) << it;
+    }
+    call.out << '\n';
+    for (const Contract &it : *contracts) {
+        call.out << std::left << std::setw(NameWidth) << it.customer.value() << std::right << std::setw(NumberWidth) << it.version.value()
+                 << std::setw(NumberWidth) << it.services.size() << std::setw(NumberWidth) << it.ratePerSecond << std::setw(NumberWidth)
+                 << it.burst << std::setw(NumberWidth) << it.concurrency << '\n';
+    }
+    return {};
+}
+
+Result<void> contractShow(const Call &call)
+{
+    if (!isName(call.arguments[0])) {
+        return failure(ResultCode::UsageError, call.arguments[0] + " is not the name of a customer");
+    }
+    const Result<Contract> contract = call.client.get(contractPath(call.arguments[0])).and_then(contractFromJson);
+    if (!contract) {
+        return tl::make_unexpected(contract.error());
+    }
+    return parseJsonObject(toJson(*contract)).map([&](const Poco::JSON::Object::Ptr &object) {
+        object->stringify(call.out, 2);
+        call.out << '\n';
+    });
+}
+
+Result<void> contractPut(const Call &call)
+{
+    const Result<Contract> contract = readFile(call.arguments[0]).and_then(contractFromJson);
+    if (!contract) {
+        return tl::make_unexpected(contract.error());
+    }
+    ContractChange change;
+    change.kind = ContractChange::Kind::Put;
+    change.customer = contract->customer;
+    change.expected = Version(call.invocation.expected.value_or(contract->version.value()));
+    change.contract = *contract;
+    change.contract.version = Version();
+    return submit(call, std::move(change));
+}
+
+Result<void> contractWithdraw(const Call &call)
+{
+    if (!isName(call.arguments[0])) {
+        return failure(ResultCode::UsageError, call.arguments[0] + " is not the name of a customer");
+    }
+    if (!call.invocation.expected) {
+        return failure(ResultCode::UsageError, "contract withdraw needs --expect with the version to withdraw; contract list shows it");
+    }
+    ContractChange change;
+    change.kind = ContractChange::Kind::Withdraw;
+    change.customer = CustomerId(call.arguments[0]);
+    change.expected = Version(*call.invocation.expected);
+    return submit(call, std::move(change));
+}
+
+}
--- /dev/null
+++ b/packages/ctl/ctl/operatorclient.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "contract/contract.h"
+
+namespace Galenabarrow::Ctl
+{
+
+/// How the operators' interface is reached.
+struct ClientOptions {
+    /// "host:port", tried in this order.
+    std::vector<std::string> addresses;
+    /// The bearer token.
+    std::string token;
+    /// For the connection and for each answer.
+    Duration timeout = std::chrono::seconds(5);
+    /// How often all addresses are tried.
+    unsigned rounds = 5;
+    /// Called between two rounds; waits in the program, does nothing in tests.
+    std::function<void()> pause = [] {};
+};
+
+/// Requests to the operators' interface. An address that cannot be reached, or whose instance cannot serve a request now,
+/// is followed by the next one. All requests may be repeated: reads and drains have no second effect, and a change keeps
+/// its change id.
+class OperatorClient
+{
+public:
+    explicit OperatorClient(ClientOptions options);
+
+    /// The body of the first successful answer. Fails with the numbered error of an instance, or with Unreachable.
+    Result<std::string> get(const std::string &path) const;
+    /// The same from one address only, tried once.
+    Result<std::string> getFrom(const std::string &address, const std::string &path) const;
+    Result<std::string> post(const std::string &path) const;
+
+    /// Puts or withdraws a contract. The result may be a conflict. Fails with ChangeOutcomeUnknown when a request was sent
+    /// and no instance answered, with Unreachable when none was sent, or with the numbered error of an instance.
+    Result<ChangeResult> change(const ContractChange &change) const;
+
+    const std::vector<std::string> &addresses() const;
+
+private:
+    struct Request;
+    struct Reply;
+    struct Attempt;
+
+    Attempt exchange(const std::string &address, const Request &request) const;
+    static Result<Reply> interpret(const std::string &address, const Request &request, bool isOk, std::string body);
+    Result<Reply> sendToAny(const Request &request) const;
+
+    ClientOptions m_options;
+};
+
+}
