--- a/packages/settings/settings/daemonsettings.h
+++ b/packages/settings/settings/daemonsettings.h
@@ -65,8 +65,9 @@
     Duration directoryMaxAge = std::chrono::seconds(10);
     /// A server that was not heard from for this long is removed.
     Duration serverLease = std::chrono::seconds(10);
-    /// Longest time from the start of a stop to the exit; calls still running then are cut off.
-    Duration drain = std::chrono::seconds(60);
+    /// Longest time from the start of a stop to the exit. The default covers the directory's max-age and the longest
+    /// deadline that a contract can grant, 10 min, so that no call is cut off.
+    Duration drain = std::chrono::seconds(620);
 };
 
 struct LimitSettings {
--- a/packages/settings/settings/rules.cpp
+++ b/packages/settings/settings/rules.cpp
@@ -111,7 +111,8 @@
       DurationRule { 1'000, 60'000, Millisecond, [](Slot it) -> Duration & { return it.settings.timings.serverLease; } },
       "A server that was not heard from for this long is removed." },
     { "timings.drain_s", Need::Optional, DurationRule { 1, 3'600, Second, [](Slot it) -> Duration & { return it.settings.timings.drain; } },
-      "Longest time of a graceful stop; at least the directory's max-age." },
+      "Longest time of a graceful stop; calls still running then are cut off, so it should exceed the max-age of the directory plus the "
+      "longest deadline in the contracts." },
     { "limits.header_bytes", Need::Optional,
       IntegerRule { KiB, MiB, [](Slot it) -> std::uint32_t & { return it.settings.limits.headerBytes; } },
       "Largest header section of a request." },
--- a/packages/settings/tests/settingstest.cpp
+++ b/packages/settings/tests/settingstest.cpp
@@ -254,3 +254,23 @@
         REQUIRE(settings->instance.isControl == std::string(it).ends_with("control"));
     }
 }
+
+// Guards against a setting without its row in the documentation, and a row whose bounds or default no longer hold.
+TEST_CASE("docs/operators.md lists exactly the settings of the program", "[settings]")
+{
+    std::ifstream page(std::string(GALENABARROW_SOURCE_DIR) + "/docs/operators.md");
+    REQUIRE(page.is_open());
+    std::string documented;
+    bool isInTable = false;
+    for (std::string line; std::getline(page, line);) {
+        isInTable = isInTable || line == "| key | type and bounds | default | meaning |";
+        if (isInTable && line.rfind("| `", 0) == 0) {
+            documented += line + '\n';
+        }
+    }
+    std::string expected;
+    for (const SettingDescription &it : describeSettings()) {
+        expected += "| `" + it.key + "` | " + it.type + " | " + it.standard + " | " + it.meaning + " |\n";
+    }
+    REQUIRE(documented == expected);
+}
