--- /dev/null
+++ b/packages/control/control/controlservice.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/random.h"
+#include "control/contractstate.h"
+#include "control/feed.h"
+#include "control/logstore.h"
+#include "control/outgoing.h"
+#include "control/proposalclient.h"
+#include "control/raftcore.h"
+#include "control/raftjoin.h"
+
+namespace Galenabarrow::Control
+{
+
+/// Settings of a control instance.
+struct ControlSettings {
+    InstanceId instance;
+    /// All control instances (at most 7), this one too.
+    std::vector<ControlPeer> peers;
+    /// Lets the peer with the lowest id start a new cluster; see raftjoin.h.
+    bool bootstrap = false;
+    RaftTiming timing;
+    /// Log entries between two snapshots.
+    std::uint64_t entriesPerSnapshot = 2000;
+    /// Time after which a forwarded proposal that the leader has not answered has an unknown outcome.
+    Duration forwardTimeout = std::chrono::milliseconds(1500);
+};
+
+/// What a control instance can say about itself.
+struct ControlStatus {
+    bool isLeader = false;
+    bool isVoter = false;
+    /// Empty when not known.
+    InstanceId leader;
+    Term term;
+    LogIndex commit;
+    /// All replicas have joined; before that no proposal is accepted.
+    bool isFormed = false;
+    Membership membership;
+    /// Age of the last confirmation of a quorum; absent when there is none.
+    std::optional<Duration> freshnessAge;
+};
+
+/// A control instance without sockets and threads. Calls must not overlap.
+class ControlService
+{
+public:
+    /// Loads the contents of \p store. Fails with StoreCorrupt and the other store errors. \p random must outlive the service.
+    static Result<std::unique_ptr<ControlService>> open(ControlSettings settings, std::unique_ptr<LogStore> store, RandomSource &random,
+                                                        Instant now);
+
+    /// Call it every 10 to 50 ms.
+    void tick(Instant now);
+    /// Takes messages of the kinds Raft, FeedRequest, ProposeRequest and ProposeReply; others are ignored. Fails with
+    /// FrameMalformed.
+    Result<void> receive(const Wire::Envelope &envelope, Instant now);
+    /// Proposes a command from this process; its result comes from takeFinished().
+    ProposalTicket propose(const Command &command, Instant now);
+
+    /// Syncs the store when there are writes, and returns the messages to send since the last call. Call it after each
+    /// tick, or after a batch of receive and propose calls; one sync covers the whole batch.
+    std::vector<Outgoing> takeOutgoing();
+    /// Results of propose(); also filled by takeOutgoing().
+    std::vector<FinishedProposal> takeFinished();
+
+    /// Set when the store failed. The instance has then stopped to take part; the process should log it and exit.
+    const std::optional<Error> &storeFailure() const;
+    ControlStatus status(Instant now) const;
+    /// True on the leader while a quorum has confirmed it within the election timeout: it may grant shares.
+    bool isConfirmedLeader(Instant now) const;
+    /// The applied state of this replica.
+    const ContractState &state() const;
+
+private:
+    /// Where the answer to a proposal goes.
+    struct Origin {
+        /// Empty for a proposal of this process.
+        std::string address;
+        std::uint64_t correlation = 0;
+    };
+    struct Pending {
+        Origin origin;
+        Term term;
+    };
+    struct Forwarded {
+        Origin origin;
+        Instant deadline {};
+    };
+    ControlService(ControlSettings settings, std::unique_ptr<LogStore> store, RandomSource &random, StoreContents contents, Instant now);
+    Result<void> restoreState(const StoreContents &contents);
+    void absorb(RaftOutput output);
+    void write(const RaftOutput &output);
+    void applyEntry(const LogEntry &entry);
+    void restoreSnapshot(const Snapshot &snapshot);
+    void compactIfDue();
+    void sendRaft(const RaftMessage &message);
+    void handleProposal(const std::vector<std::uint8_t> &command, Origin origin, bool isForwarded);
+    void forward(const std::vector<std::uint8_t> &command, const Origin &origin, const InstanceId &leader);
+    void answer(const Origin &origin, const ProposalResult &result);
+    void answerFeed(const FeedRequest &request, const Wire::Envelope &envelope);
+    Result<void> receiveRaft(const Wire::Envelope &envelope);
+    Result<void> receiveProposal(const Wire::Envelope &envelope);
+    Result<void> receiveReply(const Wire::Envelope &envelope);
+    void releaseUndecided();
+    void runJoin();
+    void push(std::string address, Wire::MessageKind kind, std::uint64_t correlation, std::vector<std::uint8_t> payload);
+    std::string addressOf(const InstanceId &instance) const;
+
+    ControlSettings m_settings;
+    std::unique_ptr<LogStore> m_store;
+    std::optional<Error> m_storeFailure;
+    RaftCore m_raft;
+    RaftJoin m_join;
+    ContractState m_state;
+    Instant m_now;
+    std::uint64_t m_lastTicket = 0;
+    std::uint64_t m_lastCorrelation = 0;
+    std::optional<WriteNumber> m_unsynced;
+    std::map<LogIndex, Pending> m_pending;
+    std::map<std::uint64_t, Forwarded> m_forwarded;
+    std::map<InstanceId, std::string> m_addresses;
+    std::vector<Outgoing> m_outgoing;
+    std::vector<FinishedProposal> m_finished;
+};
+
+}
--- /dev/null
+++ b/packages/control/control/feed.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "base/clock.h"
+#include "control/command.h"
+
+namespace Galenabarrow::Control
+{
+
+/// The contract of a customer as of its last change. A withdrawn contract stays as a tombstone with its version.
+struct ContractRecord {
+    Contract contract;
+    bool withdrawn = false;
+    /// The change that made this version.
+    ChangeId change;
+
+    bool operator==(const ContractRecord &) const = default;
+};
+
+/// Says that every change accepted before "now - age" has an index of at most \c index.
+struct FreshnessStamp {
+    LogIndex index;
+    /// Time since the quorum confirmed the index, on the way here added up.
+    Duration age {};
+};
+
+/// Asks a control instance for the changes after an index.
+struct FeedRequest {
+    LogIndex after;
+};
+
+/// The changes after \c after up to and including \c upTo.
+struct FeedReply {
+    LogIndex after;
+    LogIndex upTo;
+    /// The reply was cut at its size limit; ask again at once.
+    bool more = false;
+    std::vector<ContractRecord> contracts;
+    /// All registered entries, when they changed after \c after.
+    std::optional<std::vector<RegisteredEntry>> entries;
+    /// Absent when the instance has no confirmation of a quorum.
+    std::optional<FreshnessStamp> stamp;
+};
+
+}
--- /dev/null
+++ b/packages/control/control/proposalclient.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <map>
+#include <vector>
+
+#include "base/random.h"
+#include "control/command.h"
+#include "control/outgoing.h"
+
+namespace Galenabarrow::Control
+{
+
+/// Names a proposal of one ProposalClient or ControlService.
+using ProposalTicket = Id<struct ProposalTicketTag, std::uint64_t>;
+
+/// A finished proposal.
+struct FinishedProposal {
+    ProposalTicket ticket;
+    ProposalResult result;
+};
+
+/// The deterministic core that sends proposals to control and resends them with the same change id until they are
+/// decided or their deadline has passed.
+class ProposalClient
+{
+public:
+    /// \p controls must not be empty. \p random must outlive the client. A copy that is unanswered for \p resendAfter is
+    /// sent again to the next control instance.
+    ProposalClient(std::vector<ControlPeer> controls, RandomSource &random, Duration resendAfter = std::chrono::milliseconds(1000));
+
+    /// Sends \p command. Every proposal finishes once, at the latest at the first tick after \p deadline: with
+    /// ChangeOutcomeUnknown when a copy was left unanswered, otherwise with the last refusal (NoQuorum, NotLeader).
+    ProposalTicket propose(Command command, Instant deadline, Instant now);
+    void tick(Instant now);
+    /// Takes a ProposeReply; other kinds and replies to no open request are ignored. Fails with FrameMalformed.
+    Result<void> receive(const Wire::Envelope &envelope, Instant now);
+
+    std::vector<Outgoing> takeOutgoing();
+    std::vector<FinishedProposal> takeFinished();
+    /// Proposals not finished yet.
+    std::size_t openCount() const;
+
+private:
+    struct Open {
+        std::vector<std::uint8_t> payload;
+        Instant deadline {};
+        Instant resendAt {};
+        std::size_t control = 0;
+        /// A copy may have reached the log without an answer.
+        bool isUncertain = false;
+        bool isWaiting = false;
+        ResultCode refusal = ResultCode::ChangeOutcomeUnknown;
+    };
+    void send(ProposalTicket ticket, Open &open, Instant now);
+    void takeRefusal(Open &open, ResultCode code, Instant now);
+    ResultCode finalCode(const Open &open) const;
+
+    std::vector<ControlPeer> m_controls;
+    RandomSource &m_random;
+    Duration m_resendAfter;
+    std::uint64_t m_lastTicket = 0;
+    std::size_t m_preferred = 0;
+    std::map<ProposalTicket, Open> m_open;
+    std::vector<Outgoing> m_outgoing;
+    std::vector<FinishedProposal> m_finished;
+};
+
+}
