Add the call engine of the entry with its interfaces

Cause: the daemon needs an engine and stable headers to be written against.

Change: CallEngine (submit, report, abandon, tick, nextWakeUp) over a server table, a fair deadline queue, retry and hedge budgets, reset deadlines and routing strategies by name. Contracts, admission, action keys and freshness come in as interfaces.

Ruled out: admission before the action key. A resend of a running action would then be told "not run" by a limit although the first request runs.

Conclusion: the headers can be used; the behaviour is not yet proved.

--- /dev/null
+++ b/packages/entry/entry/callengine.cpp
@@ -0,0 +1,473 @@
+#include "entry/callengine.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace Galenabarrow::Entry
+{
+
+namespace
+{
+using namespace std::chrono_literals;
+
+constexpr AttemptId NoAttempt;
+constexpr std::uint16_t FirstServerError = 500;
+constexpr std::uint8_t MaxRetries = 3;
+/// Bounds the refusals that one call may collect; the pauses after refusals keep their rate low.
+constexpr std::uint16_t MaxPlacements = 200;
+/// A hedge is sent after this multiple of the mean answer time; 2 in 100 exponential answers take longer.
+constexpr int HedgeDelayFactor = 4;
+constexpr Duration MinHedgeDelay = 1ms;
+
+bool isProvedNotRun(AttemptEnd end)
+{
+    return end == AttemptEnd::RefusedByServer || end == AttemptEnd::ConnectFailed || end == AttemptEnd::FailedBeforeSend;
+}
+
+ResultCode codeOf(AttemptEnd end)
+{
+    switch (end) {
+    case AttemptEnd::Answered:
+        return ResultCode::Ok;
+    case AttemptEnd::RefusedByServer:
+        return ResultCode::RefusedByServer;
+    case AttemptEnd::ConnectFailed:
+    case AttemptEnd::FailedBeforeSend:
+        return ResultCode::NotSent;
+    case AttemptEnd::FailedAfterSend:
+        return ResultCode::ConnectionLost;
+    case AttemptEnd::TimedOut:
+        return ResultCode::AttemptTimedOut;
+    case AttemptEnd::Cancelled:
+        return ResultCode::OutcomeUnknown;
+    }
+    return ResultCode::InternalError;
+}
+
+}
+
+struct CallEngine::ServiceState {
+    ServiceId id;
+    DeadlineQueue queue;
+    RetryBudget retries;
+    HedgeBudget hedges;
+    std::unique_ptr<RoutingStrategy> strategy;
+};
+
+bool CallEngine::Timer::operator>(const Timer &other) const
+{
+    return std::tie(at, call) > std::tie(other.at, other.call);
+}
+
+CallEngine::CallEngine(EngineConfig config, const ContractView &contracts, AdmissionControl &admission, ActionKeys &keys,
+                       const FreshnessView &freshness, RandomSource &random)
+    : m_config(std::move(config))
+    , m_contracts(contracts)
+    , m_admission(admission)
+    , m_keys(keys)
+    , m_freshness(freshness)
+    , m_random(random)
+    , m_servers(m_config.dataCentre)
+{
+    if (!makeRoutingStrategy(m_config.strategy, m_config.costs)) {
+        m_config.strategy = DefaultRoutingStrategy;
+    }
+}
+
+CallEngine::~CallEngine() = default;
+
+void CallEngine::upsertServer(const ServerRecord &record, Instant now)
+{
+    const RowIndex row = m_servers.upsert(record, now);
+    m_servers.hold(row, m_resets.heldUntil(record.server));
+}
+
+void CallEngine::removeServer(const ServerId &server)
+{
+    m_servers.remove(server);
+}
+
+void CallEngine::stopAccepting()
+{
+    m_isStopping = true;
+}
+
+std::size_t CallEngine::callCount() const
+{
+    return m_calls.size();
+}
+
+std::size_t CallEngine::waitingCount() const
+{
+    std::size_t count = 0;
+    for (const auto &[id, service] : m_services) {
+        count += service->queue.size();
+    }
+    return count;
+}
+
+const EngineCounters &CallEngine::counters() const
+{
+    return m_counters;
+}
+
+const ServerTable &CallEngine::servers() const
+{
+    return m_servers;
+}
+
+CallEngine::ServiceState &CallEngine::serviceState(const ServiceId &service)
+{
+    std::unique_ptr<ServiceState> &state = m_services[service];
+    if (!state) {
+        state = std::make_unique<ServiceState>();
+        state->id = service;
+        state->strategy = makeRoutingStrategy(m_config.strategy, m_config.costs);
+    }
+    return *state;
+}
+
+std::optional<ResultCode> CallEngine::refusalBeforeAdmission(const CallRequest &request, Instant now) const
+{
+    if (m_isStopping) {
+        return ResultCode::EntryStopping;
+    }
+    if (m_freshness.isFenced(now)) {
+        return ResultCode::EntryFenced;
+    }
+    if (request.deadline <= now) {
+        return ResultCode::DeadlineExpired;
+    }
+    return std::nullopt;
+}
+
+void CallEngine::refuse(CallId id, const CallRequest &request, ResultCode code, Instant now, Effects &effects)
+{
+    if (request.actionKey) {
+        m_keys.finish(*request.actionKey, Outcome::NotRun, now);
+    }
+    effects.emplace_back(FinishCall { id, Outcome::NotRun, code, NoAttempt });
+}
+
+CallId CallEngine::submit(const CallRequest &request, Instant now, Effects &effects)
+{
+    m_lastCall = next(m_lastCall);
+    const CallId id = m_lastCall;
+    // The key comes first: a resend of a running action must not be told "not run" by a check that comes later.
+    if (request.actionKey) {
+        if (const auto begun = m_keys.begin(*request.actionKey, now); !begun) {
+            effects.emplace_back(FinishCall { id, begun.error().outcome, begun.error().code, NoAttempt });
+            return id;
+        }
+    }
+    if (const auto code = refusalBeforeAdmission(request, now)) {
+        refuse(id, request, *code, now, effects);
+        return id;
+    }
+    const auto terms = m_contracts.terms(request.customer, request.service);
+    if (!terms) {
+        refuse(id, request, terms.error(), now, effects);
+        return id;
+    }
+    if (!m_servers.hasServer(request.service)) {
+        refuse(id, request, ResultCode::NoServer, now, effects);
+        return id;
+    }
+    ServiceState &service = serviceState(request.service);
+    if (service.queue.size() >= m_config.queueLimit) {
+        refuse(id, request, ResultCode::QueueFull, now, effects);
+        return id;
+    }
+    if (const auto admitted = m_admission.admit(request.customer, now); !admitted) {
+        refuse(id, request, admitted.error(), now, effects);
+        return id;
+    }
+    Call &call = m_calls[id];
+    call.request = request;
+    call.terms = *terms;
+    call.service = &service;
+    if (terms->maxDeadline > Duration::zero()) {
+        call.request.deadline = std::min(request.deadline, now + terms->maxDeadline);
+    }
+    m_timers.push(Timer { call.request.deadline, id, TimerKind::Deadline });
+    enqueue(id, call);
+    pump(service, now, effects);
+    return id;
+}
+
+void CallEngine::enqueue(CallId id, Call &call)
+{
+    call.isWaiting = true;
+    call.service->queue.push(call.request.customer, call.request.deadline, id);
+}
+
+void CallEngine::pump(ServiceState &service, Instant now, Effects &effects)
+{
+    while (!service.queue.empty() && pumpOne(service, now, effects)) { }
+}
+
+bool CallEngine::pumpOne(ServiceState &service, Instant now, Effects &effects)
+{
+    if (m_freshness.isFenced(now)) {
+        finishAllWaiting(service, ResultCode::EntryFenced, now, effects);
+        return false;
+    }
+    if (!m_servers.hasServer(service.id)) {
+        finishAllWaiting(service, ResultCode::NoServer, now, effects);
+        return false;
+    }
+    m_servers.collectAvailable(service.id, std::nullopt, now, m_candidates);
+    if (m_candidates.empty()) {
+        return false;
+    }
+    const CallId id = *service.queue.pop();
+    const auto it = m_calls.find(id);
+    assert(it != m_calls.end());
+    it->second.isWaiting = false;
+    // The process may have been frozen since the call was queued.
+    if (it->second.request.deadline <= now) {
+        service.queue.unserve(it->second.request.customer);
+        giveUp(it, ResultCode::DeadlineExpired, now, effects);
+        return true;
+    }
+    const RowIndex row = service.strategy->choose({ m_servers, service.id, m_candidates, m_random, now });
+    dispatch(id, it->second, row, false, now, effects);
+    return true;
+}
+
+void CallEngine::finishAllWaiting(ServiceState &service, ResultCode code, Instant now, Effects &effects)
+{
+    while (const auto id = service.queue.pop()) {
+        const auto it = m_calls.find(*id);
+        it->second.isWaiting = false;
+        giveUp(it, code, now, effects);
+    }
+}
+
+void CallEngine::dispatch(CallId id, Call &call, RowIndex row, bool isHedge, Instant now, Effects &effects)
+{
+    const auto place = std::find(call.inFlight.begin(), call.inFlight.end(), NoAttempt);
+    assert(place != call.inFlight.end());
+    assert(call.request.idempotent || (!call.mayHaveRun && call.inFlight[0] == NoAttempt));
+    m_lastAttempt = next(m_lastAttempt);
+    *place = m_lastAttempt;
+    m_attempts.emplace(m_lastAttempt, Attempt { id, row, isHedge });
+    m_servers.attemptSent(row, now);
+    if (!call.wasDispatched) {
+        call.wasDispatched = true;
+        ++m_counters.firstAttempts;
+        call.service->retries.earn(call.terms.retryPermille);
+        call.service->hedges.earn(call.terms.hedgePermille);
+    }
+    const std::uint8_t number = isHedge ? static_cast<std::uint8_t>(call.retries + 1) : call.retries;
+    effects.emplace_back(DispatchAttempt { id, m_lastAttempt, m_servers.row(row).record.server, call.request.deadline, number, isHedge });
+    if (!isHedge) {
+        const Duration latency = m_servers.averages(call.service->id).latency;
+        armHedge(id, call, std::max(MinHedgeDelay, latency * HedgeDelayFactor), now);
+    }
+}
+
+void CallEngine::armHedge(CallId id, const Call &call, Duration delay, Instant now)
+{
+    const bool isHedgeable = call.request.idempotent && !call.request.isRetryUpstream && call.terms.hedgePermille > 0;
+    if (isHedgeable && now + delay < call.request.deadline) {
+        m_timers.push(Timer { now + delay, id, TimerKind::Hedge });
+    }
+}
+
+void CallEngine::hedge(CallId id, Call &call, Instant now, Effects &effects)
+{
+    const auto inFlight = std::count_if(call.inFlight.begin(), call.inFlight.end(), [](AttemptId it) { return it != NoAttempt; });
+    if (inFlight != 1 || call.isAbandoned || m_freshness.isFenced(now) || call.request.deadline <= now) {
+        return;
+    }
+    // Waiting calls come first: a hedge is only worth a slot that nobody else needs.
+    if (!call.service->queue.empty()) {
+        return;
+    }
+    const AttemptId first = call.inFlight[0] != NoAttempt ? call.inFlight[0] : call.inFlight[1];
+    m_servers.collectAvailable(call.service->id, m_attempts.at(first).row, now, m_candidates);
+    if (m_candidates.empty() || !call.service->hedges.tryTake()) {
+        return;
+    }
+    ++m_counters.hedges;
+    const RowIndex row = call.service->strategy->choose({ m_servers, call.service->id, m_candidates, m_random, now });
+    dispatch(id, call, row, true, now, effects);
+}
+
+void CallEngine::report(const AttemptReport &report, Instant now, Effects &effects)
+{
+    const auto found = m_attempts.find(report.attempt);
+    if (found == m_attempts.end()) {
+        return;
+    }
+    const Attempt attempt = found->second;
+    m_attempts.erase(found);
+    if (report.resetAt && *report.resetAt > now) {
+        const ServerId &server = m_servers.row(attempt.row).record.server;
+        m_resets.note(server, *report.resetAt, now);
+        m_servers.hold(attempt.row, m_resets.heldUntil(server));
+    }
+    const ServiceId service = m_servers.row(attempt.row).record.service;
+    m_servers.attemptEnded(attempt.row, report, now);
+    if (const auto it = m_calls.find(attempt.call); it != m_calls.end()) {
+        std::replace(it->second.inFlight.begin(), it->second.inFlight.end(), report.attempt, NoAttempt);
+        attemptEnded(it, attempt, report, now, effects);
+    }
+    pump(serviceState(service), now, effects);
+}
+
+void CallEngine::attemptEnded(CallMap::iterator it, const Attempt &attempt, const AttemptReport &report, Instant now, Effects &effects)
+{
+    Call &call = it->second;
+    const bool isAnswer = report.end == AttemptEnd::Answered;
+    const bool isServerError = isAnswer && report.httpStatus >= FirstServerError;
+    if (isAnswer && (!isServerError || !call.request.idempotent)) {
+        finish(it, Outcome::Answered, ResultCode::Ok, report.attempt, now, effects);
+        return;
+    }
+    if (isServerError) {
+        call.serverError = report.attempt;
+    }
+    if (!isProvedNotRun(report.end)) {
+        call.mayHaveRun = true;
+        call.unknownCode = isAnswer ? ResultCode::OutcomeUnknown : codeOf(report.end);
+    }
+    if (attempt.isHedge && report.end == AttemptEnd::RefusedByServer) {
+        call.service->hedges.giveBack();
+        --m_counters.hedges;
+    }
+    const bool hasOther = std::any_of(call.inFlight.begin(), call.inFlight.end(), [](AttemptId id) { return id != NoAttempt; });
+    if (hasOther) {
+        if (attempt.isHedge && report.end == AttemptEnd::RefusedByServer) {
+            armHedge(it->first, call, MinHedgeDelay, now);
+        }
+        return;
+    }
+    if (report.end == AttemptEnd::RefusedByServer) {
+        placeAgain(it, now, effects);
+    } else {
+        retryOrGiveUp(it, codeOf(report.end), now, effects);
+    }
+}
+
+void CallEngine::placeAgain(CallMap::iterator it, Instant now, Effects &effects)
+{
+    Call &call = it->second;
+    const bool maySend = call.request.idempotent || !call.mayHaveRun;
+    if (!maySend || call.isAbandoned || call.placements >= MaxPlacements) {
+        giveUp(it, ResultCode::RefusedByServer, now, effects);
+        return;
+    }
+    ++call.placements;
+    ++m_counters.placements;
+    call.service->queue.unserve(call.request.customer);
+    enqueue(it->first, call);
+}
+
+void CallEngine::retryOrGiveUp(CallMap::iterator it, ResultCode code, Instant now, Effects &effects)
+{
+    Call &call = it->second;
+    const bool maySend = call.request.idempotent || !call.mayHaveRun;
+    const bool isAllowed = maySend && !call.isAbandoned && !call.request.isRetryUpstream && call.retries < MaxRetries;
+    if (!isAllowed || call.request.deadline <= now || !call.service->retries.tryTake()) {
+        giveUp(it, code, now, effects);
+        return;
+    }
+    ++call.retries;
+    ++m_counters.retries;
+    enqueue(it->first, call);
+}
+
+void CallEngine::giveUp(CallMap::iterator it, ResultCode code, Instant now, Effects &effects)
+{
+    const Call &call = it->second;
+    const bool isInFlight = std::any_of(call.inFlight.begin(), call.inFlight.end(), [](AttemptId id) { return id != NoAttempt; });
+    if (call.serverError) {
+        finish(it, Outcome::Answered, ResultCode::Ok, *call.serverError, now, effects);
+    } else if (isInFlight) {
+        finish(it, Outcome::Unknown, code == ResultCode::DeadlineExpired ? ResultCode::AttemptTimedOut : ResultCode::OutcomeUnknown,
+               NoAttempt, now, effects);
+    } else if (call.mayHaveRun) {
+        finish(it, Outcome::Unknown, call.unknownCode, NoAttempt, now, effects);
+    } else {
+        finish(it, Outcome::NotRun, code, NoAttempt, now, effects);
+    }
+}
+
+void CallEngine::finish(CallMap::iterator it, Outcome outcome, ResultCode code, AttemptId winner, Instant now, Effects &effects)
+{
+    Call &call = it->second;
+    for (const AttemptId attempt : call.inFlight) {
+        if (attempt != NoAttempt) {
+            ++m_counters.cancels;
+            effects.emplace_back(CancelAttempt { attempt });
+        }
+    }
+    if (call.isWaiting) {
+        call.service->queue.remove(call.request.customer, call.request.deadline, it->first);
+    }
+    m_admission.release(call.request.customer, now);
+    if (call.request.actionKey) {
+        m_keys.finish(*call.request.actionKey, outcome, now);
+    }
+    effects.emplace_back(FinishCall { it->first, outcome, code, winner });
+    m_calls.erase(it);
+}
+
+void CallEngine::abandon(CallId id, Instant now, Effects &effects)
+{
+    const auto it = m_calls.find(id);
+    if (it == m_calls.end()) {
+        return;
+    }
+    it->second.isAbandoned = true;
+    if (it->second.request.idempotent || it->second.isWaiting) {
+        ServiceState &service = *it->second.service;
+        giveUp(it, ResultCode::NotSent, now, effects);
+        pump(service, now, effects);
+    }
+}
+
+void CallEngine::tick(Instant now, Effects &effects)
+{
+    while (!m_timers.empty() && m_timers.top().at <= now) {
+        const Timer timer = m_timers.top();
+        m_timers.pop();
+        const auto it = m_calls.find(timer.call);
+        if (it == m_calls.end()) {
+            continue;
+        }
+        if (timer.kind == TimerKind::Deadline) {
+            giveUp(it, ResultCode::DeadlineExpired, now, effects);
+        } else {
+            hedge(timer.call, it->second, now, effects);
+        }
+    }
+    m_servers.tick(now);
+    m_resets.prune(now);
+    for (const auto &[id, service] : m_services) {
+        pump(*service, now, effects);
+    }
+}
+
+std::optional<Instant> CallEngine::nextWakeUp(Instant now) const
+{
+    std::optional<Instant> wake;
+    if (!m_timers.empty()) {
+        wake = m_timers.top().at;
+    }
+    for (const auto &[id, service] : m_services) {
+        if (service->queue.empty()) {
+            continue;
+        }
+        const auto open = m_servers.nextAvailable(id, now);
+        if (open && (!wake || *open < *wake)) {
+            wake = open;
+        }
+    }
+    return wake;
+}
+
+}
--- /dev/null
+++ b/packages/entry/entry/engineinterfaces.cpp
@@ -0,0 +1,1 @@
+#include "entry/engineinterfaces.h"
--- /dev/null
+++ b/packages/entry/entry/engineinterfaces.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <cstdint>
+
+#include <tl/expected.hpp>
+
+#include "actions/actionkey.h"
+#include "base/clock.h"
+#include "base/id.h"
+#include "base/outcome.h"
+#include "base/resultcode.h"
+
+namespace Galenabarrow::Entry
+{
+
+/// The part of a contract that the call engine needs for one call.
+struct CallTerms {
+    /// Longest deadline that a call may ask for; zero for no limit.
+    Duration maxDeadline {};
+    /// Hedged attempts allowed per 1,000 first attempts.
+    std::uint32_t hedgePermille = 0;
+    /// Retries allowed per 1,000 first attempts.
+    std::uint32_t retryPermille = 0;
+};
+
+/// The contracts in force at this entry.
+class ContractView
+{
+public:
+    virtual ~ContractView() = default;
+    /// The terms of \p customer for \p service; NoContract or ServiceNotInContract when there are none.
+    virtual tl::expected<CallTerms, ResultCode> terms(const CustomerId &customer, const ServiceId &service) const = 0;
+};
+
+/// The limits of the customers at this entry.
+class AdmissionControl
+{
+public:
+    virtual ~AdmissionControl() = default;
+    /// Takes one call of \p customer; RateLimited or ConcurrencyLimited when a limit is reached.
+    virtual tl::expected<void, ResultCode> admit(const CustomerId &customer, Instant now) = 0;
+    /// Ends one admitted call.
+    virtual void release(const CustomerId &customer, Instant now) = 0;
+};
+
+/// Why an action key may not be run, with what the caller is told.
+struct KeyRefusal {
+    Outcome outcome = Outcome::Unknown;
+    ResultCode code = ResultCode::OutcomeUnknown;
+};
+
+/// The action keys of this entry incarnation.
+class ActionKeys
+{
+public:
+    virtual ~ActionKeys() = default;
+    /// Registers \p key as in progress, or says why it may not run.
+    virtual tl::expected<void, KeyRefusal> begin(const Actions::ActionKey &key, Instant now) = 0;
+    /// Stores the final outcome of a key that was begun.
+    virtual void finish(const Actions::ActionKey &key, Outcome outcome, Instant now) = 0;
+};
+
+/// The freshness of the contract table.
+class FreshnessView
+{
+public:
+    virtual ~FreshnessView() = default;
+    /// True when the table is too old, so that the entry must not dispatch.
+    virtual bool isFenced(Instant now) const = 0;
+};
+
+}
--- /dev/null
+++ b/packages/entry/entry/resetdeadlines.cpp
@@ -0,0 +1,45 @@
+#include "entry/resetdeadlines.h"
+
+#include <algorithm>
+
+namespace Galenabarrow::Entry
+{
+
+namespace
+{
+/// A server that states an absurd time is asked again after this time.
+constexpr Duration MaxHold = std::chrono::hours(1);
+}
+
+std::optional<Instant> ResetDeadlines::resolve(std::optional<Instant> absolute, std::optional<Duration> relative, Instant now)
+{
+    if (absolute && *absolute > now) {
+        return absolute;
+    }
+    if (relative && *relative > Duration::zero()) {
+        return now + std::min(*relative, MaxHold);
+    }
+    return std::nullopt;
+}
+
+void ResetDeadlines::note(const ServerId &server, Instant resetAt, Instant now)
+{
+    if (resetAt <= now) {
+        return;
+    }
+    Instant &deadline = m_deadlines[server];
+    deadline = std::max(deadline, std::min(resetAt, now + MaxHold));
+}
+
+Instant ResetDeadlines::heldUntil(const ServerId &server) const
+{
+    const auto it = m_deadlines.find(server);
+    return it == m_deadlines.end() ? Instant::min() : it->second;
+}
+
+void ResetDeadlines::prune(Instant now)
+{
+    std::erase_if(m_deadlines, [now](const auto &it) { return it.second <= now; });
+}
+
+}
--- /dev/null
+++ b/packages/entry/entry/routingstrategy.cpp
@@ -0,0 +1,184 @@
+#include "entry/routingstrategy.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdint>
+
+namespace Galenabarrow::Entry
+{
+
+namespace
+{
+
+/// Half of the assumed time for which a slot is busy before the first answer.
+constexpr Duration AssumedLatency = std::chrono::milliseconds(20);
+
+double slotsOf(const ServerRow &row)
+{
+    return std::max<std::uint32_t>(row.record.slots, 1);
+}
+
+double ownLoad(const RoutingInput &input, RowIndex index)
+{
+    const ServerRow &row = input.servers.row(index);
+    return row.inFlight / slotsOf(row);
+}
+
+/// The expected number of calls in flight at the server over all entries. A sample loses its meaning within about one
+/// service time, because calls end and others arrive; what is left then is the average of the service.
+double expectedInFlight(const RoutingInput &input, RowIndex index)
+{
+    const ServerRow &row = input.servers.row(index);
+    const ServiceAverages &averages = input.servers.averages(input.service);
+    const double usual = averages.utilization * slotsOf(row);
+    if (!row.load.isKnown) {
+        return std::max(usual, static_cast<double>(row.inFlight));
+    }
+    const Duration latency = averages.latency == Duration::zero() ? AssumedLatency : averages.latency;
+    const double age = std::chrono::duration<double>(input.now - row.load.at) / std::chrono::duration<double>(latency);
+    const double weight = std::exp(-std::max(age, 0.0)) * row.reportTrust;
+    const double sampled = row.load.inFlight + row.sentSinceSample;
+    return std::max(usual + (sampled - usual) * weight, static_cast<double>(row.inFlight));
+}
+
+double freeProbability(const RoutingInput &input, RowIndex index)
+{
+    constexpr double Least = 0.02;
+    const double slots = slotsOf(input.servers.row(index));
+    const double used = std::min(1.0, expectedInFlight(input, index) / slots);
+    return std::max(Least, 1 - std::pow(used, slots));
+}
+
+class RoundRobin final : public RoutingStrategy
+{
+public:
+    RowIndex choose(const RoutingInput &input) override
+    {
+        const auto it = std::upper_bound(input.candidates.begin(), input.candidates.end(), m_last);
+        m_last = it == input.candidates.end() ? input.candidates.front() : *it;
+        return m_last;
+    }
+
+private:
+    RowIndex m_last = 0;
+};
+
+/// Chooses the candidate with the least cost, by chance among equals.
+template<typename Cost>
+RowIndex cheapest(const RoutingInput &input, Cost cost)
+{
+    RowIndex best = input.candidates.front();
+    double bestCost = cost(best);
+    std::uint64_t equals = 1;
+    for (const RowIndex it : input.candidates.subspan(1)) {
+        const double itCost = cost(it);
+        if (itCost < bestCost) {
+            best = it;
+            bestCost = itCost;
+            equals = 1;
+        } else if (itCost == bestCost && input.random.below(++equals) == 0) {
+            best = it;
+        }
+    }
+    return best;
+}
+
+class LeastInFlight final : public RoutingStrategy
+{
+public:
+    RowIndex choose(const RoutingInput &input) override
+    {
+        return cheapest(input, [&input](RowIndex it) { return ownLoad(input, it); });
+    }
+};
+
+template<typename Cost>
+RowIndex cheaperOfTwo(const RoutingInput &input, Cost cost)
+{
+    const RowIndex first = input.candidates[input.random.below(input.candidates.size())];
+    const RowIndex second = input.candidates[input.random.below(input.candidates.size())];
+    return cost(second) < cost(first) ? second : first;
+}
+
+class TwoChoices final : public RoutingStrategy
+{
+public:
+    RowIndex choose(const RoutingInput &input) override
+    {
+        return cheaperOfTwo(input, [&input](RowIndex it) { return ownLoad(input, it); });
+    }
+};
+
+class TwoChoicesReports final : public RoutingStrategy
+{
+public:
+    RowIndex choose(const RoutingInput &input) override
+    {
+        return cheaperOfTwo(input, [&input](RowIndex it) { return expectedInFlight(input, it) / slotsOf(input.servers.row(it)); });
+    }
+};
+
+/// Chooses the least expected delay until a server takes the call: the cost of one try divided by its chance. Trying the
+/// servers in this order is optimal for independent chances.
+class LeastExpectedDelay final : public RoutingStrategy
+{
+public:
+    explicit LeastExpectedDelay(const RoutingCosts &costs)
+        : m_costs(costs)
+    {
+    }
+
+    RowIndex choose(const RoutingInput &input) override
+    {
+        return cheapest(input, [this, &input](RowIndex it) {
+            const Duration way = input.servers.row(it).isLocal ? m_costs.localRoundTrip : m_costs.remoteRoundTrip;
+            return static_cast<double>((way + m_costs.refusalPrice).count()) / freeProbability(input, it);
+        });
+    }
+
+private:
+    RoutingCosts m_costs;
+};
+
+template<typename Strategy>
+std::unique_ptr<RoutingStrategy> make(const RoutingCosts &costs)
+{
+    if constexpr (std::is_constructible_v<Strategy, const RoutingCosts &>) {
+        return std::make_unique<Strategy>(costs);
+    } else {
+        return std::make_unique<Strategy>();
+    }
+}
+
+struct StrategyEntry {
+    std::string_view name;
+    std::unique_ptr<RoutingStrategy> (*make)(const RoutingCosts &);
+};
+
+constexpr auto Strategies = std::to_array<StrategyEntry>({
+    { "round-robin", &make<RoundRobin> },
+    { "least-in-flight", &make<LeastInFlight> },
+    { "two-choices", &make<TwoChoices> },
+    { "two-choices-reports", &make<TwoChoicesReports> },
+    { "least-expected-delay", &make<LeastExpectedDelay> },
+});
+
+}
+
+std::unique_ptr<RoutingStrategy> makeRoutingStrategy(std::string_view name, const RoutingCosts &costs)
+{
+    const auto it = std::find_if(Strategies.begin(), Strategies.end(), [name](const StrategyEntry &entry) { return entry.name == name; });
+    return it == Strategies.end() ? nullptr : it->make(costs);
+}
+
+std::vector<std::string_view> routingStrategyNames()
+{
+    std::vector<std::string_view> names;
+    for (const StrategyEntry &it : Strategies) {
+        names.push_back(it.name);
+    }
+    return names;
+}
+
+}
--- /dev/null
+++ b/packages/entry/entry/serverrecord.cpp
@@ -0,0 +1,1 @@
+#include "entry/serverrecord.h"
--- /dev/null
+++ b/packages/entry/entry/servertable.cpp
@@ -0,0 +1,372 @@
+#include "entry/servertable.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace Galenabarrow::Entry
+{
+
+namespace
+{
+using namespace std::chrono_literals;
+
+/// Weight of a new value in the moving means.
+constexpr double MeanWeight = 0.2;
+/// Weight of a new value in the mean over a whole service.
+constexpr double ServiceMeanWeight = 0.05;
+
+/// The first failure costs about one service time, so that a single error hardly matters; each further one in a row costs
+/// four times as much, so that a server that fails within 0.1 ms attracts nothing.
+constexpr Duration FirstPenalty = 20ms;
+constexpr Duration MaxPenalty = 5s;
+constexpr int PenaltyGrowthShift = 2;
+constexpr std::uint32_t MaxPenaltySteps = 5;
+
+/// Before the first answer a slot is assumed to be busy for this time.
+constexpr Duration AssumedLatency = 20ms;
+constexpr std::uint32_t MaxRefusalSteps = 3;
+
+/// A cold server gets a first attempt at once and then one per pause; each answer halves the pause.
+constexpr Duration ColdStartPause = 200ms;
+constexpr Duration ShortestPause = 2ms;
+
+/// A server is a straggler from this multiple of the median latency of its service, and is one no more below half of it.
+constexpr int StragglerFactor = 4;
+constexpr std::uint32_t StragglerMinAnswers = 3;
+constexpr std::size_t StragglerMinServers = 3;
+constexpr Duration StragglerCheckInterval = 50ms;
+constexpr Duration StragglerFirstPause = 1s;
+constexpr Duration StragglerMaxPause = 8s;
+
+/// A refusal by a server that claims more than this share of free slots contradicts its report.
+constexpr double ContradictionShare = 0.67;
+constexpr double TrustLoss = 0.25;
+constexpr double TrustGain = 0.02;
+
+Duration movingMean(Duration mean, Duration value, double weight)
+{
+    if (mean == Duration::zero()) {
+        return value;
+    }
+    const double next = static_cast<double>(mean.count()) * (1 - weight) + static_cast<double>(value.count()) * weight;
+    return Duration(static_cast<Duration::rep>(next));
+}
+
+std::uint32_t slotsOf(const ServerRecord &record)
+{
+    return std::max<std::uint32_t>(record.slots, 1);
+}
+
+bool takesWork(const ServerRow &row)
+{
+    return !row.isRemoved && !row.record.draining && row.inFlight < slotsOf(row.record);
+}
+
+Instant openFrom(const ServerRow &row)
+{
+    return std::max({ row.refusedUntil, row.resetUntil, row.admitAfter });
+}
+
+bool isFailure(const AttemptReport &report)
+{
+    constexpr std::uint16_t FirstServerError = 500;
+    switch (report.end) {
+    case AttemptEnd::Answered:
+        return report.httpStatus >= FirstServerError;
+    case AttemptEnd::RefusedByServer:
+    case AttemptEnd::Cancelled:
+        return false;
+    case AttemptEnd::ConnectFailed:
+    case AttemptEnd::FailedBeforeSend:
+    case AttemptEnd::FailedAfterSend:
+    case AttemptEnd::TimedOut:
+        return true;
+    }
+    return true;
+}
+
+}
+
+ServerTable::ServerTable(DataCentreId localDataCentre)
+    : m_localDataCentre(std::move(localDataCentre))
+{
+}
+
+RowIndex ServerTable::upsert(const ServerRecord &record, Instant now)
+{
+    const auto known = m_byServer.find(record.server);
+    if (known != m_byServer.end() && m_rows[known->second].record.service != record.service) {
+        remove(record.server);
+    }
+    const auto [it, isNew] = m_byServer.try_emplace(record.server, 0);
+    if (isNew) {
+        if (m_freeRows.empty()) {
+            m_freeRows.push_back(static_cast<RowIndex>(m_rows.size()));
+            m_rows.emplace_back();
+        }
+        it->second = m_freeRows.back();
+        m_freeRows.pop_back();
+        m_rows[it->second] = ServerRow {};
+        m_services[record.service].rows.push_back(it->second);
+    }
+    ServerRow &row = m_rows[it->second];
+    const bool hasRestarted = isNew || row.record.incarnation != record.incarnation;
+    const bool turnsCold = record.coldStart && (hasRestarted || !row.record.coldStart);
+    row.record = record;
+    row.isLocal = record.dataCentre == m_localDataCentre;
+    if (hasRestarted) {
+        resetEstimates(row, now);
+    }
+    if (turnsCold) {
+        row.admissionPause = ColdStartPause;
+    }
+    noteReport(row, record, now);
+    return it->second;
+}
+
+void ServerTable::resetEstimates(ServerRow &row, Instant now)
+{
+    ServerRow fresh;
+    fresh.record = row.record;
+    fresh.isLocal = row.isLocal;
+    fresh.inFlight = row.inFlight;
+    fresh.resetUntil = row.resetUntil;
+    fresh.admitAfter = now;
+    row = std::move(fresh);
+}
+
+void ServerTable::noteReport(ServerRow &row, const ServerRecord &record, Instant now)
+{
+    const Instant at = now - record.reportAge;
+    if (row.load.isKnown && row.load.at >= at) {
+        return;
+    }
+    row.load = LoadSample { static_cast<double>(record.reportedInFlight), at, true };
+    row.sentSinceSample = std::min(row.sentSinceSample, row.inFlight);
+}
+
+void ServerTable::remove(const ServerId &server)
+{
+    const auto it = m_byServer.find(server);
+    if (it == m_byServer.end()) {
+        return;
+    }
+    const RowIndex index = it->second;
+    m_byServer.erase(it);
+    std::erase(m_services[m_rows[index].record.service].rows, index);
+    m_rows[index].isRemoved = true;
+    release(index);
+}
+
+void ServerTable::release(RowIndex index)
+{
+    if (m_rows[index].isRemoved && m_rows[index].inFlight == 0) {
+        m_freeRows.push_back(index);
+    }
+}
+
+const ServerRow &ServerTable::row(RowIndex index) const
+{
+    return m_rows[index];
+}
+
+const ServiceAverages &ServerTable::averages(const ServiceId &service) const
+{
+    static const ServiceAverages None;
+    const auto it = m_services.find(service);
+    return it == m_services.end() ? None : it->second.averages;
+}
+
+const std::vector<RowIndex> &ServerTable::rowsOf(const ServiceId &service) const
+{
+    static const std::vector<RowIndex> None;
+    const auto it = m_services.find(service);
+    return it == m_services.end() ? None : it->second.rows;
+}
+
+bool ServerTable::hasServer(const ServiceId &service) const
+{
+    const auto &rows = rowsOf(service);
+    return std::any_of(rows.begin(), rows.end(), [this](RowIndex it) { return !m_rows[it].record.draining; });
+}
+
+void ServerTable::collectAvailable(const ServiceId &service, std::optional<RowIndex> excluded, Instant now,
+                                   std::vector<RowIndex> &rows) const
+{
+    rows.clear();
+    const std::vector<RowIndex> &all = rowsOf(service);
+    std::size_t penalized = 0;
+    for (const RowIndex it : all) {
+        const ServerRow &row = m_rows[it];
+        const bool isPenalized = row.penaltyUntil > now;
+        penalized += isPenalized ? 1 : 0;
+        if (!isPenalized && it != excluded && takesWork(row) && openFrom(row) <= now) {
+            rows.push_back(it);
+        }
+    }
+    // When most servers fail, the fault is behind them, and concentrating the load on the rest would make it worse.
+    if (penalized * 2 <= all.size()) {
+        return;
+    }
+    for (const RowIndex it : all) {
+        if (m_rows[it].penaltyUntil > now && it != excluded && takesWork(m_rows[it]) && openFrom(m_rows[it]) <= now) {
+            rows.push_back(it);
+        }
+    }
+}
+
+std::optional<Instant> ServerTable::nextAvailable(const ServiceId &service, Instant now) const
+{
+    std::optional<Instant> next;
+    for (const RowIndex it : rowsOf(service)) {
+        const ServerRow &row = m_rows[it];
+        if (!takesWork(row)) {
+            continue;
+        }
+        const Instant open = std::max(openFrom(row), row.penaltyUntil);
+        if (open > now && (!next || open < *next)) {
+            next = open;
+        }
+    }
+    return next;
+}
+
+void ServerTable::attemptSent(RowIndex index, Instant now)
+{
+    ServerRow &row = m_rows[index];
+    ++row.inFlight;
+    ++row.sentSinceSample;
+    if (row.admissionPause > Duration::zero()) {
+        row.admitAfter = now + row.admissionPause;
+    }
+}
+
+void ServerTable::attemptEnded(RowIndex index, const AttemptReport &report, Instant now)
+{
+    ServerRow &row = m_rows[index];
+    assert(row.inFlight > 0);
+    --row.inFlight;
+    ServiceAverages &averages = m_services[row.record.service].averages;
+    if (report.end == AttemptEnd::RefusedByServer) {
+        noteRefusal(row, averages, now);
+    } else if (isFailure(report)) {
+        noteFailure(row, now);
+    } else if (report.end == AttemptEnd::Answered) {
+        noteAnswer(row, averages, report, now);
+    }
+    // A call that was given up says that its answer takes at least that long.
+    const bool wasGivenUp = report.end == AttemptEnd::Cancelled || report.end == AttemptEnd::TimedOut;
+    if (wasGivenUp && report.elapsed > row.latency) {
+        noteLatency(row, averages, report.elapsed);
+    }
+    release(index);
+}
+
+void ServerTable::noteAnswer(ServerRow &row, ServiceAverages &averages, const AttemptReport &report, Instant now)
+{
+    row.consecutiveFailures = 0;
+    row.penaltyUntil = Instant::min();
+    // The answer has just freed a slot.
+    row.consecutiveRefusals = 0;
+    row.refusedUntil = Instant::min();
+    row.reportTrust = std::min(1.0, row.reportTrust + TrustGain);
+    noteLatency(row, averages, report.elapsed);
+    noteWarmth(row);
+    if (!report.load) {
+        return;
+    }
+    row.load = LoadSample { static_cast<double>(report.load->inFlight), now, true };
+    row.sentSinceSample = 0;
+    const double used = std::min(1.0, row.load.inFlight / slotsOf(row.record));
+    averages.utilization += ServiceMeanWeight * (used - averages.utilization);
+}
+
+void ServerTable::noteLatency(ServerRow &row, ServiceAverages &averages, Duration elapsed)
+{
+    ++row.answers;
+    row.latency = movingMean(row.latency, elapsed, std::max(MeanWeight, 1.0 / row.answers));
+    averages.latency = movingMean(averages.latency, elapsed, ServiceMeanWeight);
+}
+
+void ServerTable::noteWarmth(ServerRow &row)
+{
+    if (row.isStraggler || row.admissionPause == Duration::zero()) {
+        return;
+    }
+    row.admissionPause /= 2;
+    if (row.admissionPause < ShortestPause) {
+        row.admissionPause = Duration::zero();
+    }
+}
+
+void ServerTable::noteRefusal(ServerRow &row, const ServiceAverages &averages, Instant now)
+{
+    const double slots = slotsOf(row.record);
+    if (row.load.isKnown && row.load.inFlight + row.sentSinceSample < slots * (1 - ContradictionShare) + 1) {
+        row.reportTrust = std::max(0.0, row.reportTrust - TrustLoss);
+    }
+    row.load = LoadSample { slots, now, true };
+    row.sentSinceSample = 0;
+    // One of the slots becomes free after the mean answer time divided by their number.
+    const Duration latency = averages.latency == Duration::zero() ? AssumedLatency : averages.latency;
+    const Duration pause = latency / slotsOf(row.record);
+    row.refusedUntil = now + pause * (1U << std::min(row.consecutiveRefusals, MaxRefusalSteps)) / 2;
+    ++row.consecutiveRefusals;
+}
+
+void ServerTable::noteFailure(ServerRow &row, Instant now)
+{
+    const std::uint32_t steps = std::min(row.consecutiveFailures, MaxPenaltySteps);
+    const Duration penalty = std::min(MaxPenalty, FirstPenalty * (1U << (steps * PenaltyGrowthShift)));
+    row.penaltyUntil = now + penalty;
+    ++row.consecutiveFailures;
+}
+
+void ServerTable::hold(RowIndex index, Instant resetAt)
+{
+    m_rows[index].resetUntil = std::max(m_rows[index].resetUntil, resetAt);
+}
+
+void ServerTable::tick(Instant now)
+{
+    if (now < m_nextStragglerCheck) {
+        return;
+    }
+    m_nextStragglerCheck = now + StragglerCheckInterval;
+    for (auto &[id, service] : m_services) {
+        detectStragglers(service, now);
+    }
+}
+
+void ServerTable::detectStragglers(ServiceRows &service, Instant now)
+{
+    service.latencies.clear();
+    for (const RowIndex it : service.rows) {
+        if (m_rows[it].answers >= StragglerMinAnswers) {
+            service.latencies.push_back(m_rows[it].latency);
+        }
+    }
+    if (service.latencies.size() < StragglerMinServers) {
+        return;
+    }
+    const auto middle = service.latencies.begin() + static_cast<std::ptrdiff_t>(service.latencies.size() / 2);
+    std::nth_element(service.latencies.begin(), middle, service.latencies.end());
+    const Duration median = *middle;
+    for (const RowIndex it : service.rows) {
+        ServerRow &row = m_rows[it];
+        if (!row.isStraggler && row.answers >= StragglerMinAnswers && row.latency > median * StragglerFactor) {
+            row.isStraggler = true;
+            row.admissionPause = StragglerFirstPause;
+            row.admitAfter = now + row.admissionPause;
+        } else if (row.isStraggler && row.latency < median * StragglerFactor / 2) {
+            row.isStraggler = false;
+            row.admissionPause = Duration::zero();
+            row.admitAfter = now;
+        } else if (row.isStraggler) {
+            row.admissionPause = std::min(StragglerMaxPause, std::max(row.admissionPause, StragglerFirstPause));
+        }
+    }
+}
+
+}
--- /dev/null
+++ b/packages/entry/entry/servertable.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "entry/calltypes.h"
+#include "entry/serverrecord.h"
+
+namespace Galenabarrow::Entry
+{
+
+/// The place of a server in the table; stays the same while the server has calls in flight.
+using RowIndex = std::uint32_t;
+
+/// How many calls a server had in flight, over all entries, at some time.
+struct LoadSample {
+    double inFlight = 0;
+    Instant at {};
+    bool isKnown = false;
+};
+
+/// What this entry knows about one server.
+struct ServerRow {
+    ServerRecord record;
+    bool isRemoved = false;
+    bool isLocal = false;
+
+    /// Attempts of this entry in flight.
+    std::uint32_t inFlight = 0;
+    /// Attempts sent since the load sample was taken.
+    std::uint32_t sentSinceSample = 0;
+    LoadSample load;
+    /// How far load samples are believed, 0 to 1. Falls when the server refuses although it reports free slots.
+    double reportTrust = 1;
+
+    /// Moving mean of the answer times; zero before the first answer.
+    Duration latency {};
+    std::uint32_t answers = 0;
+    bool isStraggler = false;
+
+    std::uint32_t consecutiveFailures = 0;
+    Instant penaltyUntil = Instant::min();
+    std::uint32_t consecutiveRefusals = 0;
+    Instant refusedUntil = Instant::min();
+    Instant resetUntil = Instant::min();
+
+    /// Slow admission of a cold or slow server: no attempt before this time, with this pause after each one.
+    Instant admitAfter = Instant::min();
+    Duration admissionPause {};
+};
+
+/// Averages over the servers of one service.
+struct ServiceAverages {
+    /// Moving mean of the answer times; zero before the first answer.
+    Duration latency {};
+    /// Moving mean of the used share of slots as answers state it.
+    double utilization = 0.5;
+};
+
+/// The servers that this entry knows, one row each. Systems run over the rows on each tick.
+class ServerTable
+{
+public:
+    explicit ServerTable(DataCentreId localDataCentre);
+
+    /// Adds or updates the row of a server and returns its index.
+    RowIndex upsert(const ServerRecord &record, Instant now);
+    /// Takes the server out of service; the row goes when its last attempt has ended.
+    void remove(const ServerId &server);
+
+    const ServerRow &row(RowIndex index) const;
+    const ServiceAverages &averages(const ServiceId &service) const;
+    /// The rows of \p service that are not removed.
+    const std::vector<RowIndex> &rowsOf(const ServiceId &service) const;
+    /// True when a server of \p service is not draining.
+    bool hasServer(const ServiceId &service) const;
+    /// Collects the rows that can take an attempt now, without \p excluded.
+    void collectAvailable(const ServiceId &service, std::optional<RowIndex> excluded, Instant now, std::vector<RowIndex> &rows) const;
+    /// When the next row of \p service becomes available by the passing of time alone.
+    std::optional<Instant> nextAvailable(const ServiceId &service, Instant now) const;
+
+    /// Notes that an attempt was sent to the server.
+    void attemptSent(RowIndex index, Instant now);
+    /// Notes how an attempt at the server ended.
+    void attemptEnded(RowIndex index, const AttemptReport &report, Instant now);
+    /// Holds the server back until \p resetAt.
+    void hold(RowIndex index, Instant resetAt);
+
+    /// The systems over all rows.
+    void tick(Instant now);
+
+private:
+    struct ServiceRows {
+        std::vector<RowIndex> rows;
+        ServiceAverages averages;
+        /// Scratch memory of the straggler system.
+        std::vector<Duration> latencies;
+    };
+
+    void resetEstimates(ServerRow &row, Instant now);
+    void noteReport(ServerRow &row, const ServerRecord &record, Instant now);
+    void noteAnswer(ServerRow &row, ServiceAverages &averages, const AttemptReport &report, Instant now);
+    void noteRefusal(ServerRow &row, const ServiceAverages &averages, Instant now);
+    void noteFailure(ServerRow &row, Instant now);
+    void noteLatency(ServerRow &row, ServiceAverages &averages, Duration elapsed);
+    void noteWarmth(ServerRow &row);
+    void detectStragglers(ServiceRows &service, Instant now);
+    void release(RowIndex index);
+
+    DataCentreId m_localDataCentre;
+    std::vector<ServerRow> m_rows;
+    std::vector<RowIndex> m_freeRows;
+    std::unordered_map<ServerId, RowIndex> m_byServer;
+    std::unordered_map<ServiceId, ServiceRows> m_services;
+    Instant m_nextStragglerCheck = Instant::min();
+};
+
+}
--- /dev/null
+++ b/packages/entry/entry/sharebudget.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <cstdint>
+
+namespace Galenabarrow::Entry
+{
+
+/// A token budget that is a share of first attempts. Each first attempt earns a fraction of a token.
+class ShareBudget
+{
+public:
+    /// Adds \p permille thousandths of a token for one first attempt.
+    void earn(std::uint32_t permille);
+    /// Takes one token; false when there is none.
+    bool tryTake();
+    /// Gives back a token whose attempt did no work.
+    void giveBack();
+
+private:
+    static constexpr std::uint32_t Token = 1000;
+    /// Limits the burst after a quiet time.
+    static constexpr std::uint32_t MaxTokens = 10;
+
+    std::uint32_t m_thousandths = Token;
+};
+
+/// Limits the retries of a service, so that failing servers don't multiply the load.
+class RetryBudget final : public ShareBudget
+{
+};
+
+/// Limits the hedged attempts of a service.
+class HedgeBudget final : public ShareBudget
+{
+};
+
+}
