Add the measuring command of the choice of server

Cause: the default strategy is to be chosen by measurement.

A lower bound (one queue with full knowledge) runs over the same calls.

Ruled out: a service time per attempt instead of per call. A hedge would then draw a new time, and results would beat the bound for a reason that is not there in a real service.

--- /dev/null
+++ b/packages/bench/bench/main.cpp
@@ -0,0 +1,201 @@
+#include <algorithm>
+#include <atomic>
+#include <cstdio>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <gflags/gflags.h>
+
+#include "bench/lowerbound.h"
+#include "bench/stand.h"
+
+// NOLINTBEGIN(readability-identifier-naming): the macros of gflags name the variables
+DEFINE_uint64(seed, 1, "seed of arrivals, service times and choices");
+DEFINE_uint32(seconds, 40, "length of a run on the paused clock; the middle half is counted");
+DEFINE_string(strategy, "all", "routing strategy, or all");
+DEFINE_string(deployment, "all", "abyssinia, odalaigh or all");
+DEFINE_string(fault, "all", "none, straggler, fail-fast, cold-start, drain-3, lying or all");
+DEFINE_uint32(load, 0, "offered load in percent of the slots; 0 for 50, 80 and 95");
+DEFINE_uint32(lag, 0, "report lag in ms; 0 for 1, 50 and 1000");
+DEFINE_uint32(refusal_price, 500, "price of a refusal in us of waiting time");
+DEFINE_uint32(threads, 4, "runs at the same time");
+DEFINE_bool(markdown, false, "print the table as Markdown");
+DEFINE_bool(chain, false, "measure the retries of a chain of 7 services instead");
+// NOLINTEND(readability-identifier-naming)
+
+namespace
+{
+
+using namespace Galenabarrow;
+using namespace Galenabarrow::Bench;
+
+struct Row {
+    Scenario scenario;
+    std::vector<std::string> cells;
+};
+
+std::string number(double value, int digits)
+{
+    std::vector<char> text(32);
+    const int length = std::snprintf(text.data(), text.size(), "%.*f", digits, value);
+    return { text.data(), static_cast<std::size_t>(length) };
+}
+
+double share(double part, double whole)
+{
+    return whole > 0 ? part / whole : 0;
+}
+
+void measure(Row &row)
+{
+    const Scenario &scenario = row.scenario;
+    const std::vector<PlannedCall> calls = planCalls(scenario);
+    Measurement bound = measureLowerBound(scenario, calls);
+    Measurement result = Stand(scenario, calls).run();
+    double slots = 0;
+    for (const ServicePlan &it : scenario.deployment.services) {
+        slots += it.servers * it.slots;
+    }
+    const Duration cost = RefusalCost * static_cast<std::int64_t>(result.refusals) + ReportCost * static_cast<std::int64_t>(result.reports);
+    const double slotTime = slots * static_cast<double>(scenario.length.count());
+    const auto total = static_cast<double>(calls.size());
+    const double boundP99 = bound.quantile(0.99);
+    const double p99 = result.quantile(0.99);
+    row.cells = { std::string(scenario.deployment.name),
+                  std::to_string(scenario.loadPercent),
+                  std::to_string(scenario.reportLag / 1ms),
+                  std::string(faultName(scenario.fault)),
+                  scenario.strategy,
+                  number(result.quantile(0.5), 1),
+                  number(p99, 1),
+                  number(result.quantile(0.999), 1),
+                  std::to_string(result.failures) + "/" + std::to_string(result.calls),
+                  number(100 * share(static_cast<double>(result.lostWork.count()), static_cast<double>(result.work.count())), 2),
+                  number(100 * share(static_cast<double>(cost.count()), slotTime), 3),
+                  number(share(static_cast<double>(result.refusals), total), 2),
+                  number(share(static_cast<double>(result.hedges), total), 4),
+                  number(bound.quantile(0.5), 1),
+                  number(boundP99, 1),
+                  number(bound.quantile(0.999), 1),
+                  std::to_string(bound.failures),
+                  number(share(p99, boundP99), 2) };
+}
+
+const std::vector<std::string> Header { "deployment",  "load %",    "lag ms",    "fault",       "strategy",       "p50 ms",
+                                        "p99 ms",      "p99.9 ms",  "failures",  "lost %",      "cost %",         "refused/call",
+                                        "hedges/call", "bound p50", "bound p99", "bound p99.9", "bound failures", "p99/bound" };
+
+void print(const std::vector<std::string> &cells)
+{
+    for (std::size_t n = 0; n < cells.size(); ++n) {
+        if (FLAGS_markdown) {
+            std::printf("| %s ", cells[n].c_str());
+        } else {
+            std::printf("%-*s ", static_cast<int>(std::max<std::size_t>(Header[n].size(), n < 5 ? 12 : 6)), cells[n].c_str());
+        }
+    }
+    std::printf(FLAGS_markdown ? "|\n" : "\n");
+}
+
+std::vector<Row> selectedRows()
+{
+    std::vector<Row> rows;
+    const std::vector<std::uint32_t> loads = FLAGS_load > 0 ? std::vector { FLAGS_load } : std::vector { 50U, 80U, 95U };
+    const std::vector<std::uint32_t> lags = FLAGS_lag > 0 ? std::vector { FLAGS_lag } : std::vector { 1U, 50U, 1000U };
+    for (const Deployment &deployment : allDeployments()) {
+        for (const std::uint32_t load : loads) {
+            for (const std::uint32_t lag : lags) {
+                for (const Fault fault : allFaults()) {
+                    for (const std::string_view strategy : Entry::routingStrategyNames()) {
+                        if ((FLAGS_deployment != "all" && FLAGS_deployment != deployment.name)
+                            || (FLAGS_fault != "all" && FLAGS_fault != faultName(fault))
+                            || (FLAGS_strategy != "all" && FLAGS_strategy != strategy)) {
+                            continue;
+                        }
+                        Row row;
+                        row.scenario.deployment = deployment;
+                        row.scenario.strategy = strategy;
+                        row.scenario.loadPercent = load;
+                        row.scenario.reportLag = std::chrono::milliseconds(lag);
+                        row.scenario.fault = fault;
+                        row.scenario.seed = FLAGS_seed;
+                        row.scenario.length = std::chrono::seconds(FLAGS_seconds);
+                        row.scenario.refusalPrice = std::chrono::microseconds(FLAGS_refusal_price);
+                        rows.push_back(std::move(row));
+                    }
+                }
+            }
+        }
+    }
+    return rows;
+}
+
+void measureAll(std::vector<Row> &rows)
+{
+    std::atomic<std::size_t> nextRow { 0 };
+    std::vector<std::thread> threads;
+    for (std::uint32_t n = 0; n < FLAGS_threads; ++n) {
+        threads.emplace_back([&rows, &nextRow] {
+            for (std::size_t row = nextRow++; row < rows.size(); row = nextRow++) {
+                measure(rows[row]);
+            }
+        });
+    }
+    for (std::thread &it : threads) {
+        it.join();
+    }
+}
+
+void measureChain(const char *label, double failingServers, double failingCalls)
+{
+    constexpr std::uint32_t Depth = 7;
+    Scenario scenario;
+    scenario.deployment = { "chain", std::vector<ServicePlan>(Depth, ServicePlan { 15, 64 }) };
+    scenario.strategy = FLAGS_strategy == "all" ? std::string(Entry::DefaultRoutingStrategy) : FLAGS_strategy;
+    scenario.reportLag = 50ms;
+    scenario.seed = FLAGS_seed;
+    scenario.length = std::chrono::seconds(FLAGS_seconds);
+    scenario.meanService = 2ms;
+    scenario.idempotentShare = 1;
+    scenario.isChain = true;
+    scenario.failingServers = failingServers;
+    scenario.failingCalls = failingCalls;
+    scenario.chainRate = 2000;
+    const std::vector<PlannedCall> calls = planCalls(scenario);
+    const Measurement result = Stand(scenario, calls).run();
+    double attempts = 0;
+    double firsts = 0;
+    std::printf("%-32s attempts per outside call at hop 1 to %u:", label, Depth);
+    for (std::uint32_t n = 0; n < Depth; ++n) {
+        attempts += static_cast<double>(result.attemptsAt[n]);
+        firsts += static_cast<double>(result.callsAt[n]);
+        std::printf(" %.3f", static_cast<double>(result.attemptsAt[n]) / static_cast<double>(calls.size()));
+    }
+    std::printf("; attempts / first attempts over all hops %.3f; failed calls %.4f\n", attempts / firsts,
+                share(static_cast<double>(result.failures), static_cast<double>(result.calls)));
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    gflags::SetUsageMessage("measures the routing strategies of the entry against fakes of servers and links");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (FLAGS_chain) {
+        measureChain("no failures", 0, 0);
+        measureChain("20% of the servers always fail", 0.2, 0);
+        measureChain("every server fails 20% of calls", 0, 0.2);
+        return 0;
+    }
+    std::vector<Row> rows = selectedRows();
+    measureAll(rows);
+    print(Header);
+    if (FLAGS_markdown) {
+        print(std::vector<std::string>(Header.size(), "---"));
+    }
+    for (const Row &it : rows) {
+        print(it.cells);
+    }
+    return 0;
+}
