--- a/packages/entry/entry/routingstrategy.cpp
+++ b/packages/entry/entry/routingstrategy.cpp
@@ -175,6 +175,7 @@
 std::vector<std::string_view> routingStrategyNames()
 {
     std::vector<std::string_view> names;
+    names.reserve(Strategies.size());
     for (const StrategyEntry &it : Strategies) {
         names.push_back(it.name);
     }
--- /dev/null
+++ b/packages/entry/tests/servertabletest.cpp
@@ -0,0 +1,198 @@
+#include "stubparts.h"
+
+#include <algorithm>
+
+#include "entry/routingstrategy.h"
+#include "entry/servertable.h"
+
+using namespace Galenabarrow;
+using namespace Galenabarrow::Entry;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const ServiceId Service("s");
+
+struct TableFixture {
+    ServerTable table { DataCentreId("north") };
+    Instant now { 1s };
+    std::vector<RowIndex> available;
+
+    explicit TableFixture(std::size_t servers = 4, std::uint32_t slots = 3)
+    {
+        for (std::size_t n = 0; n < servers; ++n) {
+            table.upsert(stubServer(std::string(1, static_cast<char>('a' + n)), slots), now);
+        }
+    }
+
+    void end(RowIndex row, AttemptEnd end, Duration elapsed, std::uint16_t status = 200, std::optional<ServerLoad> load = std::nullopt)
+    {
+        table.attemptSent(row, now);
+        AttemptReport report;
+        report.end = end;
+        report.elapsed = elapsed;
+        report.httpStatus = status;
+        report.load = load;
+        now += elapsed;
+        table.attemptEnded(row, report, now);
+    }
+
+    bool isAvailable(RowIndex row)
+    {
+        table.collectAvailable(Service, std::nullopt, now, available);
+        return std::find(available.begin(), available.end(), row) != available.end();
+    }
+
+    /// How many of \p count choices fall on \p row.
+    int chosen(RowIndex row, int count, SeededRandom &random, RoutingStrategy &strategy)
+    {
+        int hits = 0;
+        for (int n = 0; n < count; ++n) {
+            table.collectAvailable(Service, std::nullopt, now, available);
+            hits += strategy.choose({ table, Service, available, random, now }) == row ? 1 : 0;
+        }
+        return hits;
+    }
+};
+
+}
+
+// Guards against a server that fails within 0.1 ms and attracts calls because it always has free slots.
+TEST_CASE("a server that fails fast is avoided for longer and longer", "[servertable]")
+{
+    TableFixture fixture;
+    int attempts = 0;
+    const Instant end = fixture.now + 10s;
+    while (fixture.now < end) {
+        if (fixture.isAvailable(0)) {
+            fixture.end(0, AttemptEnd::Answered, 100us, 500);
+            ++attempts;
+        } else {
+            fixture.now += 1ms;
+        }
+    }
+    REQUIRE(attempts <= 8);
+    // An answer ends the penalty.
+    fixture.now += 10s;
+    fixture.end(0, AttemptEnd::Answered, 10ms);
+    REQUIRE(fixture.isAvailable(0));
+}
+
+// Guards against all load on the last good server when the fault is behind all servers.
+TEST_CASE("penalties are ignored when most servers fail", "[servertable]")
+{
+    TableFixture fixture;
+    for (const RowIndex it : { 0U, 1U, 2U }) {
+        fixture.end(it, AttemptEnd::Answered, 100us, 500);
+    }
+    REQUIRE(fixture.isAvailable(0));
+    REQUIRE(fixture.isAvailable(3));
+}
+
+// Guards against a slow server that gets as much work as the others, and one that never comes back.
+TEST_CASE("a straggler is found from its answers and comes back when it is fast again", "[servertable]")
+{
+    TableFixture fixture;
+    for (int n = 0; n < 5; ++n) {
+        for (const RowIndex it : { 1U, 2U, 3U }) {
+            fixture.end(it, AttemptEnd::Answered, 20ms);
+        }
+        fixture.end(0, AttemptEnd::Answered, 200ms);
+        fixture.table.tick(fixture.now);
+    }
+    REQUIRE(fixture.table.row(0).isStraggler);
+    REQUIRE_FALSE(fixture.isAvailable(0));
+    for (int n = 0; n < 20 && fixture.table.row(0).isStraggler; ++n) {
+        fixture.now += 10s;
+        REQUIRE(fixture.isAvailable(0));
+        fixture.end(0, AttemptEnd::Answered, 20ms);
+        fixture.now += 1s;
+        fixture.table.tick(fixture.now);
+    }
+    REQUIRE_FALSE(fixture.table.row(0).isStraggler);
+}
+
+// Guards against a burst on a server whose caches are empty.
+TEST_CASE("a cold server is admitted slowly and warms up by answers", "[servertable]")
+{
+    TableFixture fixture;
+    ServerRecord cold = stubServer("a", 3);
+    cold.incarnation = Incarnation(2);
+    cold.coldStart = true;
+    fixture.table.upsert(cold, fixture.now);
+    REQUIRE(fixture.isAvailable(0));
+    fixture.table.attemptSent(0, fixture.now);
+    REQUIRE_FALSE(fixture.isAvailable(0));
+    fixture.now += 1s;
+    for (int n = 0; n < 10; ++n) {
+        fixture.end(0, AttemptEnd::Answered, 20ms);
+        fixture.now += 1s;
+    }
+    fixture.table.attemptSent(0, fixture.now);
+    REQUIRE(fixture.isAvailable(0));
+}
+
+// Guards against a full server that is asked again and again.
+TEST_CASE("a refusal pauses the server until a slot can be free", "[servertable]")
+{
+    TableFixture fixture;
+    fixture.end(0, AttemptEnd::RefusedByServer, 1ms);
+    REQUIRE_FALSE(fixture.isAvailable(0));
+    const auto open = fixture.table.nextAvailable(Service, fixture.now);
+    REQUIRE(open);
+    fixture.now = *open;
+    REQUIRE(fixture.isAvailable(0));
+}
+
+// Guards against a new record that inherits the counts of a removed server while its attempts are still in flight.
+TEST_CASE("a removed row is not reused before its attempts have ended", "[servertable]")
+{
+    TableFixture fixture(1);
+    fixture.table.attemptSent(0, fixture.now);
+    fixture.table.remove(ServerId("a"));
+    REQUIRE(fixture.table.upsert(stubServer("b", 3), fixture.now) != 0);
+    AttemptReport report;
+    fixture.table.attemptEnded(0, report, fixture.now);
+    REQUIRE(fixture.table.upsert(stubServer("c", 3), fixture.now) == 0);
+    REQUIRE(fixture.table.row(0).inFlight == 0);
+}
+
+// Guards against a server that always reports 0 in flight and draws all traffic.
+TEST_CASE("a server whose reports its refusals contradict loses its attraction", "[routing]")
+{
+    TableFixture fixture;
+    SeededRandom random(1);
+    const auto strategy = makeRoutingStrategy(DefaultRoutingStrategy, {});
+    for (int n = 0; n < 20; ++n) {
+        for (const RowIndex it : { 1U, 2U, 3U }) {
+            fixture.end(it, AttemptEnd::Answered, 1ms, 200, ServerLoad { 1, 3 });
+        }
+        ServerRecord liar = stubServer("a", 3);
+        fixture.table.upsert(liar, fixture.now);
+        fixture.end(0, AttemptEnd::RefusedByServer, 1ms);
+        fixture.now += 100ms;
+    }
+    ServerRecord liar = stubServer("a", 3);
+    fixture.table.upsert(liar, fixture.now);
+    REQUIRE(fixture.table.row(0).reportTrust == 0);
+    REQUIRE(fixture.chosen(0, 1000, random, *strategy) < 500);
+}
+
+// Guards against a strategy name in the settings that no build knows, and a strategy that chooses outside its candidates.
+TEST_CASE("every listed strategy can be made and chooses a candidate", "[routing]")
+{
+    TableFixture fixture;
+    SeededRandom random(1);
+    REQUIRE_FALSE(makeRoutingStrategy("no-such-strategy", {}));
+    for (const std::string_view it : routingStrategyNames()) {
+        CAPTURE(it);
+        const auto strategy = makeRoutingStrategy(it, {});
+        REQUIRE(strategy);
+        int hits = 0;
+        for (const RowIndex row : fixture.table.rowsOf(Service)) {
+            hits += fixture.chosen(row, 50, random, *strategy);
+        }
+        REQUIRE(hits > 0);
+    }
+}
