Count refusals as full servers in the mean utilization

Cause: answers state the load that a call leaves behind, at most slots - 1 of slots, so the estimated utilization could never reach 1.

Change: a refusal counts as a sample of a full server.

Ruled out: (load + 1) / slots per answer, which is too high by the size bias.

--- a/packages/entry/entry/servertable.cpp
+++ b/packages/entry/entry/servertable.cpp
@@ -300,7 +300,7 @@
     }
 }
 
-void ServerTable::noteRefusal(ServerRow &row, const ServiceAverages &averages, Instant now)
+void ServerTable::noteRefusal(ServerRow &row, ServiceAverages &averages, Instant now)
 {
     const double slots = slotsOf(row.record);
     if (row.load.isKnown && row.load.inFlight + row.sentSinceSample < slots * (1 - ContradictionShare) + 1) {
@@ -308,6 +308,7 @@
     }
     row.load = LoadSample { slots, now, true };
     row.sentSinceSample = 0;
+    averages.utilization += ServiceMeanWeight * (1 - averages.utilization);
     // One of the slots becomes free after the mean answer time divided by their number.
     const Duration latency = averages.latency == Duration::zero() ? AssumedLatency : averages.latency;
     const Duration pause = latency / slotsOf(row.record);
--- a/packages/entry/entry/servertable.h
+++ b/packages/entry/entry/servertable.h
@@ -102,7 +102,7 @@
     void resetEstimates(ServerRow &row, Instant now);
     void noteReport(ServerRow &row, const ServerRecord &record, Instant now);
     void noteAnswer(ServerRow &row, ServiceAverages &averages, const AttemptReport &report, Instant now);
-    void noteRefusal(ServerRow &row, const ServiceAverages &averages, Instant now);
+    void noteRefusal(ServerRow &row, ServiceAverages &averages, Instant now);
     void noteFailure(ServerRow &row, Instant now);
     void noteLatency(ServerRow &row, ServiceAverages &averages, Duration elapsed);
     void noteWarmth(ServerRow &row);
