Hedge later, not at high utilization, and early at stragglers

Cause: a hedge after 4 mean answer times is sent for 2 in 100 healthy calls, works for nothing and takes slots near saturation.

Change: 6 mean answer times; none above 85% utilization; after 2 mean answer times and at any utilization when the server is a straggler.

--- a/packages/entry/entry/callengine.cpp
+++ b/packages/entry/entry/callengine.cpp
@@ -16,9 +16,13 @@
 constexpr std::uint8_t MaxRetries = 3;
 /// Bounds the refusals that one call may collect; the pauses after refusals keep their rate low.
 constexpr std::uint16_t MaxPlacements = 200;
-/// A hedge is sent after this multiple of the mean answer time; 2 in 100 exponential answers take longer.
-constexpr int HedgeDelayFactor = 4;
+/// A hedge is sent after this multiple of the mean answer time; 2 in 1,000 exponential answers take longer.
+constexpr int HedgeDelayFactor = 6;
+/// The same for an attempt at a straggler, whose answer is expected to be late.
+constexpr int StragglerHedgeDelayFactor = 2;
 constexpr Duration MinHedgeDelay = 1ms;
+/// Above this utilization a hedge takes a slot that a waiting call needs, at this entry or another.
+constexpr double MaxHedgeUtilization = 0.85;
 
 bool isProvedNotRun(AttemptEnd end)
 {
@@ -264,7 +268,8 @@
     effects.emplace_back(DispatchAttempt { id, m_lastAttempt, m_servers.row(row).record.server, call.request.deadline, number, isHedge });
     if (!isHedge) {
         const Duration latency = m_servers.averages(call.service->id).latency;
-        armHedge(id, call, std::max(MinHedgeDelay, latency * HedgeDelayFactor), now);
+        const int factor = m_servers.row(row).isStraggler ? StragglerHedgeDelayFactor : HedgeDelayFactor;
+        armHedge(id, call, std::max(MinHedgeDelay, latency * factor), now);
     }
 }
 
@@ -282,12 +287,14 @@
     if (inFlight != 1 || call.isAbandoned || m_freshness.isFenced(now) || call.request.deadline <= now) {
         return;
     }
+    const AttemptId first = call.inFlight[0] != NoAttempt ? call.inFlight[0] : call.inFlight[1];
+    const RowIndex firstRow = m_attempts.at(first).row;
     // Waiting calls come first: a hedge is only worth a slot that nobody else needs.
-    if (!call.service->queue.empty()) {
+    const bool isBusy = m_servers.averages(call.service->id).utilization > MaxHedgeUtilization;
+    if (!call.service->queue.empty() || (isBusy && !m_servers.row(firstRow).isStraggler)) {
         return;
     }
-    const AttemptId first = call.inFlight[0] != NoAttempt ? call.inFlight[0] : call.inFlight[1];
-    m_servers.collectAvailable(call.service->id, m_attempts.at(first).row, now, m_candidates);
+    m_servers.collectAvailable(call.service->id, firstRow, now, m_candidates);
     if (m_candidates.empty() || !call.service->hedges.tryTake()) {
         return;
     }
