Add the cores of actions, membership, limits and measuring

Cause: the daemon is written against these interfaces; an entry needs to tell which action keys it may run, who is alive, how much of a contract it may use and how much measuring it may do.

Change: action keys and their registry; membership records, table, gossip core, directory and codec; customer limits at an entry, share allocator at the control leader and codec; measuring budget, probe assignment and sampler. The defaulted comparison of Id carries a suppression: clang-tidy 14 reports modernize-use-nullptr where the comparison is rewritten, such as in std::map.

Ruled out: claimed keys bound to a key window; the replicated log holds owner and incarnation of a claim only, so these keys are kept for the life of the incarnation.

Conclusion: the headers can be used; the invariants are not yet proved.

--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,5 @@
 # Needs flatbuffers-compiler; its output is committed.
 generate:
 	flatc --cpp --cpp-std c++17 --scoped-enums -o packages/wire/wire/generated packages/wire/wire/messages.fbs
+	flatc --cpp --cpp-std c++17 --scoped-enums -o packages/membership/membership/generated packages/membership/membership/gossip.fbs
+	flatc --cpp --cpp-std c++17 --scoped-enums -o packages/limits/limits/generated packages/limits/limits/shares.fbs
--- a/packages/base/base/id.h
+++ b/packages/base/base/id.h
@@ -30,7 +30,7 @@
         return m_value;
     }
 
-    auto operator<=>(const Id &) const = default;
+    auto operator<=>(const Id &) const = default; // NOLINT(modernize-use-nullptr): clang-tidy 14 reports the rewritten comparison
     bool operator==(const Id &) const = default;
 
 private:
--- /dev/null
+++ b/packages/limits/limits/shareallocator.cpp
@@ -0,0 +1,249 @@
+#include "limits/shareallocator.h"
+
+#include <algorithm>
+#include <numeric>
+
+#include "limits/baseline.h"
+
+namespace Galenabarrow::Limits
+{
+
+namespace
+{
+
+__extension__ using Wide = unsigned __int128;
+
+std::uint64_t excess(std::uint64_t demand, std::uint64_t baseline)
+{
+    return demand - std::min(demand, baseline);
+}
+
+std::uint64_t proportion(std::uint64_t total, std::uint64_t part, std::uint64_t whole)
+{
+    return whole == 0 ? 0 : static_cast<std::uint64_t>(Wide { total } * part / whole);
+}
+
+/// What the active holders want of one quantity, and how much of it each has as its baseline.
+struct Demands {
+    std::vector<std::uint64_t> wanted;
+    std::uint64_t baseline = 0;
+};
+
+/// The part of each holder in \p total, rounded down: its excess over the baseline, and its part of what remains as
+/// headroom. When the excess of all is more than the total, the total in proportion to it.
+std::vector<std::uint64_t> divide(std::uint64_t total, const Demands &demands)
+{
+    std::uint64_t allWanted = 0;
+    std::uint64_t allExcess = 0;
+    for (const std::uint64_t it : demands.wanted) {
+        allWanted += it;
+        allExcess += excess(it, demands.baseline);
+    }
+    std::vector<std::uint64_t> parts;
+    for (const std::uint64_t it : demands.wanted) {
+        const std::uint64_t own = excess(it, demands.baseline);
+        const bool isShort = allExcess >= total;
+        parts.push_back(isShort ? proportion(total, own, allExcess) : own + proportion(total - allExcess, it, allWanted));
+    }
+    return parts;
+}
+
+/// The whole calls of holder \p place. Those that cannot be divided go to each holder in turn, or one holder would keep
+/// them for ever.
+std::uint32_t divideWhole(std::uint32_t total, const Demands &demands, std::size_t place, std::uint64_t round)
+{
+    const std::vector<std::uint64_t> parts = divide(total, demands);
+    const std::uint64_t divided = std::accumulate(parts.begin(), parts.end(), std::uint64_t { 0 });
+    const std::uint64_t turn = (place + round) % parts.size();
+    return static_cast<std::uint32_t>(parts[place] + (turn < total - divided ? 1 : 0));
+}
+
+template<typename Number>
+Number minus(Number a, Number b)
+{
+    return a - std::min(a, b);
+}
+
+}
+
+ShareAllocator::ShareAllocator(const LeaseTimes &times)
+    : m_times(times)
+{
+}
+
+void ShareAllocator::becomeLeader(Instant now)
+{
+    m_leaderSince = now;
+    m_requests.clear();
+    for (auto &[customer, row] : m_customers) {
+        row.holders.clear();
+    }
+    m_unheard = std::set<InstanceId>(m_registered.begin(), m_registered.end());
+}
+
+void ShareAllocator::setContract(const Contract &contract)
+{
+    CustomerRow &row = m_customers[contract.customer];
+    row.contract = contract;
+    row.deadline = std::max(row.deadline, longestDeadline(contract));
+}
+
+void ShareAllocator::removeContract(const CustomerId &customer)
+{
+    const auto it = m_customers.find(customer);
+    if (it != m_customers.end()) {
+        it->second.contract.ratePerSecond = 0;
+        it->second.contract.burst = 0;
+        it->second.contract.concurrency = 0;
+    }
+}
+
+void ShareAllocator::setRegisteredEntries(std::span<const InstanceId> entries)
+{
+    for (const InstanceId &it : entries) {
+        if (std::find(m_registered.begin(), m_registered.end(), it) == m_registered.end()) {
+            m_unheard.insert(it);
+        }
+    }
+    m_registered.assign(entries.begin(), entries.end());
+}
+
+ShareReply ShareAllocator::answer(const ShareRequest &request, Duration confirmationAge, Instant now)
+{
+    const HolderId id { request.entry, request.incarnation };
+    ShareReply reply { request.number, Duration::zero(), {} };
+    if (!acceptRequest(id, request)) {
+        return reply;
+    }
+    for (const ShareDemand &it : request.demands) {
+        report(id, it, now);
+    }
+    const Duration lease = m_times.lease - confirmationAge;
+    if (lease <= Duration::zero() || now - m_leaderSince < m_times.lease) {
+        return reply;
+    }
+    reply.lease = lease;
+    for (const ShareDemand &it : request.demands) {
+        const auto row = m_customers.find(it.customer);
+        if (row != m_customers.end()) {
+            reply.grants.push_back(grant(row->second, id, request.number, now));
+        }
+    }
+    return reply;
+}
+
+bool ShareAllocator::acceptRequest(const HolderId &id, const ShareRequest &request)
+{
+    LastRequest &last = m_requests[id];
+    if (request.number <= last.number) {
+        return false;
+    }
+    last = { request.number, request.installed };
+    m_unheard.erase(id.entry);
+    return true;
+}
+
+void ShareAllocator::report(const HolderId &id, const ShareDemand &demand, Instant now)
+{
+    const auto it = m_customers.find(demand.customer);
+    if (it == m_customers.end()) {
+        return;
+    }
+    CustomerRow &row = it->second;
+    forgetEnded(row, now);
+    Holder &holder = row.holders[id];
+    holder.demand = demand;
+    holder.reportedAt = now;
+    // Calls may still be admitted under a lease that the holder has, and then last for a deadline.
+    holder.heldUntil = now + m_times.lease + row.deadline;
+}
+
+ShareGrant ShareAllocator::grant(CustomerRow &row, const HolderId &id, std::uint64_t number, Instant now)
+{
+    const Share wanted = target(row, id, now);
+    const Share free = available(row, id, now);
+    const Share share { std::min(wanted.rate, free.rate), std::min(wanted.burst, free.burst),
+                        std::min(wanted.concurrency, free.concurrency) };
+    const Instant expiry = now + m_times.lease;
+    row.holders[id].grants.push_back({ number, share, expiry, expiry + row.deadline });
+    return { row.contract.customer, row.contract.version, share };
+}
+
+Share ShareAllocator::target(const CustomerRow &row, const HolderId &id, Instant now) const
+{
+    const Share total = leasedTotal(row.contract);
+    const Share baseline = baselineTotal(row.contract);
+    const std::uint64_t entries = std::max<std::uint64_t>(m_registered.size(), 1);
+    Demands rate { {}, baseline.rate / entries };
+    Demands concurrency { {}, baseline.concurrency / entries };
+    std::size_t place = 0;
+    for (const auto &[other, holder] : row.holders) {
+        if (now - holder.reportedAt >= m_times.demandLife) {
+            continue;
+        }
+        if (other == id) {
+            place = rate.wanted.size();
+        }
+        rate.wanted.push_back(holder.demand.rate);
+        concurrency.wanted.push_back(holder.demand.concurrency);
+    }
+    const auto round = static_cast<std::uint64_t>(now.time_since_epoch() / m_times.lease);
+    return { divide(total.rate, rate)[place], divideWhole(total.burst, rate, place, round),
+             divideWhole(total.concurrency, concurrency, place, round) };
+}
+
+// What the other holders may still use is not granted again.
+Share ShareAllocator::available(const CustomerRow &row, const HolderId &id, Instant now) const
+{
+    Share free = leasedTotal(row.contract);
+    for (const auto &[other, holder] : row.holders) {
+        if (other != id) {
+            const Share used = outstanding(other, holder, now);
+            free.rate = minus(free.rate, used.rate);
+            free.burst = minus(free.burst, used.burst);
+            free.concurrency = minus(free.concurrency, used.concurrency);
+        }
+    }
+    if (!mayGrantConcurrency(row, now)) {
+        free.concurrency = 0;
+    }
+    return free;
+}
+
+Share ShareAllocator::outstanding(const HolderId &id, const Holder &holder, Instant now) const
+{
+    const LastRequest &last = m_requests.at(id);
+    Share used;
+    if (now < holder.heldUntil) {
+        used.concurrency = holder.demand.heldConcurrency;
+    }
+    for (const Grant &it : holder.grants) {
+        if (it.number != last.number && it.number != last.installed) {
+            continue;
+        }
+        if (now < it.expiry) {
+            used.rate = std::max(used.rate, it.share.rate);
+            used.burst = std::max(used.burst, it.share.burst);
+        }
+        if (now < it.callsEnd) {
+            used.concurrency = std::max(used.concurrency, it.share.concurrency);
+        }
+    }
+    return used;
+}
+
+bool ShareAllocator::mayGrantConcurrency(const CustomerRow &row, Instant now) const
+{
+    return m_unheard.empty() || now - m_leaderSince >= m_times.lease + row.deadline;
+}
+
+void ShareAllocator::forgetEnded(CustomerRow &row, Instant now) const
+{
+    for (auto it = row.holders.begin(); it != row.holders.end();) {
+        Holder &holder = it->second;
+        std::erase_if(holder.grants, [now](const Grant &grant) { return now >= grant.callsEnd; });
+        it = holder.grants.empty() && now >= holder.heldUntil ? row.holders.erase(it) : std::next(it);
+    }
+}
+
+}
--- /dev/null
+++ b/packages/measuring/measuring/measuringbudget.cpp
@@ -0,0 +1,118 @@
+#include "measuring/measuringbudget.h"
+
+#include <algorithm>
+#include <cassert>
+#include <numeric>
+
+namespace Galenabarrow::Measuring
+{
+
+namespace
+{
+
+constexpr double Permille = 1000;
+
+double micros(Duration time)
+{
+    return static_cast<double>(time.count());
+}
+
+std::size_t indexOf(Spend kind)
+{
+    return static_cast<std::size_t>(kind);
+}
+
+}
+
+MeasuringBudget::MeasuringBudget(const BudgetSettings &settings, Instant now)
+    : m_settings(settings)
+    , m_refilledAt(now)
+{
+    assert(std::accumulate(settings.sharesPermille.begin(), settings.sharesPermille.end(), 0U) <= Permille);
+}
+
+void MeasuringBudget::setShare(std::uint32_t slots, std::uint32_t entries, Instant now)
+{
+    refill(now);
+    const double share = entries == 0 ? 0 : slots * m_settings.budgetPermille / Permille / entries;
+    if (share == m_share) {
+        return;
+    }
+    m_earlier.push_back({ m_share, now });
+    m_share = share;
+    refill(now);
+}
+
+bool MeasuringBudget::reserve(Spend kind, Duration cost, Instant now)
+{
+    refill(now);
+    double &credit = m_credit[indexOf(kind)];
+    if (cost > m_settings.largestSpend[indexOf(kind)] || credit < micros(cost)) {
+        return false;
+    }
+    credit -= micros(cost);
+    m_spent += cost;
+    return true;
+}
+
+void MeasuringBudget::settle(Spend kind, Duration reserved, Duration actual, Instant now)
+{
+    refill(now);
+    const Duration unspent = reserved - actual;
+    m_credit[indexOf(kind)] += micros(unspent);
+    m_spent -= unspent;
+    m_overruns += unspent < Duration::zero() ? 1 : 0;
+    refill(now);
+}
+
+double MeasuringBudget::rate(Spend kind, Instant now) const
+{
+    return std::max(0.0, shareInForce(now) * kindShare(kind) - reserveOf(kind) / micros(m_settings.window));
+}
+
+Duration MeasuringBudget::spent() const
+{
+    return m_spent;
+}
+
+std::uint64_t MeasuringBudget::overruns() const
+{
+    return m_overruns;
+}
+
+double MeasuringBudget::shareInForce(Instant now) const
+{
+    double share = m_share;
+    for (const Earlier &it : m_earlier) {
+        if (now - it.replacedAt < m_settings.riseDelay) {
+            share = std::min(share, it.share);
+        }
+    }
+    return share;
+}
+
+double MeasuringBudget::kindShare(Spend kind) const
+{
+    return m_settings.sharesPermille[indexOf(kind)] / Permille;
+}
+
+// The most credit that is kept. It can be spent at once on top of what a window brings, so rate() leaves room for it.
+double MeasuringBudget::reserveOf(Spend kind) const
+{
+    return m_settings.sharesPermille[indexOf(kind)] == 0 ? 0 : micros(m_settings.largestSpend[indexOf(kind)]);
+}
+
+void MeasuringBudget::refill(Instant now)
+{
+    const double elapsed = micros(now - m_refilledAt);
+    for (std::size_t n = 0; n < SpendKinds; ++n) {
+        const auto kind = static_cast<Spend>(n);
+        // The rate at the start of the time: a share that rose in between must not count from before it rose.
+        const double credit = m_credit[n] + rate(kind, m_refilledAt) * elapsed;
+        m_credit[n] = std::min(credit, reserveOf(kind));
+    }
+    m_refilledAt = now;
+    std::erase_if(m_earlier, [&](const Earlier &it) { return now - it.replacedAt >= m_settings.riseDelay; });
+}
+
+}
--- /dev/null
+++ b/packages/measuring/measuring/sampler.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <cstdint>
+
+#include "base/clock.h"
+#include "base/random.h"
+#include "measuring/measuringbudget.h"
+
+namespace Galenabarrow::Measuring
+{
+
+/// Decides which calls are sampled. The share of calls that are sampled falls as the call rate rises, so that the
+/// samples stay spread over time instead of using the budget at the start of each burst.
+class Sampler
+{
+public:
+    /// \p costPerSample is the server time of one sample. \p budget and \p random must outlive the sampler.
+    Sampler(MeasuringBudget &budget, Duration costPerSample, RandomSource &random, Instant now);
+
+    /// True when this call is to be sampled; its cost is then reserved.
+    bool sample(Instant now);
+    /// The share of calls that are sampled at present, 0 to 1.
+    double probability(Instant now) const;
+
+private:
+    static constexpr Duration SpanLength = std::chrono::milliseconds(100);
+    void startSpan(Instant now);
+
+    MeasuringBudget &m_budget;
+    Duration m_cost;
+    RandomSource &m_random;
+    Instant m_spanStart;
+    std::uint64_t m_calls = 0;
+    std::uint64_t m_callsBefore = 0;
+};
+
+}
--- /dev/null
+++ b/packages/membership/membership/directory.cpp
@@ -0,0 +1,96 @@
+#include "membership/directory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Galenabarrow::Membership
+{
+
+namespace
+{
+
+bool isListable(const Record &record)
+{
+    const auto &info = std::get<InstanceInfo>(record.body);
+    return (info.roles & EntryRole) != 0 && info.serving && !record.leaving;
+}
+
+}
+
+Directory::Directory(const DirectorySettings &settings, const MembershipTable &table, std::uint64_t firstTurn)
+    : m_settings(settings)
+    , m_table(table)
+    , m_turn(firstTurn)
+{
+}
+
+void Directory::setRegisteredEntries(std::vector<ListedEntry> entries)
+{
+    m_registered = std::move(entries);
+}
+
+DirectoryAnswer Directory::lookup(const std::optional<DataCentreId> &dataCentre)
+{
+    DirectoryAnswer answer;
+    answer.maxAge = m_settings.maxAge;
+    answer.entries = listedEntries();
+    answer.isFilled = answer.entries.size() * 2 < m_registered.size();
+    std::vector<ListedEntry> fill = answer.isFilled ? unheardEntries() : std::vector<ListedEntry>();
+
+    order(answer.entries, dataCentre);
+    order(fill, dataCentre);
+    ++m_turn;
+    if (!fill.empty()) {
+        // The view may be wrong in either direction, so an answer has entries of both kinds.
+        answer.entries.resize(std::min(answer.entries.size(), m_settings.addresses - 1));
+        answer.entries.insert(answer.entries.end(), fill.begin(), fill.end());
+    }
+    answer.entries.resize(std::min(answer.entries.size(), m_settings.addresses));
+    return answer;
+}
+
+std::vector<ListedEntry> Directory::listedEntries() const
+{
+    std::vector<ListedEntry> entries;
+    for (const Record *it : m_table.live(RecordKind::Instance)) {
+        if (isListable(*it)) {
+            const auto &info = std::get<InstanceInfo>(it->body);
+            entries.push_back({ InstanceId(it->key.id), info.callerAddress, info.dataCentre, info.keyScope });
+        }
+    }
+    return entries;
+}
+
+std::vector<ListedEntry> Directory::unheardEntries() const
+{
+    std::vector<ListedEntry> entries;
+    for (const ListedEntry &it : m_registered) {
+        const RecordKey key { RecordKind::Instance, it.instance.value() };
+        const Record *record = m_table.lastKnown(key);
+        // An entry that said it takes no calls is not listed. One that is only not heard may well be serving.
+        if (record == nullptr || (m_table.find(key) == nullptr && !record->leaving)) {
+            entries.push_back(it);
+        }
+    }
+    return entries;
+}
+
+// Near entries first, then the others; both rotate, so that each is listed first equally often.
+void Directory::order(std::vector<ListedEntry> &entries, const std::optional<DataCentreId> &dataCentre) const
+{
+    const auto far = std::stable_partition(entries.begin(), entries.end(),
+                                           [&](const ListedEntry &it) { return !dataCentre || it.dataCentre == *dataCentre; });
+    const auto turn = [this](auto begin, auto end) {
+        if (begin != end) {
+            std::rotate(begin, begin + static_cast<std::ptrdiff_t>(m_turn % static_cast<std::uint64_t>(end - begin)), end);
+        }
+    };
+    turn(entries.begin(), far);
+    turn(far, entries.end());
+    const auto last = static_cast<std::ptrdiff_t>(m_settings.addresses) - 1;
+    if (far != entries.end() && far - entries.begin() > last) {
+        std::iter_swap(entries.begin() + last, far);
+    }
+}
+
+}
--- /dev/null
+++ b/packages/membership/membership/gossipcore.cpp
@@ -0,0 +1,416 @@
+#include "membership/gossipcore.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace Galenabarrow::Membership
+{
+
+namespace
+{
+
+// A probe's load is its latency in this unit.
+constexpr Duration LatencyUnit = std::chrono::microseconds(100);
+constexpr std::int64_t MaxLoad = 65535;
+
+}
+
+GossipCore::GossipCore(GossipSettings settings, const Record &self, MembershipTable &table, RandomSource &random, Instant now)
+    : m_settings(std::move(settings))
+    , m_self(self)
+    , m_table(table)
+    , m_random(random)
+    , m_nextLoads(now)
+    , m_nextDigest(now)
+    , m_renewedAt(now)
+{
+    assert(self.key.kind == RecordKind::Instance);
+    m_self.heardAt = now;
+    applyLocal(m_self, now);
+}
+
+Result<Duration> GossipCore::announce(const ServerAnnouncement &announcement, Instant now)
+{
+    const Record record = toRecord(announcement, now);
+    if (Result<void> valid = validate(record); !valid) {
+        return tl::make_unexpected(std::move(valid.error()));
+    }
+    if (const Record *known = m_table.lastKnown(record.key)) {
+        const SequenceNumber heard = std::max(known->sequence, known->loadSequence);
+        if (std::pair(record.incarnation, record.sequence) < std::pair(known->incarnation, heard)) {
+            return failure(ResultCode::AnnouncementStale, "a newer announcement of the server is in force");
+        }
+    }
+    applyLocal(record, now);
+    if (m_table.find(record.key) == nullptr) {
+        return failure(ResultCode::AnnouncementInvalid, "the table of servers is full");
+    }
+    return m_table.lease();
+}
+
+Result<void> GossipCore::drain(const ServerId &server, Instant now)
+{
+    const RecordKey key { RecordKind::Server, server.value() };
+    if (!m_table.markLeaving(key, now)) {
+        return failure(ResultCode::PathUnknown, "the server is not known");
+    }
+    spread(key, Duration::zero(), now);
+    return {};
+}
+
+void GossipCore::publishProbe(const ServerId &server, bool healthy, Duration latency, Instant now)
+{
+    Record record;
+    record.key = { RecordKind::Probe, server.value() };
+    record.incarnation = Incarnation(1);
+    record.body = ProbeInfo { healthy };
+    record.load = static_cast<std::uint16_t>(std::clamp<std::int64_t>(latency / LatencyUnit, 0, MaxLoad));
+    record.heardAt = now;
+    record.sequence = SequenceNumber(1);
+    if (const Record *known = m_table.lastKnown(record.key)) {
+        // The prober changes with the live entries; each goes on from the last sequence that it has heard.
+        record.sequence = next(std::max(known->sequence, known->loadSequence));
+    }
+    record.loadSequence = record.sequence;
+    applyLocal(record, now);
+}
+
+void GossipCore::updateSelf(const InstanceInfo &info, Instant now)
+{
+    if (std::get<InstanceInfo>(m_self.body) == info) {
+        return;
+    }
+    m_self.body = info;
+    changeSelf(now);
+}
+
+void GossipCore::leave(Instant now)
+{
+    m_self.leaving = true;
+    changeSelf(now);
+}
+
+std::vector<GossipMessage> GossipCore::onTick(Instant now)
+{
+    for (const RecordKey &key : m_table.expire(now)) {
+        m_sources.erase(key);
+        m_pending.erase(key);
+    }
+    if (now - m_renewedAt >= m_settings.renewInterval) {
+        renewSelf(now);
+    }
+    std::vector<GossipMessage> out;
+    sendPending(now, out);
+    sendLoads(now, out);
+    sendDigest(now, out);
+    return out;
+}
+
+Result<std::vector<GossipMessage>> GossipCore::receive(const Wire::Envelope &envelope, Instant now)
+{
+    std::vector<GossipMessage> out;
+    switch (envelope.kind) {
+    case Wire::MessageKind::GossipRecords: {
+        const Result<GossipRecords> message = decodeRecords(envelope.payload, now);
+        if (!message) {
+            return tl::make_unexpected(message.error());
+        }
+        receiveRecords(*message, envelope, now, out);
+        return out;
+    }
+    case Wire::MessageKind::GossipAcknowledgement: {
+        const Result<GossipAcknowledgement> message = decodeAcknowledgement(envelope.payload);
+        if (!message) {
+            return tl::make_unexpected(message.error());
+        }
+        receiveAcknowledgement(*message, envelope.sender);
+        return out;
+    }
+    case Wire::MessageKind::GossipDigest: {
+        const Result<GossipDigest> message = decodeDigest(envelope.payload);
+        if (!message) {
+            return tl::make_unexpected(message.error());
+        }
+        receiveDigest(*message, envelope, now, out);
+        return out;
+    }
+    default:
+        return failure(ResultCode::FrameMalformed, "not a gossip message");
+    }
+}
+
+const Record &GossipCore::self() const
+{
+    return m_self;
+}
+
+std::vector<GossipCore::Peer> GossipCore::peers() const
+{
+    std::vector<Peer> out;
+    for (const Record *it : m_table.live(RecordKind::Instance)) {
+        if (it->key != m_self.key) {
+            out.push_back({ InstanceId(it->key.id), std::get<InstanceInfo>(it->body).peerAddress });
+        }
+    }
+    return out;
+}
+
+// A record that this instance is the first to know. An announcement that changes no state counts as a load report: its
+// sequence would otherwise make every table differ from this one.
+void GossipCore::applyLocal(Record record, Instant now)
+{
+    const Record *known = m_table.lastKnown(record.key);
+    if (known != nullptr && known->incarnation == record.incarnation && known->body == record.body && (known->leaving || !record.leaving)) {
+        record.sequence = known->sequence;
+        record.leaving = known->leaving;
+    }
+    const Change change = m_table.apply(record, now);
+    if (change == Change::None) {
+        return;
+    }
+    noteLoad(record.key);
+    if (change != Change::Load) {
+        spread(record.key, Duration::zero(), now);
+    }
+}
+
+void GossipCore::spread(const RecordKey &key, Duration firstDelay, Instant now)
+{
+    Pending &pending = m_pending[key];
+    pending.until = now + m_settings.resendTime;
+    pending.nextSend.clear();
+    for (const Peer &it : peers()) {
+        // A random part of the delay lets acknowledgements and other relays make many sends unnecessary.
+        const auto delay = firstDelay == Duration::zero() ? 0 : m_random.below(static_cast<std::uint64_t>(firstDelay.count()));
+        pending.nextSend[it.instance] = now + Duration(static_cast<Duration::rep>(delay));
+    }
+}
+
+void GossipCore::noteLoad(const RecordKey &key)
+{
+    m_sources[key].isDirty = true;
+}
+
+// Announces that this instance lives.
+void GossipCore::renewSelf(Instant now)
+{
+    m_renewedAt = now;
+    m_self.loadSequence = next(m_self.loadSequence);
+    m_self.heardAt = now;
+    applyLocal(m_self, now);
+}
+
+void GossipCore::changeSelf(Instant now)
+{
+    m_self.sequence = next(std::max(m_self.sequence, m_self.loadSequence));
+    m_self.loadSequence = m_self.sequence;
+    renewSelf(now);
+}
+
+// Another record of this instance exists, such as from a life with a faster clock: only a higher incarnation replaces it.
+void GossipCore::defendSelf(const Record &claimed, Instant now)
+{
+    const bool isEcho =
+        claimed.incarnation == m_self.incarnation && claimed.sequence <= m_self.sequence && (!claimed.leaving || m_self.leaving);
+    if (claimed.incarnation < m_self.incarnation || isEcho) {
+        return;
+    }
+    m_self.incarnation = next(claimed.incarnation);
+    changeSelf(now);
+}
+
+void GossipCore::sendPending(Instant now, std::vector<GossipMessage> &out)
+{
+    std::erase_if(m_pending, [now](const auto &it) { return now >= it.second.until || it.second.nextSend.empty(); });
+    if (m_pending.empty()) {
+        return;
+    }
+    for (const Peer &peer : peers()) {
+        GossipRecords message;
+        for (auto &[key, pending] : m_pending) {
+            const auto due = pending.nextSend.find(peer.instance);
+            const Record *record = m_table.find(key);
+            if (due == pending.nextSend.end() || due->second > now || record == nullptr
+                || message.records.size() >= m_settings.maxRecords) {
+                continue;
+            }
+            due->second = now + m_settings.resendInterval;
+            message.records.push_back(*record);
+        }
+        if (!message.records.empty()) {
+            out.push_back({ peer.address, Wire::MessageKind::GossipRecords, encode(message, now) });
+        }
+    }
+}
+
+void GossipCore::sendLoads(Instant now, std::vector<GossipMessage> &out)
+{
+    if (now < m_nextLoads) {
+        return;
+    }
+    std::vector<std::pair<Instant, RecordKey>> due;
+    for (const auto &[key, source] : m_sources) {
+        const Record *record = m_table.find(key);
+        const bool isChanged = record != nullptr && record->load != source.sentLoad;
+        if (record != nullptr && source.isDirty && (isChanged || now - source.sentAt >= m_settings.renewInterval)) {
+            due.emplace_back(source.sentAt, key);
+        }
+    }
+    if (due.empty()) {
+        return;
+    }
+    m_nextLoads = now + m_settings.loadInterval;
+    std::sort(due.begin(), due.end());
+    due.resize(std::min(due.size(), m_settings.maxLoads));
+    GossipRecords message;
+    for (const auto &[sentAt, key] : due) {
+        const Record *record = m_table.find(key);
+        Source &source = m_sources[key];
+        source.sentLoad = record->load;
+        source.sentAt = now;
+        source.isDirty = false;
+        message.loads.push_back(loadOf(*record, now));
+    }
+    const std::vector<std::uint8_t> payload = encode(message, now);
+    for (const Peer &peer : peers()) {
+        out.push_back({ peer.address, Wire::MessageKind::GossipRecords, payload });
+    }
+}
+
+void GossipCore::sendDigest(Instant now, std::vector<GossipMessage> &out)
+{
+    if (now < m_nextDigest) {
+        return;
+    }
+    m_nextDigest = now + m_settings.digestInterval;
+    std::vector<std::string> known;
+    for (const Peer &it : peers()) {
+        known.push_back(it.address);
+    }
+    std::vector<std::string> unknown;
+    for (const std::string &it : m_settings.seeds) {
+        const bool isSelf = it == std::get<InstanceInfo>(m_self.body).peerAddress;
+        if (!isSelf && std::find(known.begin(), known.end(), it) == known.end()) {
+            unknown.push_back(it);
+        }
+    }
+    const GossipDigest digest { m_table.summary(), {}, staleLoads(now), true };
+    // A seed that is not a live peer may be on the other side of a healed partition.
+    for (const auto &addresses : { known, unknown }) {
+        if (!addresses.empty()) {
+            out.push_back({ addresses[m_random.below(addresses.size())], Wire::MessageKind::GossipDigest, encode(digest) });
+        }
+    }
+}
+
+void GossipCore::receiveRecords(const GossipRecords &message, const Wire::Envelope &envelope, Instant now, std::vector<GossipMessage> &out)
+{
+    for (const LoadUpdate &it : message.loads) {
+        m_table.apply(it, now);
+    }
+    GossipAcknowledgement acknowledgement;
+    for (const Record &it : message.records) {
+        if (it.key == m_self.key) {
+            defendSelf(it, now);
+        } else if (m_table.apply(it, now) == Change::Leaving) {
+            spread(it.key, m_settings.resendInterval, now);
+        }
+        acknowledgement.versions.push_back(versionOf(it));
+    }
+    if (acknowledgement.versions.empty()) {
+        return;
+    }
+    // The sender holds what it sent.
+    receiveAcknowledgement(acknowledgement, envelope.sender);
+    out.push_back({ envelope.senderAddress, Wire::MessageKind::GossipAcknowledgement, encode(acknowledgement) });
+}
+
+void GossipCore::receiveAcknowledgement(const GossipAcknowledgement &message, const InstanceId &sender)
+{
+    for (const StateVersion &it : message.versions) {
+        const Record *record = m_table.findAnnouncer(it.announcer);
+        if (record == nullptr) {
+            continue;
+        }
+        const StateVersion own = versionOf(*record);
+        const auto pending = m_pending.find(record->key);
+        if (pending != m_pending.end() && !isAfter(own.sequence, it.sequence) && (it.leaving || !own.leaving)) {
+            pending->second.nextSend.erase(sender);
+        }
+    }
+}
+
+void GossipCore::receiveDigest(const GossipDigest &message, const Wire::Envelope &envelope, Instant now, std::vector<GossipMessage> &out)
+{
+    GossipRecords fresher;
+    for (const LoadUpdate &it : message.stale) {
+        const Record *record = m_table.findAnnouncer(it.announcer);
+        if (record != nullptr && isAfter(static_cast<std::uint32_t>(record->loadSequence.value()), it.sequence)) {
+            fresher.loads.push_back(loadOf(*record, now));
+        }
+        m_table.apply(it, now);
+    }
+    if (!fresher.loads.empty()) {
+        out.push_back({ envelope.senderAddress, Wire::MessageKind::GossipRecords, encode(fresher, now) });
+    }
+    if (message.summary == m_table.summary()) {
+        return;
+    }
+    if (!message.versions.empty()) {
+        sendMissing(message, envelope.senderAddress, now, out);
+    }
+    if (message.wantsVersions) {
+        // The first answer asks for the sender's versions in turn; those are the end of the exchange.
+        const GossipDigest answer { m_table.summary(), allVersions(), {}, message.versions.empty() };
+        out.push_back({ envelope.senderAddress, Wire::MessageKind::GossipDigest, encode(answer) });
+    }
+}
+
+void GossipCore::sendMissing(const GossipDigest &message, const std::string &address, Instant now, std::vector<GossipMessage> &out) const
+{
+    std::map<std::uint64_t, StateVersion> theirs;
+    for (const StateVersion &it : message.versions) {
+        theirs.emplace(it.announcer, it);
+    }
+    GossipRecords missing;
+    for (const Record *record : m_table.live()) {
+        const StateVersion own = versionOf(*record);
+        const auto it = theirs.find(own.announcer);
+        const bool isNewer = it == theirs.end() || isAfter(own.sequence, it->second.sequence) || (own.leaving && !it->second.leaving);
+        if (isNewer) {
+            missing.records.push_back(*record);
+        }
+        if (missing.records.size() == m_settings.maxRecords) {
+            out.push_back({ address, Wire::MessageKind::GossipRecords, encode(missing, now) });
+            missing.records.clear();
+        }
+    }
+    if (!missing.records.empty()) {
+        out.push_back({ address, Wire::MessageKind::GossipRecords, encode(missing, now) });
+    }
+}
+
+std::vector<StateVersion> GossipCore::allVersions() const
+{
+    std::vector<StateVersion> versions;
+    for (const Record *it : m_table.live()) {
+        if (versions.size() < m_settings.maxVersions) {
+            versions.push_back(versionOf(*it));
+        }
+    }
+    return versions;
+}
+
+std::vector<LoadUpdate> GossipCore::staleLoads(Instant now) const
+{
+    std::vector<LoadUpdate> stale;
+    for (const Record *it : m_table.live()) {
+        if (now - it->heardAt >= m_settings.staleAfter && stale.size() < m_settings.maxLoads) {
+            stale.push_back(loadOf(*it, now));
+        }
+    }
+    return stale;
+}
+
+}
