Prove the spread of membership records, and add a lossy test network

Cause: drains, leases, repair after partitions and the directory had no test.

Change: package testnetwork with links that lose, delay and cut messages; tests of the table, the codec, the gossip core over 17 instances, and the directory.

Seen to fail, each with the code broken on purpose: no relay of leaving records, no repeat, no memory of removed records, ignored ages, one sequence for load and state, a leaving flag that is not kept or depends on the sequence, no question for stale announcers, own record not defended after a restart with an older clock, no repair, unchanged announcements counted as state, no rotation, no far entry, leaving or fenced entries listed, no fill, seeds never asked.

--- a/packages/membership/membership/gossipcore.cpp
+++ b/packages/membership/membership/gossipcore.cpp
@@ -13,6 +13,8 @@
 // A probe's load is its latency in this unit.
 constexpr Duration LatencyUnit = std::chrono::microseconds(100);
 constexpr std::int64_t MaxLoad = 65535;
+// Peers that are asked each digest interval about announcers that were not heard for some time.
+constexpr int StalePeersAsked = 3;
 
 }
 
@@ -296,12 +298,18 @@
         }
     }
     const GossipDigest digest { m_table.summary(), {}, staleLoads(now), true };
-    // A seed that is not a live peer may be on the other side of a healed partition.
-    for (const auto &addresses : { known, unknown }) {
+    const auto ask = [&](const std::vector<std::string> &addresses) {
         if (!addresses.empty()) {
             out.push_back({ addresses[m_random.below(addresses.size())], Wire::MessageKind::GossipDigest, encode(digest) });
         }
+    };
+    // With 30% loss half of all exchanges fail; several a second keep the lease of a live announcer from ending here.
+    const int peersAsked = digest.stale.empty() ? 1 : StalePeersAsked;
+    for (int n = 0; n < peersAsked; ++n) {
+        ask(known);
     }
+    // A seed that is not a live peer may be on the other side of a healed partition.
+    ask(unknown);
 }
 
 void GossipCore::receiveRecords(const GossipRecords &message, const Wire::Envelope &envelope, Instant now, std::vector<GossipMessage> &out)
--- a/packages/membership/membership/gossipcore.h
+++ b/packages/membership/membership/gossipcore.h
@@ -25,7 +25,7 @@
     /// Shortest time between two batches of load reports.
     Duration loadInterval = std::chrono::seconds(1);
     /// An unchanged load is reported again after this time, to renew the lease elsewhere.
-    Duration renewInterval = std::chrono::milliseconds(2500);
+    Duration renewInterval = std::chrono::seconds(2);
     Duration digestInterval = std::chrono::seconds(1);
     /// Announcers that were not heard for this long are asked for in digests.
     Duration staleAfter = std::chrono::seconds(4);
--- /dev/null
+++ b/packages/testnetwork/testnetwork/lossynetwork.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "testnetwork/linkfaults.h"
+
+namespace Galenabarrow::TestNetwork
+{
+
+/// Carries messages between numbered nodes of one test, with the faults of LinkFaults.
+template<typename Message>
+class LossyNetwork
+{
+public:
+    struct Delivery {
+        std::size_t from = 0;
+        std::size_t to = 0;
+        Message message;
+    };
+
+    explicit LossyNetwork(RandomSource &random)
+        : m_faults(random)
+    {
+    }
+
+    LinkFaults &faults()
+    {
+        return m_faults;
+    }
+
+    void send(std::size_t from, std::size_t to, Message message, Instant now)
+    {
+        if (const std::optional<Duration> delay = m_faults.next(from, to)) {
+            m_onTheWay.emplace(now + *delay, Delivery { from, to, std::move(message) });
+        }
+    }
+
+    /// Takes the messages that have arrived by \p now, in the order of their arrival.
+    std::vector<Delivery> takeArrived(Instant now)
+    {
+        std::vector<Delivery> arrived;
+        while (!m_onTheWay.empty() && m_onTheWay.begin()->first <= now) {
+            arrived.push_back(std::move(m_onTheWay.begin()->second));
+            m_onTheWay.erase(m_onTheWay.begin());
+        }
+        return arrived;
+    }
+
+private:
+    LinkFaults m_faults;
+    std::multimap<Instant, Delivery> m_onTheWay;
+};
+
+}
