--- a/packages/control/tests/simulation.h
+++ b/packages/control/tests/simulation.h
@@ -54,6 +54,8 @@
     /// Proposes at a control instance; the result appears in results under \p tag.
     void proposeAt(const std::string &control, const std::string &tag, const Command &command);
     std::map<std::string, std::vector<ProposalResult>> results;
+    /// All results in the order of their arrival.
+    std::vector<std::pair<std::string, ProposalResult>> resultOrder;
     /// Proposes as an operator elsewhere; the result appears in results under \p tag.
     void proposeRemotely(const std::string &tag, const Command &command, Duration patience);
 
@@ -68,6 +70,8 @@
     SeededRandom random;
     /// Starts of each process.
     std::map<std::string, std::uint64_t> lives;
+    /// Replies that changed the table of an entry.
+    std::map<std::string, std::uint64_t> tableChanges;
     std::uint64_t messageCount = 0;
     std::uint64_t byteCount = 0;
     /// Called after each step.
@@ -83,6 +87,7 @@
     void step();
     void deliver(const Message &message);
     void deliverDue();
+    void noteResult(const std::string &name, const FinishedProposal &finished);
     void collect(const std::string &name);
     void send(const std::string &from, std::vector<Outgoing> outgoing);
     std::vector<ControlPeer> peers() const;
