--- a/packages/control/control/controlservice.cpp
+++ b/packages/control/control/controlservice.cpp
@@ -75,6 +75,7 @@
     if (m_storeFailure) {
         return;
     }
+    m_raft.noteRetired(retiredReplicas());
     absorb(m_raft.tick(now));
     runJoin();
     finishUndecided();
@@ -179,8 +180,10 @@
         check(m_store->writeHardState(*output.hardState));
     }
     if (output.install != nullptr && !m_storeFailure) {
-        check(m_store->saveSnapshot(*output.install, {}));
         check(m_state.restoreImage(output.install->state));
+        if (!m_storeFailure) {
+            check(m_store->saveSnapshot(*output.install, {}));
+        }
     }
     if (!output.append.empty() && !m_storeFailure) {
         check(m_store->append(output.append));
@@ -377,6 +380,18 @@
     return view;
 }
 
+std::vector<ReplicaId> ControlService::retiredReplicas() const
+{
+    std::vector<ReplicaId> retired;
+    for (const Member &member : m_raft.log().membership().members) {
+        const auto isNamed = [&member](const ControlPeer &peer) { return peer.instance == member.id.instance; };
+        if (std::none_of(m_settings.peers.begin(), m_settings.peers.end(), isNamed)) {
+            retired.push_back(member.id);
+        }
+    }
+    return retired;
+}
+
 bool ControlService::isFormed() const
 {
     return m_raft.log().membershipAt(m_raft.commitIndex()).isFormed;
--- a/packages/control/control/controlservice.h
+++ b/packages/control/control/controlservice.h
@@ -21,7 +21,8 @@
 /// Settings of a control instance.
 struct ControlSettings {
     InstanceId instance;
-    /// All control instances (at most 7), this one too.
+    /// All control instances (at most 7), this one too. A leader removes a replica that its settings do not name and that
+    /// does not answer.
     std::vector<ControlPeer> peers;
     /// Lets the peer with the lowest id start a new cluster; see raftjoin.h.
     bool bootstrap = false;
@@ -112,6 +113,7 @@
     void receiveJoin(const RaftMessage &message, const std::string &senderAddress);
     void runJoin();
     RaftJoin::View joinView() const;
+    std::vector<ReplicaId> retiredReplicas() const;
     bool isFormed() const;
     void push(std::string address, Wire::MessageKind kind, std::uint64_t correlation, Bytes payload);
     std::string addressOf(const InstanceId &instance) const;
--- a/packages/control/control/feedclient.cpp
+++ b/packages/control/control/feedclient.cpp
@@ -49,8 +49,9 @@
     advance(*reply);
     if (reply->stamp) {
         applyStamp(*reply->stamp, sentAt);
-    } else {
-        changeControl(); // this instance does not know a quorum
+    }
+    if (!reply->stamp || reply->stamp->age > m_timing.staleAge) {
+        changeControl();
     }
     m_nextRequest = reply->more ? now : sentAt + m_timing.interval;
     if (reply->more) {
--- a/packages/control/control/feedclient.h
+++ b/packages/control/control/feedclient.h
@@ -17,6 +17,8 @@
     Duration interval = std::chrono::milliseconds(500);
     /// A control instance that has not answered after this time is replaced by another.
     Duration timeout = std::chrono::milliseconds(1000);
+    /// A control instance whose stamps are older than this is replaced by another: it may have lost its quorum.
+    Duration staleAge = std::chrono::seconds(2);
     /// An entry whose table is not confirmed younger than this accepts no work.
     Duration freshnessLimit = std::chrono::seconds(5);
 };
--- a/packages/control/control/raftcore.h
+++ b/packages/control/control/raftcore.h
@@ -54,6 +54,8 @@
     RaftOutput persisted(WriteNumber number, Instant now);
     /// Notes on the leader that \p member, proved alive, asks to become a replica.
     void noteJoiner(const Member &member, Instant now);
+    /// Replicas that a leader has to remove once they do not answer any more.
+    void noteRetired(std::vector<ReplicaId> retired);
     /// Starts a cluster with this replica as the only voter; the store must be unused.
     RaftOutput bootstrap(std::uint32_t target, std::vector<std::uint8_t> state, const std::string &address, Instant now);
     /// Makes a snapshot of \p state, which is the state after the last committed entry that was returned.
@@ -128,6 +130,7 @@
     void manageMembership(Instant now);
     bool promoteLearner(Instant now);
     bool admitJoiner(Instant now);
+    bool removeRetired(Instant now);
     void proposeMembership(Membership membership, Instant now);
 
     // output
@@ -162,6 +165,7 @@
     Instant m_electedAt {};
     Duration m_timeBase {};
     std::map<InstanceId, Joiner> m_joiners;
+    std::vector<ReplicaId> m_retired;
 
     WriteNumber m_lastWrite;
     std::deque<Write> m_writes;
--- a/packages/control/control/raftleader.cpp
+++ b/packages/control/control/raftleader.cpp
@@ -113,9 +113,11 @@
         return;
     }
     if (message.isRejected) {
-        const LogIndex wanted = std::max(next(row->match), next(message.index));
-        if (row->snapshot == nullptr && wanted < row->next) {
-            row->next = wanted;
+        // A position before the last match is a late answer, or the replica lost synced entries; answering each would repeat
+        // messages without end.
+        const bool isUseful = message.index >= row->match && next(message.index) < row->next;
+        if (row->snapshot == nullptr && isUseful) {
+            row->next = next(message.index);
             sendAppend(message.from, *row, now);
         }
         return;
@@ -166,6 +168,11 @@
     }
 }
 
+void RaftCore::noteRetired(std::vector<ReplicaId> retired)
+{
+    m_retired = std::move(retired);
+}
+
 RaftOutput RaftCore::bootstrap(std::uint32_t target, std::vector<std::uint8_t> state, const std::string &address, Instant now)
 {
     assert(m_log.snapshot() == nullptr && m_log.lastIndex() == LogIndex());
@@ -193,7 +200,7 @@
         return;
     }
     std::erase_if(m_joiners, [now](const auto &row) { return now - row.second.at > JoinerLifetime; });
-    if (!admitJoiner(now)) {
+    if (!admitJoiner(now) && !removeRetired(now)) {
         promoteLearner(now);
     }
 }
@@ -245,6 +252,23 @@
     return false;
 }
 
+bool RaftCore::removeRetired(Instant now)
+{
+    Membership membership = m_log.membership();
+    const auto isGone = [&](const Member &member) {
+        const Progress *row = m_progress.find(member.id);
+        const bool isRetired = std::find(m_retired.begin(), m_retired.end(), member.id) != m_retired.end();
+        return isRetired && row != nullptr && now - row->lastHeard >= m_timing.election;
+    };
+    const auto it = std::find_if(membership.members.begin(), membership.members.end(), isGone);
+    if (it == membership.members.end()) {
+        return false;
+    }
+    membership.members.erase(it);
+    proposeMembership(std::move(membership), now);
+    return true;
+}
+
 void RaftCore::proposeMembership(Membership membership, Instant now)
 {
     membership.isFormed = membership.isFormed || membership.voterCount() >= membership.target;
--- a/packages/control/tests/raftcoretest.cpp
+++ b/packages/control/tests/raftcoretest.cpp
@@ -206,3 +206,23 @@
     (void)fixture.receive(heartbeat);
     REQUIRE(fixture.core.confirmation(fixture.now)->madeAt == fixture.now - Duration(10));
 }
+
+// Guards against a dead replica that counts for quorums for ever after the operators have replaced its instance, and against
+// two replicas that are removed in one step.
+TEST_CASE("replicas that the settings no longer name are removed one at a time", "[raft]")
+{
+    Fixture fixture;
+    (void)fixture.sync(fixture.elect(2));
+    RaftMessage reply = fixture.from("c2", RaftKind::AppendReply, 2);
+    reply.index = LogIndex(2);
+    (void)fixture.receive(reply);
+    fixture.core.noteRetired({ replica("c2"), replica("c3") });
+    fixture.now += std::chrono::milliseconds(900);
+    (void)fixture.receive(reply);
+    fixture.now += std::chrono::milliseconds(900);
+    const RaftOutput output = fixture.core.tick(fixture.now); // c2 still answers
+    REQUIRE(output.append.size() == 1);
+    REQUIRE(output.append[0].membership.members.size() == 2);
+    REQUIRE(output.append[0].membership.find(replica("c3")) == nullptr);
+    REQUIRE_FALSE(fixture.core.tick(fixture.now).write); // the change is not committed yet
+}
