--- /dev/null
+++ b/packages/daemon/daemon/callcontent.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/id.h"
+#include "base/outcome.h"
+#include "base/resultcode.h"
+#include "daemon/httpmessage.h"
+#include "daemon/upstreamclient.h"
+
+namespace Galenabarrow::Daemon
+{
+
+/// What a call sends to a server, whichever server it is.
+struct CallContent {
+    std::string method;
+    /// Path and query below the service.
+    std::string target;
+    std::vector<std::pair<std::string, std::string>> headers;
+    std::string body;
+    bool isAction = false;
+    std::uint8_t depth = 0;
+    bool isRetryUpstream = false;
+};
+
+/// How a call ended, with the response that is passed on.
+struct CallEnd {
+    Outcome outcome = Outcome::NotRun;
+    ResultCode code = ResultCode::Ok;
+    /// Only for Outcome::Answered.
+    UpstreamResponse response;
+};
+
+/// True for headers that belong to one connection or to the protocol between entry and server, and are not passed on.
+bool isHopHeader(const std::string &name);
+/// The reply to the caller.
+HttpReply replyFor(CallEnd end);
+/// The HTTP status of a call without a response.
+int statusForCall(ResultCode code);
+
+/// The load in a server's response; nothing when it states none or the value is malformed.
+std::optional<Entry::ServerLoad> loadOf(const UpstreamResponse &response);
+/// Until when a server wants no more calls. A future absolute time counts first, then a positive relative one; others
+/// are ignored. \p unixNow is the time of day in seconds at \p now.
+std::optional<Instant> resetTimeOf(const UpstreamResponse &response, Instant now, std::int64_t unixNow);
+
+}
--- /dev/null
+++ b/packages/daemon/daemon/callrunner.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <unordered_map>
+#include <vector>
+
+#include "base/clock.h"
+#include "daemon/callcontent.h"
+#include "daemon/upstreamclient.h"
+#include "entry/callengine.h"
+
+namespace Galenabarrow::Daemon
+{
+
+/// Executes the effects of the call engine. The thread that brings a call runs its attempts; hedges, which run while that
+/// thread is busy, go to a few workers.
+class CallRunner
+{
+public:
+    /// The address of a server as "host:port"; called under the lock.
+    using AddressOf = std::function<std::optional<std::string>(const ServerId &)>;
+
+    /// \p lock guards \p engine and everything that it refers to.
+    /// \p freshness is asked again right before each dispatch, because the process may have been frozen since the engine
+    /// asked it. \p scope begins the attempt ids that servers see and is unique to this process.
+    CallRunner(Entry::CallEngine &engine, const Entry::FreshnessView &freshness, std::mutex &lock, UpstreamClient &client,
+               AddressOf addressOf, std::string scope, const Clock &clock);
+    ~CallRunner();
+    CallRunner(const CallRunner &) = delete;
+    CallRunner &operator=(const CallRunner &) = delete;
+
+    /// Runs a call and blocks until it has ended. \p caller is watched: a caller that goes away abandons its call.
+    CallEnd run(const Entry::CallRequest &request, CallContent content, const Poco::Net::StreamSocket &caller);
+    /// Runs the engine's tick and gives up attempts whose deadline has passed; called on every tick without the lock.
+    void tick(Instant now);
+    /// Abandons the calls whose callers have closed their connection; called a few times per second without the lock.
+    void abandonForsakenCalls(Instant now);
+    /// Calls that have not ended.
+    std::size_t callsInProgress() const;
+    /// Ends the workers; called when no call is left.
+    void stop();
+
+private:
+    struct Call {
+        CallContent content;
+        Poco::Net::StreamSocket caller;
+        std::condition_variable wake;
+        std::deque<Entry::DispatchAttempt> pending;
+        bool isThreadBusy = false;
+        bool isAbandoned = false;
+        std::optional<Entry::FinishCall> finish;
+        std::map<AttemptId, UpstreamResponse> responses;
+        /// Why the last attempt without a response failed; more exact than the engine's code.
+        ResultCode lastFailure = ResultCode::Ok;
+    };
+    struct Attempt {
+        Entry::DispatchAttempt dispatch;
+        std::shared_ptr<Call> call;
+        std::shared_ptr<ExchangeHandle> handle;
+        std::string address;
+    };
+
+    void apply(std::vector<Entry::Effect> &effects);
+    void applyOne(const Entry::DispatchAttempt &dispatch);
+    void applyOne(const Entry::CancelAttempt &cancel);
+    void applyOne(const Entry::FinishCall &finish);
+    void perform(AttemptId id);
+    std::string attemptText(AttemptId id) const;
+    UpstreamResponse exchange(const Attempt &attempt, bool isFenced);
+    void report(AttemptId id, UpstreamResponse response, Duration elapsed);
+    void sendCancellation(const Attempt &attempt);
+    void work();
+
+    Entry::CallEngine &m_engine;
+    const Entry::FreshnessView &m_freshness;
+    std::mutex &m_lock;
+    UpstreamClient &m_client;
+    AddressOf m_addressOf;
+    std::string m_scope;
+    const Clock &m_clock;
+    std::unordered_map<CallId, std::shared_ptr<Call>> m_calls;
+    std::unordered_map<AttemptId, Attempt> m_attempts;
+    struct Job {
+        AttemptId attempt;
+        /// Set for a cancellation that is sent to the server instead of an attempt.
+        std::optional<UpstreamRequest> cancellation;
+    };
+    std::deque<Job> m_jobs;
+    std::condition_variable m_jobAdded;
+    bool m_stopping = false;
+    std::vector<std::thread> m_workers;
+};
+
+}
--- /dev/null
+++ b/packages/daemon/daemon/clusternode.cpp
@@ -0,0 +1,220 @@
+#include "daemon/clusternode.h"
+
+#include <chrono>
+#include <utility>
+
+namespace Galenabarrow::Daemon
+{
+
+namespace
+{
+
+// Above this many results that nobody took, the oldest is dropped.
+constexpr std::size_t MaxKeptResults = 1024;
+
+/// Rises from one life of the process to the next, as the membership needs it.
+Incarnation startTime()
+{
+    const auto time = std::chrono::system_clock::now().time_since_epoch();
+    return Incarnation(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(time).count()));
+}
+
+Membership::Record selfRecord(const Identity &identity, Instant now)
+{
+    Membership::Record record;
+    record.key = { Membership::RecordKind::Instance, identity.instance.value() };
+    record.incarnation = startTime();
+    record.sequence = SequenceNumber(1);
+    record.heardAt = now;
+    record.body = Membership::InstanceInfo { identity.roles, identity.callerAddress, identity.peerAddress, identity.dataCentre, {}, false };
+    return record;
+}
+
+Membership::GossipSettings gossipSettings(const Settings::DaemonSettings &settings)
+{
+    Membership::GossipSettings gossip;
+    gossip.seeds = settings.cluster.seeds;
+    for (const Settings::ReplicaSettings &it : settings.control.replicas) {
+        gossip.seeds.push_back(it.peerAddress);
+    }
+    return gossip;
+}
+
+Control::FeedTiming feedTiming(const Settings::DaemonSettings &settings)
+{
+    Control::FeedTiming timing;
+    timing.freshnessLimit = settings.timings.freshnessLimit;
+    return timing;
+}
+
+}
+
+std::vector<Control::ControlPeer> controlPeers(const Settings::DaemonSettings &settings)
+{
+    std::vector<Control::ControlPeer> peers;
+    for (const Settings::ReplicaSettings &it : settings.control.replicas) {
+        peers.push_back(Control::ControlPeer { it.instance, it.peerAddress });
+    }
+    return peers;
+}
+
+ClusterNode::ClusterNode(const Settings::DaemonSettings &settings, Identity identity, Wire::PeerNetwork &network, std::mutex &lock,
+                         const Clock &clock)
+    : m_identity(std::move(identity))
+    , m_network(network)
+    , m_lock(lock)
+    , m_clock(clock)
+    , m_serveWhenStale(settings.contracts.serveWhenStale)
+    , m_random(makeIncarnation().value())
+    , m_members(Membership::TableLimits { settings.timings.serverLease })
+    , m_gossip(gossipSettings(settings), selfRecord(m_identity, clock.now()), m_members, m_random, clock.now())
+    , m_directory(Membership::DirectorySettings { 3, settings.timings.directoryMaxAge }, m_members, m_random.next())
+    , m_controls(controlPeers(settings))
+    , m_feed(m_controls, m_random, feedTiming(settings))
+    , m_proposals(m_controls, m_random)
+{
+}
+
+void ClusterNode::receive(const Wire::Envelope &envelope, Instant now)
+{
+    switch (envelope.kind) {
+    case Wire::MessageKind::FeedReply:
+        if (const Result<bool> changed = m_feed.receive(envelope, now); changed && *changed) {
+            takeFeedChange();
+        }
+        break;
+    case Wire::MessageKind::ProposeReply:
+        // A malformed frame with a valid digest comes from an instance of another version; the request is sent again.
+        (void)m_proposals.receive(envelope, now);
+        break;
+    default:
+        if (const auto replies = m_gossip.receive(envelope, now)) {
+            send(*replies);
+        }
+        break;
+    }
+    flush(now);
+}
+
+void ClusterNode::tick(Instant now)
+{
+    m_feed.tick(now);
+    m_proposals.tick(now);
+    m_members.expire(now);
+    flush(now);
+}
+
+void ClusterNode::flush(Instant now)
+{
+    send(m_gossip.onTick(now));
+    send(m_feed.takeOutgoing());
+    send(m_proposals.takeOutgoing());
+    for (const Control::FinishedProposal &it : m_proposals.takeFinished()) {
+        m_results[it.ticket] = it.result;
+        m_resultArrived.notify_all();
+    }
+    while (m_results.size() > MaxKeptResults) {
+        m_results.erase(m_results.begin());
+    }
+}
+
+Control::ProposalTicket ClusterNode::startProposal(Control::Command command, Duration patience)
+{
+    const Instant now = m_clock.now();
+    const Control::ProposalTicket ticket = m_proposals.propose(std::move(command), now + patience, now);
+    send(m_proposals.takeOutgoing());
+    return ticket;
+}
+
+std::optional<Control::ProposalResult> ClusterNode::takeResult(Control::ProposalTicket ticket)
+{
+    const auto it = m_results.find(ticket);
+    if (it == m_results.end()) {
+        return std::nullopt;
+    }
+    Control::ProposalResult result = std::move(it->second);
+    m_results.erase(it);
+    return result;
+}
+
+Control::ProposalResult ClusterNode::propose(Control::Command command, Duration patience)
+{
+    std::unique_lock lock(m_lock);
+    const Control::ProposalTicket ticket = startProposal(std::move(command), patience);
+    std::optional<Control::ProposalResult> result;
+    // Every proposal finishes at the latest at the first tick after its deadline.
+    m_resultArrived.wait(lock, [&] { return (result = takeResult(ticket)).has_value(); });
+    return *result;
+}
+
+Control::FeedClient &ClusterNode::feed()
+{
+    return m_feed;
+}
+
+Membership::MembershipTable &ClusterNode::members()
+{
+    return m_members;
+}
+
+Membership::GossipCore &ClusterNode::gossip()
+{
+    return m_gossip;
+}
+
+Membership::Directory &ClusterNode::directory()
+{
+    return m_directory;
+}
+
+RandomSource &ClusterNode::random()
+{
+    return m_random;
+}
+
+std::uint64_t ClusterNode::feedChanges() const
+{
+    return m_feedChanges;
+}
+
+bool ClusterNode::isFenced(Instant now) const
+{
+    // Without a table that was confirmed once, even serve_when_stale has nothing to serve by.
+    return m_serveWhenStale ? !m_feed.freshnessAge(now).has_value() : m_feed.isFenced(now);
+}
+
+const Identity &ClusterNode::identity() const
+{
+    return m_identity;
+}
+
+std::vector<Control::ControlPeer> ClusterNode::controls() const
+{
+    return m_controls;
+}
+
+void ClusterNode::send(const std::vector<Control::Outgoing> &messages)
+{
+    for (const Control::Outgoing &it : messages) {
+        m_network.send(it.address, it.kind, it.correlation, it.payload);
+    }
+}
+
+void ClusterNode::send(const std::vector<Membership::GossipMessage> &messages)
+{
+    for (const Membership::GossipMessage &it : messages) {
+        m_network.send(it.address, it.kind, 0, it.payload);
+    }
+}
+
+void ClusterNode::takeFeedChange()
+{
+    ++m_feedChanges;
+    std::vector<Membership::ListedEntry> entries;
+    for (const Control::RegisteredEntry &it : m_feed.registeredEntries()) {
+        entries.push_back(Membership::ListedEntry { it.instance, it.address, it.dataCentre, {} });
+    }
+    m_directory.setRegisteredEntries(std::move(entries));
+}
+
+}
--- /dev/null
+++ b/packages/daemon/daemon/clusternode.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/random.h"
+#include "control/feedclient.h"
+#include "control/proposalclient.h"
+#include "membership/directory.h"
+#include "membership/gossipcore.h"
+#include "membership/membershiptable.h"
+#include "settings/daemonsettings.h"
+#include "wire/peernetwork.h"
+
+namespace Galenabarrow::Daemon
+{
+
+/// What an instance is called and where it is reached.
+struct Identity {
+    InstanceId instance;
+    DataCentreId dataCentre;
+    /// Random; binds action keys to this process.
+    Incarnation incarnation;
+    std::string callerAddress;
+    std::string peerAddress;
+    std::uint8_t roles = 0;
+};
+
+/// The parts that every instance has: membership, the contract feed and proposals to control. Guarded by one lock, which
+/// also guards the call engine of an entry.
+class ClusterNode
+{
+public:
+    ClusterNode(const Settings::DaemonSettings &settings, Identity identity, Wire::PeerNetwork &network, std::mutex &lock,
+                const Clock &clock);
+
+    /// Takes a message of gossip, feed or proposals; call it with the lock held.
+    void receive(const Wire::Envelope &envelope, Instant now);
+    /// Call it with the lock held, every few milliseconds.
+    void tick(Instant now);
+    /// Sends what the cores have to send; call it with the lock held after a change that should spread at once.
+    void flush(Instant now);
+    /// Blocks until \p command is decided or \p patience has passed; call it without the lock.
+    Control::ProposalResult propose(Control::Command command, Duration patience);
+    /// Sends a proposal without waiting for its result; with the lock held.
+    Control::ProposalTicket startProposal(Control::Command command, Duration patience);
+    /// The result of a started proposal, once; with the lock held.
+    std::optional<Control::ProposalResult> takeResult(Control::ProposalTicket ticket);
+
+    // With the lock held:
+    Control::FeedClient &feed();
+    Membership::MembershipTable &members();
+    Membership::GossipCore &gossip();
+    Membership::Directory &directory();
+    RandomSource &random();
+    /// Rises when the contract table or the registered entries have changed.
+    std::uint64_t feedChanges() const;
+    /// True when the contract table is too old to serve by it.
+    bool isFenced(Instant now) const;
+
+    const Identity &identity() const;
+    std::vector<Control::ControlPeer> controls() const;
+
+private:
+    void send(const std::vector<Control::Outgoing> &messages);
+    void send(const std::vector<Membership::GossipMessage> &messages);
+    void takeFeedChange();
+
+    Identity m_identity;
+    Wire::PeerNetwork &m_network;
+    std::mutex &m_lock;
+    const Clock &m_clock;
+    bool m_serveWhenStale;
+    Log m_log { "cluster" };
+    SeededRandom m_random;
+    Membership::MembershipTable m_members;
+    Membership::GossipCore m_gossip;
+    Membership::Directory m_directory;
+    std::vector<Control::ControlPeer> m_controls;
+    Control::FeedClient m_feed;
+    Control::ProposalClient m_proposals;
+    std::uint64_t m_feedChanges = 0;
+    std::condition_variable m_resultArrived;
+    std::map<Control::ProposalTicket, Control::ProposalResult> m_results;
+};
+
+/// The control instances that the settings name.
+std::vector<Control::ControlPeer> controlPeers(const Settings::DaemonSettings &settings);
+
+}
--- /dev/null
+++ b/packages/daemon/daemon/enginelinks.cpp
@@ -0,0 +1,67 @@
+#include "daemon/enginelinks.h"
+
+#include <algorithm>
+
+namespace Galenabarrow::Daemon
+{
+
+EngineLinks::EngineLinks(ClusterNode &cluster, Limits::CustomerLimits &limits, Actions::ActionRegistry &registry)
+    : m_cluster(cluster)
+    , m_limits(limits)
+    , m_registry(registry)
+{
+}
+
+tl::expected<Entry::CallTerms, ResultCode> EngineLinks::terms(const CustomerId &customer, const ServiceId &service) const
+{
+    if (m_cluster.feed().find(customer) == nullptr) {
+        return tl::make_unexpected(ResultCode::NoContract);
+    }
+    const ServiceTerms *found = serviceTerms(customer, service);
+    if (found == nullptr) {
+        return tl::make_unexpected(ResultCode::ServiceNotInContract);
+    }
+    return Entry::CallTerms { found->maxDeadline, found->hedgePermille, found->retryPermille };
+}
+
+tl::expected<void, ResultCode> EngineLinks::admit(const CustomerId &customer, Instant now)
+{
+    return m_limits.admit(customer, now);
+}
+
+void EngineLinks::release(const CustomerId &customer, Instant now)
+{
+    m_limits.release(customer, now);
+}
+
+tl::expected<void, Entry::KeyRefusal> EngineLinks::begin(const Actions::ActionKey &key, Instant now)
+{
+    const auto begun = key.scope ? m_registry.begin(key, now) : m_registry.beginClaimed(key, now);
+    if (!begun) {
+        return tl::make_unexpected(Entry::KeyRefusal { begun.error().outcome, begun.error().code });
+    }
+    return {};
+}
+
+void EngineLinks::finish(const Actions::ActionKey &key, Outcome outcome, Instant now)
+{
+    m_registry.finish(key, outcome, now);
+}
+
+bool EngineLinks::isFenced(Instant now) const
+{
+    return m_cluster.isFenced(now);
+}
+
+const ServiceTerms *EngineLinks::serviceTerms(const CustomerId &customer, const ServiceId &service) const
+{
+    const Contract *contract = m_cluster.feed().find(customer);
+    if (contract == nullptr) {
+        return nullptr;
+    }
+    const auto it = std::find_if(contract->services.begin(), contract->services.end(),
+                                 [&service](const ServiceTerms &terms) { return terms.service == service; });
+    return it == contract->services.end() ? nullptr : &*it;
+}
+
+}
--- /dev/null
+++ b/packages/daemon/daemon/enginelinks.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "actions/actionregistry.h"
+#include "daemon/clusternode.h"
+#include "entry/engineinterfaces.h"
+#include "limits/customerlimits.h"
+
+namespace Galenabarrow::Daemon
+{
+
+/// Gives the call engine its contracts, limits, action keys and freshness. Guarded by the lock of the ClusterNode.
+class EngineLinks final : public Entry::ContractView, public Entry::AdmissionControl, public Entry::ActionKeys, public Entry::FreshnessView
+{
+public:
+    EngineLinks(ClusterNode &cluster, Limits::CustomerLimits &limits, Actions::ActionRegistry &registry);
+
+    tl::expected<Entry::CallTerms, ResultCode> terms(const CustomerId &customer, const ServiceId &service) const override;
+    tl::expected<void, ResultCode> admit(const CustomerId &customer, Instant now) override;
+    void release(const CustomerId &customer, Instant now) override;
+    tl::expected<void, Entry::KeyRefusal> begin(const Actions::ActionKey &key, Instant now) override;
+    void finish(const Actions::ActionKey &key, Outcome outcome, Instant now) override;
+    bool isFenced(Instant now) const override;
+
+    /// The terms as the contract states them; null without a contract or when it does not name the service.
+    const ServiceTerms *serviceTerms(const CustomerId &customer, const ServiceId &service) const;
+
+private:
+    ClusterNode &m_cluster;
+    Limits::CustomerLimits &m_limits;
+    Actions::ActionRegistry &m_registry;
+};
+
+}
--- /dev/null
+++ b/packages/daemon/daemon/entrynode.cpp
@@ -0,0 +1,486 @@
+#include "daemon/entrynode.h"
+
+#include <utility>
+
+#include "daemon/announcementinput.h"
+#include "daemon/httpinput.h"
+#include "daemon/lookupreply.h"
+#include "limits/sharecodec.h"
+
+namespace Galenabarrow::Daemon
+{
+
+namespace
+{
+
+constexpr Duration RegistrationPatience = std::chrono::seconds(3);
+constexpr Duration RegistrationPause = std::chrono::milliseconds(500);
+constexpr Duration ShareInterval = std::chrono::seconds(1);
+// After this time without a reply, the request goes to all control instances, to find the leader.
+constexpr Duration ShareReplyTime = std::chrono::milliseconds(1500);
+constexpr Duration SyncInterval = std::chrono::milliseconds(10);
+constexpr Duration HousekeepingInterval = std::chrono::milliseconds(100);
+
+CallEnd withoutResponse(Outcome outcome, ResultCode code)
+{
+    return CallEnd { outcome, code, {} };
+}
+
+Entry::EngineConfig engineConfig(const Settings::DaemonSettings &settings)
+{
+    Entry::EngineConfig config;
+    config.dataCentre = settings.instance.dataCentre;
+    config.strategy = settings.routing.strategy;
+    config.queueLimit = settings.limits.queueSize;
+    return config;
+}
+
+Actions::RegistryLimits registryLimits(RandomSource &random)
+{
+    Actions::RegistryLimits limits;
+    limits.hashSeed = random.next();
+    return limits;
+}
+
+Entry::ServerRecord toServerRecord(const Membership::Record &record, Instant now)
+{
+    const auto &info = std::get<Membership::ServerInfo>(record.body);
+    Entry::ServerRecord server;
+    server.server = ServerId(record.key.id);
+    server.service = info.service;
+    server.dataCentre = info.dataCentre;
+    server.incarnation = record.incarnation;
+    server.slots = info.slots;
+    server.reportedInFlight = record.load;
+    server.reportAge = now - record.heardAt;
+    server.draining = record.leaving;
+    server.coldStart = info.coldStart;
+    return server;
+}
+
+/// The outcome that another entry states in its reply; unknown when it states none.
+CallEnd endOfForwarded(UpstreamResponse response)
+{
+    const std::string outcome = response.header(OutcomeHeader);
+    const auto code = static_cast<ResultCode>(std::strtoul(response.header(CodeHeader).c_str(), nullptr, 10));
+    if (outcome == outcomeName(Outcome::Answered)) {
+        return CallEnd { Outcome::Answered, code, std::move(response) };
+    }
+    if (outcome == outcomeName(Outcome::NotRun)) {
+        return withoutResponse(Outcome::NotRun, code);
+    }
+    return withoutResponse(Outcome::Unknown, code == ResultCode::Ok ? ResultCode::KeyOwnerUnreachable : code);
+}
+
+}
+
+EntryNode::EntryNode(const Settings::DaemonSettings &settings, ClusterNode &cluster, Wire::PeerNetwork &network, std::mutex &lock,
+                     const Clock &clock)
+    : m_cluster(cluster)
+    , m_network(network)
+    , m_lock(lock)
+    , m_clock(clock)
+    , m_statistics(clock)
+    , m_registry(cluster.identity().instance, cluster.identity().incarnation, registryLimits(cluster.random()), clock.now())
+    , m_limits(cluster.identity().instance, cluster.identity().incarnation, Limits::LimitTimes { settings.timings.freshnessLimit },
+               clock.now())
+    , m_links(cluster, m_limits, m_registry)
+    , m_engine(engineConfig(settings), m_links, m_links, m_links, m_links, cluster.random())
+    , m_upstream(clock)
+    , m_runner(
+          m_engine, m_links, lock, m_upstream, [this](const ServerId &server) { return serverAddress(server); },
+          cluster.identity().instance.value() + "." + std::to_string(cluster.identity().incarnation.value()), clock)
+    , m_info(std::get<Membership::InstanceInfo>(cluster.gossip().self().body))
+{
+}
+
+EntryNode::~EntryNode()
+{
+    m_runner.stop();
+}
+
+HttpReply EntryNode::handleCaller(HttpRequest &request)
+{
+    return request.path() == "/v1/entries" ? handleLookup(request) : handleCall(request);
+}
+
+HttpReply EntryNode::handleAnnouncement(const HttpRequest &request)
+{
+    if (request.head.getMethod() != "POST" || request.path() != "/v1/announce") {
+        return errorReply(404, Outcome::NotRun, ResultCode::PathUnknown, "only POST /v1/announce is served here");
+    }
+    const Result<Membership::ServerAnnouncement> announcement = parseAnnouncement(request.body);
+    if (!announcement) {
+        return errorReply(400, Outcome::NotRun, announcement.error().code, announcement.error().detail);
+    }
+    const Instant now = m_clock.now();
+    const std::lock_guard lock(m_lock);
+    const Result<Duration> lease = m_cluster.gossip().announce(*announcement, now);
+    if (!lease) {
+        const int status = lease.error().code == ResultCode::AnnouncementStale ? 409 : 400;
+        return errorReply(status, Outcome::NotRun, lease.error().code, lease.error().detail);
+    }
+    m_cluster.flush(now);
+    syncServers(now);
+    return announcementReply(*lease);
+}
+
+void EntryNode::receive(const Wire::Envelope &envelope, Instant now)
+{
+    const Result<Limits::ShareReply> reply = Limits::decodeShareReply(envelope.payload);
+    if (reply && m_limits.applyGrant(*reply, now)) {
+        m_lastShareReply = now;
+        m_shareAddress = envelope.senderAddress;
+    }
+}
+
+void EntryNode::tick(Instant now)
+{
+    if (now >= m_nextSync) {
+        m_nextSync = now + SyncInterval;
+        syncAll(now);
+    }
+    m_runner.tick(now);
+    if (now >= m_nextHousekeeping) {
+        m_nextHousekeeping = now + HousekeepingInterval;
+        m_runner.abandonForsakenCalls(now);
+        m_upstream.closeIdle(now);
+    }
+}
+
+void EntryNode::syncAll(Instant now)
+{
+    const std::lock_guard lock(m_lock);
+    m_registry.tick(now);
+    syncContracts(now);
+    syncServers(now);
+    updateSelf(now);
+    registerSelf(now);
+    requestShares(now);
+}
+
+void EntryNode::beginStop()
+{
+    const Instant now = m_clock.now();
+    const std::lock_guard lock(m_lock);
+    m_isStopping = true;
+    updateSelf(now);
+    m_cluster.gossip().leave(now);
+    m_cluster.flush(now);
+}
+
+void EntryNode::stopAccepting()
+{
+    const std::lock_guard lock(m_lock);
+    m_engine.stopAccepting();
+}
+
+std::size_t EntryNode::callsInProgress() const
+{
+    return m_runner.callsInProgress();
+}
+
+void EntryNode::deregister(Duration patience)
+{
+    const Identity &self = m_cluster.identity();
+    Control::EntryRemoval removal { ChangeId("remove-" + self.instance.value() + "-" + std::to_string(self.incarnation.value())),
+                                    self.instance };
+    const Control::ProposalResult result = m_cluster.propose(std::move(removal), patience);
+    m_log.info("entry removed", { { "code", std::string(resultCodeName(result.code)) } });
+}
+
+const Report::CallStatistics &EntryNode::statistics() const
+{
+    return m_statistics;
+}
+
+const CallCounters &EntryNode::counters() const
+{
+    return m_counters;
+}
+
+const UpstreamCounters &EntryNode::upstreamCounters() const
+{
+    return m_upstream.counters();
+}
+
+const Entry::CallEngine &EntryNode::engine() const
+{
+    return m_engine;
+}
+
+const Actions::ActionRegistry &EntryNode::registry() const
+{
+    return m_registry;
+}
+
+HttpReply EntryNode::handleLookup(const HttpRequest &request)
+{
+    if (request.head.getMethod() != "GET") {
+        return errorReply(404, Outcome::NotRun, ResultCode::PathUnknown, "only GET /v1/entries is served here");
+    }
+    const std::optional<DataCentreId> dataCentre = dataCentreOf(request);
+    const std::lock_guard lock(m_lock);
+    return lookupReply(m_cluster.directory().lookup(dataCentre));
+}
+
+HttpReply EntryNode::handleCall(HttpRequest &request)
+{
+    Result<CallerInput> input = parseCall(request);
+    if (!input) {
+        ++m_counters.inputErrors;
+        return errorReply(statusForInput(input.error().code), Outcome::NotRun, input.error().code, input.error().detail);
+    }
+    const Instant deadline = request.arrived + input->timeLeft;
+    CallEnd end;
+    if (isIdempotentCall(request, *input)) {
+        end = runOwn(request, *input, true, deadline);
+    } else if (input->key) {
+        end = runAction(request, *input, deadline);
+    } else {
+        ++m_counters.inputErrors;
+        return errorReply(400, Outcome::NotRun, ResultCode::HeaderMissing, std::string(ActionKeyHeader) + " is missing for an action");
+    }
+    std::atomic<std::uint64_t> &counter = end.outcome == Outcome::Answered ? m_counters.answered
+        : end.outcome == Outcome::NotRun                                   ? m_counters.notRun
+                                                                           : m_counters.unknown;
+    ++counter;
+    m_statistics.record(input->customer, input->service, Report::CallSample { end.outcome, end.code, m_clock.now() - request.arrived });
+    return replyFor(std::move(end));
+}
+
+CallEnd EntryNode::runAction(HttpRequest &request, CallerInput &input, Instant deadline)
+{
+    InstanceId owner;
+    Actions::KeyOwnership ownership = Actions::KeyOwnership::Unclaimed;
+    if (input.key->scope) {
+        owner = input.key->scope->owner;
+        const std::lock_guard lock(m_lock);
+        ownership = m_registry.ownership(*input.key);
+    } else {
+        ownership = claim(input, owner, deadline);
+    }
+    switch (ownership) {
+    case Actions::KeyOwnership::Own:
+        return runOwn(request, input, false, deadline);
+    case Actions::KeyOwnership::OtherInstance:
+        return forward(request, input, owner, deadline);
+    case Actions::KeyOwnership::EndedIncarnation:
+        return withoutResponse(Outcome::Unknown, ResultCode::KeyOwnerEnded);
+    case Actions::KeyOwnership::Unclaimed:
+        break;
+    }
+    // An earlier request with this key may have been claimed and run by another entry.
+    return withoutResponse(Outcome::Unknown, ResultCode::KeyOwnerUnreachable);
+}
+
+CallEnd EntryNode::runOwn(HttpRequest &request, const CallerInput &input, bool isIdempotent, Instant deadline)
+{
+    Entry::CallRequest call;
+    call.customer = input.customer;
+    call.service = input.service;
+    call.idempotent = isIdempotent;
+    if (!isIdempotent) {
+        call.actionKey = Actions::qualified(*input.key, input.customer);
+    }
+    call.deadline = deadline;
+    call.depth = input.depth;
+    call.isRetryUpstream = input.isRetryUpstream;
+    return m_runner.run(call, contentOf(request, input, !isIdempotent), request.connection);
+}
+
+CallEnd EntryNode::forward(HttpRequest &request, const CallerInput &input, const InstanceId &owner, Instant deadline)
+{
+    const CallEnd unreachable = withoutResponse(Outcome::Unknown, ResultCode::KeyOwnerUnreachable);
+    std::optional<std::string> address;
+    {
+        const std::lock_guard lock(m_lock);
+        address = callerAddressOf(owner);
+    }
+    // A call is forwarded once, so that two entries that disagree about an owner never pass it back and forth.
+    if (!address || !input.forwardedBy.empty()) {
+        return unreachable;
+    }
+    ++m_counters.forwarded;
+    UpstreamRequest forwarded { *address, request.head.getMethod(), request.head.getURI(), {}, std::move(request.body), deadline, true };
+    for (const auto &field : request.head) {
+        if (!isHopHeader(field.first)) {
+            forwarded.headers.push_back(field);
+        }
+    }
+    for (const char *name : { CustomerHeader, ActionKeyHeader, DepthHeader, AttemptHeader, "Content-Type" }) {
+        if (request.head.has(name)) {
+            forwarded.headers.emplace_back(name, request.head.get(name));
+        }
+    }
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - m_clock.now());
+    forwarded.headers.emplace_back(DeadlineHeader, std::to_string(std::max<std::int64_t>(left.count(), 0)));
+    forwarded.headers.emplace_back(ForwardedHeader, m_cluster.identity().instance.value());
+    // The owner answers at the deadline at the latest; its answer still has to arrive here.
+    forwarded.deadline = deadline + std::chrono::milliseconds(50);
+    ExchangeHandle handle;
+    UpstreamResponse response = m_upstream.exchange(forwarded, handle);
+    return response.end == Entry::AttemptEnd::Answered ? endOfForwarded(std::move(response)) : unreachable;
+}
+
+Actions::KeyOwnership EntryNode::claim(const CallerInput &input, InstanceId &owner, Instant deadline)
+{
+    {
+        const std::lock_guard lock(m_lock);
+        if (!m_registry.canClaim()) {
+            return Actions::KeyOwnership::Unclaimed;
+        }
+    }
+    ++m_counters.claims;
+    const Identity &self = m_cluster.identity();
+    const std::string key = Actions::printActionKey(Actions::qualified(*input.key, input.customer));
+    const Control::ProposalResult result =
+        m_cluster.propose(Control::KeyClaim { key, self.instance, self.incarnation }, deadline - m_clock.now());
+    if (result.code != ResultCode::Ok) {
+        return Actions::KeyOwnership::Unclaimed;
+    }
+    owner = result.owner;
+    const std::lock_guard lock(m_lock);
+    return m_registry.ownership(result.owner, result.ownerIncarnation);
+}
+
+bool EntryNode::isIdempotentCall(const HttpRequest &request, const CallerInput &input)
+{
+    const std::lock_guard lock(m_lock);
+    return isIdempotent(request.head.getMethod(), input.target, m_links.serviceTerms(input.customer, input.service));
+}
+
+std::optional<std::string> EntryNode::callerAddressOf(const InstanceId &instance) const
+{
+    const Membership::Record *record = m_cluster.members().find({ Membership::RecordKind::Instance, instance.value() });
+    if (record != nullptr) {
+        return std::get<Membership::InstanceInfo>(record->body).callerAddress;
+    }
+    for (const Control::RegisteredEntry &it : m_cluster.feed().registeredEntries()) {
+        if (it.instance == instance) {
+            return it.address;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<std::string> EntryNode::serverAddress(const ServerId &server) const
+{
+    const Membership::Record *record = m_cluster.members().find({ Membership::RecordKind::Server, server.value() });
+    if (record == nullptr) {
+        return std::nullopt;
+    }
+    return std::get<Membership::ServerInfo>(record->body).address;
+}
+
+void EntryNode::syncContracts(Instant now)
+{
+    if (m_cluster.feedChanges() == m_seenFeedChanges) {
+        return;
+    }
+    m_seenFeedChanges = m_cluster.feedChanges();
+    for (const auto &[customer, record] : m_cluster.feed().contracts()) {
+        Version &installed = m_installedContracts[customer];
+        if (installed == record.contract.version) {
+            continue;
+        }
+        installed = record.contract.version;
+        if (record.withdrawn) {
+            m_limits.removeContract(customer, now);
+            m_statistics.removeContract(customer);
+        } else {
+            m_limits.setContract(record.contract, now);
+            m_statistics.setContract(record.contract);
+        }
+        m_log.info("contract in force", { { "customer", customer.value() }, { "version", std::to_string(installed.value()) } });
+    }
+    std::vector<InstanceId> entries;
+    for (const Control::RegisteredEntry &it : m_cluster.feed().registeredEntries()) {
+        entries.push_back(it.instance);
+    }
+    m_limits.setRegisteredEntries(entries, now);
+}
+
+void EntryNode::syncServers(Instant now)
+{
+    if (m_cluster.members().changes() == m_seenMemberChanges) {
+        return;
+    }
+    m_seenMemberChanges = m_cluster.members().changes();
+    std::set<ServerId> live;
+    for (const Membership::Record *record : m_cluster.members().live(Membership::RecordKind::Server)) {
+        m_engine.upsertServer(toServerRecord(*record, now), now);
+        live.insert(ServerId(record->key.id));
+    }
+    for (const ServerId &it : m_installedServers) {
+        if (!live.contains(it)) {
+            m_engine.removeServer(it);
+        }
+    }
+    m_installedServers = std::move(live);
+}
+
+void EntryNode::updateSelf(Instant now)
+{
+    Membership::InstanceInfo info = m_info;
+    info.keyScope = Actions::printKeyScope(m_registry.currentScope(now));
+    info.serving = !m_isStopping && !m_cluster.isFenced(now) && isRegistered();
+    if (info == m_info) {
+        return;
+    }
+    if (info.serving != m_info.serving) {
+        m_log.info(info.serving ? "serving" : "not serving");
+    }
+    m_info = info;
+    m_cluster.gossip().updateSelf(m_info, now);
+    m_cluster.flush(now);
+}
+
+bool EntryNode::isRegistered() const
+{
+    const Identity &self = m_cluster.identity();
+    for (const Control::RegisteredEntry &it : m_cluster.feed().registeredEntries()) {
+        if (it.instance == self.instance) {
+            return it.incarnation == self.incarnation;
+        }
+    }
+    return false;
+}
+
+void EntryNode::registerSelf(Instant now)
+{
+    if (m_registration && m_cluster.takeResult(*m_registration)) {
+        m_registration.reset();
+        m_nextRegistration = now + RegistrationPause;
+    }
+    if (m_registration || m_isStopping || now < m_nextRegistration || isRegistered()) {
+        return;
+    }
+    const Identity &self = m_cluster.identity();
+    Control::EntryRegistration registration;
+    registration.id = ChangeId("register-" + self.instance.value() + "-" + std::to_string(self.incarnation.value()));
+    registration.entry = Control::RegisteredEntry { self.instance, self.incarnation, self.callerAddress, self.dataCentre };
+    m_registration = m_cluster.startProposal(std::move(registration), RegistrationPatience);
+}
+
+void EntryNode::requestShares(Instant now)
+{
+    if (now < m_nextShareRequest) {
+        return;
+    }
+    m_nextShareRequest = now + ShareInterval;
+    const Limits::ShareRequest request = m_limits.makeRequest(now);
+    if (request.demands.empty()) {
+        return;
+    }
+    const std::vector<std::uint8_t> payload = Limits::encode(request);
+    if (!m_shareAddress.empty() && now - m_lastShareReply < ShareReplyTime) {
+        m_network.send(m_shareAddress, Wire::MessageKind::ShareRequest, 0, payload);
+        return;
+    }
+    for (const Control::ControlPeer &it : m_cluster.controls()) {
+        m_network.send(it.address, Wire::MessageKind::ShareRequest, 0, payload);
+    }
+}
+
+}
--- /dev/null
+++ b/packages/daemon/daemon/httpmessage.cpp
@@ -0,0 +1,45 @@
+#include "daemon/httpmessage.h"
+
+#include <sstream>
+
+#include <Poco/JSON/Object.h>
+
+namespace Galenabarrow::Daemon
+{
+
+std::string_view HttpRequest::path() const
+{
+    const std::string_view uri = head.getURI();
+    return uri.substr(0, uri.find('?'));
+}
+
+std::string_view outcomeName(Outcome outcome)
+{
+    switch (outcome) {
+    case Outcome::Answered:
+        return "answered";
+    case Outcome::NotRun:
+        return "not-run";
+    case Outcome::Unknown:
+        break;
+    }
+    return "unknown";
+}
+
+HttpReply errorReply(int status, Outcome outcome, ResultCode code, std::string_view detail)
+{
+    const int number = static_cast<int>(code);
+    Poco::JSON::Object object;
+    object.set("code", number);
+    object.set("name", std::string(resultCodeName(code)));
+    object.set("detail", std::string(detail));
+    std::ostringstream text;
+    object.stringify(text);
+    HttpReply reply;
+    reply.status = status;
+    reply.headers = { { OutcomeHeader, std::string(outcomeName(outcome)) }, { CodeHeader, std::to_string(number) } };
+    reply.body = text.str();
+    return reply;
+}
+
+}
--- /dev/null
+++ b/packages/daemon/daemon/httpserver.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/Net/TCPServer.h>
+
+#include "base/clock.h"
+#include "base/resultcode.h"
+#include "daemon/httpmessage.h"
+
+namespace Galenabarrow::Daemon
+{
+
+/// Bounds of one listening address.
+struct HttpLimits {
+    std::uint32_t headerBytes = 16 * 1024;
+    std::uint32_t bodyBytes = 8 * 1024 * 1024;
+    std::uint32_t connections = 512;
+    /// A request must have arrived whole within this time from its first byte.
+    Duration requestTime = std::chrono::seconds(10);
+    /// An idle connection is closed after this time.
+    Duration keepAlive = std::chrono::seconds(60);
+};
+
+/// Counters of one listening address.
+struct HttpCounters {
+    std::atomic<std::uint64_t> requests { 0 };
+    std::atomic<std::uint64_t> badRequests { 0 };
+    std::atomic<std::uint64_t> connectionsRefused { 0 };
+    std::atomic<std::uint64_t> slowSenders { 0 };
+};
+
+/// Serves HTTP/1.1 with a thread per connection. Requests that break a limit get a numbered error and never reach the
+/// handler. Content-Length is required for a body: POCO reports a chunked body that was cut off as a whole one, and
+/// such a request must not run.
+class HttpServer
+{
+public:
+    /// Called on the thread of the connection.
+    using Handler = std::function<HttpReply(HttpRequest &)>;
+
+    HttpServer(HttpLimits limits, const Clock &clock);
+    ~HttpServer();
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+
+    /// Binds \p address; connections wait until serve() is called. Fails with AddressUnavailable.
+    Result<void> listen(const std::string &address);
+    /// Starts to answer requests.
+    void serve(Handler handler);
+    /// The bound address as "host:port".
+    std::string address() const;
+    /// Closes the connections whose sender is too slow; called on every tick.
+    void closeSlowSenders(Instant now);
+    /// From now on each connection is closed after the reply that is being written.
+    void closeAfterReplies();
+    /// Requests between their first byte and the end of their reply.
+    std::size_t requestsInProgress() const;
+    const HttpCounters &counters() const;
+    /// Ends all connections.
+    void stop();
+
+private:
+    class Connection;
+    class Factory;
+
+    /// False when the limit of connections is reached.
+    bool add(Connection &connection, const Poco::Net::StreamSocket &socket);
+    void remove(Connection &connection);
+    void setReading(Connection &connection, bool reading);
+
+    struct ConnectionState {
+        Poco::Net::StreamSocket socket;
+        bool isReading = false;
+        Instant readingSince {};
+    };
+
+    HttpLimits m_limits;
+    const Clock &m_clock;
+    Handler m_handler;
+    HttpCounters m_counters;
+    std::atomic<bool> m_closing { false };
+    std::atomic<std::size_t> m_inProgress { 0 };
+    mutable std::mutex m_mutex;
+    std::unordered_map<Connection *, ConnectionState> m_connections;
+    Poco::Net::ServerSocket m_socket;
+    std::unique_ptr<Poco::Net::TCPServer> m_server;
+};
+
+}
--- /dev/null
+++ b/packages/daemon/daemon/upstreamclient.cpp
@@ -0,0 +1,240 @@
+#include "daemon/upstreamclient.h"
+
+#include <algorithm>
+#include <sstream>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/String.h>
+
+namespace Galenabarrow::Daemon
+{
+
+namespace
+{
+
+constexpr Duration MaxConnectTime = std::chrono::seconds(1);
+// An action only goes over a connection that was idle for less than this: the longer a connection is idle, the likelier
+// the server closes it just as the action is sent, which makes the outcome unknown.
+constexpr Duration MaxIdleForAction = std::chrono::seconds(1);
+// Below the usual idle time of servers, so that the entry closes first.
+constexpr Duration MaxIdle = std::chrono::seconds(10);
+constexpr std::size_t MaxIdlePerAddress = 64;
+
+std::string format(const UpstreamRequest &request)
+{
+    Poco::Net::HTTPRequest head(request.method, request.target, Poco::Net::HTTPMessage::HTTP_1_1);
+    head.setHost(request.address);
+    for (const auto &[name, value] : request.headers) {
+        head.add(name, value);
+    }
+    head.setContentLength64(static_cast<Poco::Int64>(request.body.size()));
+    head.setKeepAlive(true);
+    std::ostringstream text;
+    head.write(text);
+    text << request.body;
+    return text.str();
+}
+
+ResultCode codeFor(ResponseEnd end)
+{
+    switch (end) {
+    case ResponseEnd::Whole:
+        return ResultCode::Ok;
+    case ResponseEnd::NoResponse:
+    case ResponseEnd::Malformed:
+        return ResultCode::ConnectionLost;
+    case ResponseEnd::CutShort:
+        return ResultCode::AnswerCutShort;
+    case ResponseEnd::TooLarge:
+        return ResultCode::AnswerTooLarge;
+    }
+    return ResultCode::InternalError;
+}
+
+void setFailure(UpstreamResponse &response, Entry::AttemptEnd end, ResultCode code)
+{
+    response.end = end;
+    response.code = code;
+}
+
+}
+
+std::string UpstreamResponse::header(std::string_view name) const
+{
+    const auto it = std::find_if(headers.begin(), headers.end(),
+                                 [name](const auto &field) { return Poco::icompare(field.first, std::string(name)) == 0; });
+    return it == headers.end() ? std::string() : it->second;
+}
+
+void ExchangeHandle::cancel()
+{
+    end(State::Cancelled);
+}
+
+void ExchangeHandle::expire()
+{
+    end(State::Expired);
+}
+
+void ExchangeHandle::end(State state)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_state == State::Active) {
+        m_state = state;
+    }
+    if (!m_socket) {
+        return;
+    }
+    try {
+        m_socket->shutdown();
+    } catch (const Poco::Exception &) {
+        // Already closed by the server.
+    }
+}
+
+ExchangeHandle::State ExchangeHandle::state() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_state;
+}
+
+bool ExchangeHandle::attach(const Poco::Net::StreamSocket &socket)
+{
+    const std::lock_guard lock(m_mutex);
+    m_socket = socket;
+    return m_state == State::Active;
+}
+
+void ExchangeHandle::detach()
+{
+    const std::lock_guard lock(m_mutex);
+    m_socket.reset();
+}
+
+UpstreamClient::UpstreamClient(const Clock &clock)
+    : m_clock(clock)
+{
+}
+
+UpstreamResponse UpstreamClient::exchange(const UpstreamRequest &request, ExchangeHandle &handle)
+{
+    UpstreamResponse response;
+    std::unique_ptr<UpstreamSession> session = takeIdle(request);
+    try {
+        if (!session) {
+            session = connect(request);
+        }
+    } catch (const Poco::Exception &) {
+        setFailure(response, Entry::AttemptEnd::ConnectFailed, ResultCode::NotSent);
+        return response;
+    }
+    if (!handle.attach(session->socket())) {
+        setFailure(response, Entry::AttemptEnd::FailedBeforeSend, ResultCode::NotSent);
+        return response;
+    }
+    response = converse(request, *session, handle);
+    handle.detach();
+    // Any other connection has a response outstanding, which must never reach another call.
+    const bool isClean = response.end == Entry::AttemptEnd::Answered && handle.state() == ExchangeHandle::State::Active;
+    if (isClean && !session->hasLeftover() && Poco::icompare(response.header("Connection"), "close") != 0) {
+        keep(request.address, std::move(session));
+    } else {
+        ++m_counters.connectionsAbandoned;
+    }
+    return response;
+}
+
+UpstreamResponse UpstreamClient::converse(const UpstreamRequest &request, UpstreamSession &session, ExchangeHandle &handle)
+{
+    UpstreamResponse response;
+    session.resetHandedOver();
+    try {
+        session.setPatience(request.deadline - m_clock.now());
+        session.writeAll(format(request));
+        receive(request, session, response);
+    } catch (const Poco::TimeoutException &) {
+        setFailure(response, Entry::AttemptEnd::TimedOut, ResultCode::AttemptTimedOut);
+    } catch (const Poco::Exception &) {
+        setFailure(response, Entry::AttemptEnd::FailedAfterSend, ResultCode::ConnectionLost);
+    }
+    if (response.end == Entry::AttemptEnd::Answered) {
+        return response;
+    }
+    if (session.handedOver() == 0) {
+        setFailure(response, Entry::AttemptEnd::FailedBeforeSend, ResultCode::NotSent);
+    } else if (handle.state() == ExchangeHandle::State::Cancelled) {
+        setFailure(response, Entry::AttemptEnd::Cancelled, ResultCode::OutcomeUnknown);
+    } else if (handle.state() == ExchangeHandle::State::Expired) {
+        setFailure(response, Entry::AttemptEnd::TimedOut, ResultCode::AttemptTimedOut);
+    }
+    return response;
+}
+
+void UpstreamClient::receive(const UpstreamRequest &request, UpstreamSession &session, UpstreamResponse &response)
+{
+    Poco::Net::HTTPResponse head;
+    session.setPatience(request.deadline - m_clock.now());
+    const ResponseEnd end = session.receiveWhole(request.method, head, response.body);
+    if (end != ResponseEnd::Whole) {
+        response.body.clear();
+        setFailure(response, Entry::AttemptEnd::FailedAfterSend, codeFor(end));
+        return;
+    }
+    setFailure(response, Entry::AttemptEnd::Answered, ResultCode::Ok);
+    response.status = static_cast<std::uint16_t>(head.getStatus());
+    response.reason = head.getReason();
+    response.headers.assign(head.begin(), head.end());
+}
+
+void UpstreamClient::closeIdle(Instant now)
+{
+    const std::lock_guard lock(m_mutex);
+    for (auto it = m_idle.begin(); it != m_idle.end();) {
+        std::erase_if(it->second, [now](const Idle &idle) { return now - idle.since > MaxIdle; });
+        it = it->second.empty() ? m_idle.erase(it) : std::next(it);
+    }
+}
+
+const UpstreamCounters &UpstreamClient::counters() const
+{
+    return m_counters;
+}
+
+std::unique_ptr<UpstreamSession> UpstreamClient::takeIdle(const UpstreamRequest &request)
+{
+    const Duration maxIdle = request.isAction ? MaxIdleForAction : MaxIdle;
+    const Instant now = m_clock.now();
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_idle.find(request.address);
+    // The last one was idle for the shortest time.
+    while (it != m_idle.end() && !it->second.empty() && now - it->second.back().since < maxIdle) {
+        std::unique_ptr<UpstreamSession> session = std::move(it->second.back().session);
+        it->second.pop_back();
+        if (!session->isStale()) {
+            ++m_counters.connectionsReused;
+            return session;
+        }
+    }
+    return nullptr;
+}
+
+std::unique_ptr<UpstreamSession> UpstreamClient::connect(const UpstreamRequest &request)
+{
+    auto session = std::make_unique<UpstreamSession>(request.address);
+    session->open(std::min(request.deadline - m_clock.now(), MaxConnectTime));
+    ++m_counters.connectionsOpened;
+    return session;
+}
+
+void UpstreamClient::keep(const std::string &address, std::unique_ptr<UpstreamSession> session)
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<Idle> &idle = m_idle[address];
+    if (idle.size() >= MaxIdlePerAddress) {
+        idle.erase(idle.begin());
+    }
+    idle.push_back(Idle { std::move(session), m_clock.now() });
+}
+
+}
--- /dev/null
+++ b/packages/daemon/daemon/upstreamsession.cpp
@@ -0,0 +1,139 @@
+#include "daemon/upstreamsession.h"
+
+#include <charconv>
+#include <sstream>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Timespan.h>
+
+namespace Galenabarrow::Daemon
+{
+
+namespace
+{
+
+constexpr std::size_t MaxResponseHead = std::size_t { 64 } << 10U;
+constexpr std::size_t MaxChunkLine = 1024;
+constexpr int HexBase = 16;
+// A receive timeout of 0 would wait without end.
+constexpr Duration LeastPatience = std::chrono::milliseconds(1);
+
+/// The length in a chunk's first line; chunk extensions are ignored.
+bool parseChunkLength(const std::string &line, std::size_t &length)
+{
+    const auto [end, ec] = std::from_chars(line.data(), line.data() + line.size(), length, HexBase);
+    return ec == std::errc() && (end == line.data() + line.size() || *end == ';' || *end == ' ');
+}
+
+bool hasNoBody(const std::string &method, int status)
+{
+    return method == "HEAD" || status == Poco::Net::HTTPResponse::HTTP_NO_CONTENT || status == Poco::Net::HTTPResponse::HTTP_NOT_MODIFIED;
+}
+
+}
+
+UpstreamSession::UpstreamSession(const std::string &address)
+    : WholeMessageSession(Poco::Net::SocketAddress(address))
+{
+    setKeepAlive(true);
+}
+
+void UpstreamSession::open(Duration timeout)
+{
+    const Poco::Timespan span(std::max(timeout, LeastPatience).count());
+    setTimeout(span, span, span);
+    reconnect();
+    socket().setNoDelay(true);
+}
+
+bool UpstreamSession::isStale()
+{
+    return !connected() || hasLeftover() || socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
+}
+
+void UpstreamSession::setPatience(Duration timeout)
+{
+    const Poco::Timespan span(std::max(timeout, LeastPatience).count());
+    socket().setSendTimeout(span);
+    socket().setReceiveTimeout(span);
+}
+
+ResponseEnd UpstreamSession::receiveWhole(const std::string &method, Poco::Net::HTTPResponse &head, std::string &body)
+{
+    body.clear();
+    const ResponseEnd headEnd = receiveHead(head);
+    if (headEnd != ResponseEnd::Whole || hasNoBody(method, head.getStatus())) {
+        return headEnd;
+    }
+    if (head.getChunkedTransferEncoding()) {
+        return receiveChunks(body);
+    }
+    if (!head.hasContentLength()) {
+        return ResponseEnd::CutShort;
+    }
+    const Poco::Int64 length = head.getContentLength64();
+    if (length < 0) {
+        return ResponseEnd::Malformed;
+    }
+    if (length > static_cast<Poco::Int64>(MaxResponseBody)) {
+        return ResponseEnd::TooLarge;
+    }
+    return readBody(body, static_cast<std::size_t>(length)) ? ResponseEnd::Whole : ResponseEnd::CutShort;
+}
+
+ResponseEnd UpstreamSession::receiveHead(Poco::Net::HTTPResponse &head)
+{
+    do {
+        std::string text;
+        switch (readHead(text, MaxResponseHead)) {
+        case HeadEnd::Whole:
+            break;
+        case HeadEnd::NoMessage:
+            return ResponseEnd::NoResponse;
+        case HeadEnd::CutShort:
+            return ResponseEnd::CutShort;
+        case HeadEnd::TooLarge:
+            return ResponseEnd::TooLarge;
+        }
+        head.clear();
+        std::istringstream stream(text);
+        try {
+            head.read(stream);
+        } catch (const Poco::Net::MessageException &) {
+            return ResponseEnd::Malformed;
+        }
+    } while (head.getStatus() == Poco::Net::HTTPResponse::HTTP_CONTINUE);
+    return ResponseEnd::Whole;
+}
+
+ResponseEnd UpstreamSession::receiveChunks(std::string &body)
+{
+    std::string line;
+    for (;;) {
+        std::size_t length = 0;
+        if (!readLine(line, MaxChunkLine)) {
+            return ResponseEnd::CutShort;
+        }
+        if (!parseChunkLength(line, length)) {
+            return ResponseEnd::Malformed;
+        }
+        if (length > MaxResponseBody - body.size()) {
+            return ResponseEnd::TooLarge;
+        }
+        if (length == 0) {
+            break;
+        }
+        if (!readBody(body, length) || !readLine(line, MaxChunkLine)) {
+            return ResponseEnd::CutShort;
+        }
+    }
+    do { // trailer fields
+        if (!readLine(line, MaxChunkLine)) {
+            return ResponseEnd::CutShort;
+        }
+    } while (!line.empty());
+    return ResponseEnd::Whole;
+}
+
+}
--- /dev/null
+++ b/packages/daemon/daemon/upstreamsession.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <string>
+
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPResponse.h>
+
+#include "base/clock.h"
+#include "daemon/wholemessage.h"
+
+namespace Galenabarrow::Daemon
+{
+
+/// How the reading of a response ended.
+enum class ResponseEnd : unsigned char {
+    Whole,
+    /// Not a byte of a response arrived before the end of the stream.
+    NoResponse,
+    CutShort,
+    TooLarge,
+    Malformed,
+};
+
+/// One connection to a server. It connects, sends and receives only when told to, and never resends.
+class UpstreamSession : public WholeMessageSession<Poco::Net::HTTPClientSession>
+{
+public:
+    /// \p address is "host:port".
+    explicit UpstreamSession(const std::string &address);
+
+    /// Connects within \p timeout; throws Poco exceptions.
+    void open(Duration timeout);
+    /// True when the server has closed the connection or sent something that nobody asked for.
+    bool isStale();
+    /// Bounds each send and receive from now on by \p timeout.
+    void setPatience(Duration timeout);
+    /// Reads a response to \p method whole. Throws Poco exceptions when the connection fails. A body whose length is not
+    /// stated counts as cut short, because its end cannot be told from a lost connection.
+    ResponseEnd receiveWhole(const std::string &method, Poco::Net::HTTPResponse &head, std::string &body);
+
+private:
+    ResponseEnd receiveHead(Poco::Net::HTTPResponse &head);
+    ResponseEnd receiveChunks(std::string &body);
+};
+
+/// Largest response body in bytes.
+constexpr std::size_t MaxResponseBody = std::size_t { 8 } << 20U;
+
+}
--- /dev/null
+++ b/packages/daemon/daemon/wholemessage.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <utility>
+
+#include <Poco/Net/HTTPSession.h>
+#include <Poco/Net/NetException.h>
+
+namespace Galenabarrow::Daemon
+{
+
+/// How the header section of a message ended.
+enum class HeadEnd : unsigned char {
+    Whole,
+    /// The stream ended before the first byte.
+    NoMessage,
+    /// The stream ended within the section.
+    CutShort,
+    TooLarge,
+};
+
+/// Adds whole-message reading and writing to a POCO session class. POCO's own streams take the end of the connection for
+/// the end of a header section or of a chunked body, so that a message that was cut off passes for a whole one.
+template<typename Session>
+class WholeMessageSession : public Session
+{
+public:
+    using Session::Session;
+
+    /// Reads up to and including the empty line into \p head.
+    HeadEnd readHead(std::string &head, std::size_t limit)
+    {
+        head.clear();
+        while (!head.ends_with("\r\n\r\n") && !head.ends_with("\n\n")) {
+            const int ch = this->get();
+            if (ch < 0) {
+                return head.empty() ? HeadEnd::NoMessage : HeadEnd::CutShort;
+            }
+            if (head.size() >= limit) {
+                return HeadEnd::TooLarge;
+            }
+            head += static_cast<char>(ch);
+        }
+        return HeadEnd::Whole;
+    }
+
+    /// Appends exactly \p size bytes to \p body; false when the stream ends before.
+    bool readBody(std::string &body, std::size_t size)
+    {
+        std::size_t filled = body.size();
+        body.resize(filled + size);
+        while (filled < body.size()) {
+            const int n = this->read(body.data() + filled, static_cast<std::streamsize>(body.size() - filled));
+            if (n <= 0) {
+                return false;
+            }
+            filled += static_cast<std::size_t>(n);
+        }
+        return true;
+    }
+
+    /// Reads a line without its end; false when the stream ends or \p limit is reached before the end of the line.
+    bool readLine(std::string &line, std::size_t limit)
+    {
+        line.clear();
+        for (int ch = this->get(); ch != '\n'; ch = this->get()) {
+            if (ch < 0 || line.size() >= limit) {
+                return false;
+            }
+            line += static_cast<char>(ch);
+        }
+        if (line.ends_with('\r')) {
+            line.pop_back();
+        }
+        return true;
+    }
+
+    /// Hands \p bytes to the connection. Never reconnects: HTTPClientSession::write connects again and resends when its
+    /// first write on a kept connection fails, which could run an action twice.
+    void writeAll(const std::string &bytes)
+    {
+        std::size_t sent = 0;
+        while (sent < bytes.size()) {
+            const int n = this->socket().sendBytes(bytes.data() + sent, static_cast<int>(bytes.size() - sent));
+            if (n <= 0) {
+                throw Poco::Net::ConnectionAbortedException("send failed");
+            }
+            sent += static_cast<std::size_t>(n);
+            m_handedOver += static_cast<std::size_t>(n);
+        }
+    }
+
+    /// Bytes that writeAll has handed to the connection since the last reset.
+    std::size_t handedOver() const
+    {
+        return m_handedOver;
+    }
+
+    void resetHandedOver()
+    {
+        m_handedOver = 0;
+    }
+
+    /// True when received bytes are left over.
+    bool hasLeftover() const
+    {
+        return this->buffered() > 0;
+    }
+
+private:
+    std::size_t m_handedOver = 0;
+};
+
+}
--- /dev/null
+++ b/packages/daemon/main/main.cpp
@@ -0,0 +1,77 @@
+#include <csignal>
+#include <iostream>
+
+#include <gflags/gflags.h>
+
+#include "base/log.h"
+#include "daemon/daemon.h"
+#include "settings/loader.h"
+
+DEFINE_string(settings, "", "settings file of this instance");
+DEFINE_bool(check, false, "check the settings and exit");
+
+namespace
+{
+
+using namespace Galenabarrow;
+
+constexpr int ExitFailure = 1;
+constexpr int ExitUsage = 2;
+constexpr time_t FailureCheckSeconds = 1;
+
+int fail(const Error &error, int status)
+{
+    std::cerr << "galenabarrowd: " << static_cast<int>(error.code) << " " << resultCodeName(error.code) << ": " << error.detail << "\n";
+    return status;
+}
+
+/// Signals are taken with sigtimedwait only, so that a second SIGTERM changes nothing.
+sigset_t blockSignals()
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    return signals;
+}
+
+int run(const Settings::DaemonSettings &settings, const sigset_t &signals)
+{
+    Daemon::Daemon daemon(settings);
+    if (const Result<void> started = daemon.start(); !started) {
+        return fail(started.error(), ExitFailure);
+    }
+    std::cout << daemon.addresses() << std::endl;
+    const timespec interval { FailureCheckSeconds, 0 };
+    while (sigtimedwait(&signals, nullptr, &interval) < 0) {
+        if (daemon.hasFailed()) {
+            return ExitFailure;
+        }
+    }
+    daemon.stopGracefully();
+    return 0;
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    gflags::SetUsageMessage("runs one instance of galenabarrow\n  galenabarrowd --settings <file> [--check]");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (FLAGS_settings.empty() || argc > 1) {
+        return fail(Error { ResultCode::UsageError, "needs --settings <file> and nothing else" }, ExitUsage);
+    }
+    const Result<Settings::DaemonSettings> settings = Settings::loadSettings(FLAGS_settings);
+    if (!settings) {
+        return fail(settings.error(), ExitUsage);
+    }
+    if (FLAGS_check) {
+        std::cout << "settings are valid\n";
+        return 0;
+    }
+    const sigset_t signals = blockSignals();
+    Log::configure(settings->log.threshold);
+    return run(*settings, signals);
+}
