--- a/Makefile
+++ b/Makefile
@@ -37,3 +37,5 @@
 generate:
 	flatc --cpp --cpp-std c++17 --scoped-enums -o packages/wire/wire/generated packages/wire/wire/messages.fbs
 	flatc --cpp --cpp-std c++17 --scoped-enums -o packages/control/control/generated packages/control/control/control.fbs
+	flatc --cpp --cpp-std c++17 --scoped-enums -o packages/membership/membership/generated packages/membership/membership/gossip.fbs
+	flatc --cpp --cpp-std c++17 --scoped-enums -o packages/limits/limits/generated packages/limits/limits/shares.fbs
--- a/packages/daemon/daemon/controlnode.cpp
+++ b/packages/daemon/daemon/controlnode.cpp
@@ -23,7 +23,7 @@
     control.instance = settings.instance.id;
     control.peers = controlPeers(settings);
     control.bootstrap = settings.control.bootstrap;
-    control.timing.electionTimeout = settings.timings.electionTimeout;
+    control.timing.election = settings.timings.electionTimeout;
     control.timing.heartbeat = settings.timings.heartbeat;
     return control;
 }
@@ -172,9 +172,9 @@
         }
         allocated = record.contract.version;
         if (record.withdrawn) {
-            m_allocator.removeContract(customer, now);
+            m_allocator.removeContract(customer);
         } else {
-            m_allocator.setContract(record.contract, now);
+            m_allocator.setContract(record.contract);
         }
     }
     std::vector<InstanceId> entries;
