--- a/packages/daemon/daemon/entrynode.cpp
+++ b/packages/daemon/daemon/entrynode.cpp
@@ -91,6 +91,7 @@
           m_engine, m_links, lock, m_upstream, [this](const ServerId &server) { return serverAddress(server); },
           cluster.identity().instance.value() + "." + std::to_string(cluster.identity().incarnation.value()), clock)
     , m_info(std::get<Membership::InstanceInfo>(cluster.gossip().self().body))
+    , m_limitsDelay(settings.timings.freshnessLimit + SyncInterval)
 {
 }
 
@@ -424,7 +425,7 @@
 {
     Membership::InstanceInfo info = m_info;
     info.keyScope = Actions::printKeyScope(m_registry.currentScope(now));
-    info.serving = !m_isStopping && !m_cluster.isFenced(now) && isRegistered();
+    info.serving = !m_isStopping && !m_cluster.isFenced(now) && hasLimits(now);
     if (info == m_info) {
         return;
     }
@@ -436,6 +437,18 @@
     m_cluster.flush(now);
 }
 
+bool EntryNode::hasLimits(Instant now)
+{
+    if (!isRegistered()) {
+        m_registeredAt.reset();
+        return false;
+    }
+    if (!m_registeredAt) {
+        m_registeredAt = now;
+    }
+    return now - *m_registeredAt > m_limitsDelay;
+}
+
 bool EntryNode::isRegistered() const
 {
     const Identity &self = m_cluster.identity();
--- a/packages/daemon/daemon/entrynode.h
+++ b/packages/daemon/daemon/entrynode.h
@@ -82,6 +82,8 @@
     void updateSelf(Instant now);
     void registerSelf(Instant now);
     bool isRegistered() const;
+    /// True when the limits of a newly registered entry have come into force; until then it would refuse every call.
+    bool hasLimits(Instant now);
     void syncAll(Instant now);
     void requestShares(Instant now);
 
@@ -106,6 +108,8 @@
     Membership::InstanceInfo m_info;
     std::optional<Control::ProposalTicket> m_registration;
     Instant m_nextRegistration {};
+    Duration m_limitsDelay;
+    std::optional<Instant> m_registeredAt;
     Instant m_nextShareRequest {};
     Instant m_lastShareReply {};
     std::string m_shareAddress;
