Retry refused calls by how long they have waited, and drop the cap on refusals

Cause: near saturation some entries held the slots and others starved: the owner of a slot that frees uses it again after one round trip, and a starved entry doubled its pauses up to 8 times. The cap of 200 refusals per call hid the worst waits as failures.

Change: pauses grow only for servers in other data centres, and are divided by the wait of the refused call in mean answer times. No cap; the deadline bounds a call.

--- a/packages/entry/entry/callengine.cpp
+++ b/packages/entry/entry/callengine.cpp
@@ -14,8 +14,6 @@
 constexpr AttemptId NoAttempt;
 constexpr std::uint16_t FirstServerError = 500;
 constexpr std::uint8_t MaxRetries = 3;
-/// Bounds the refusals that one call may collect; the pauses after refusals keep their rate low.
-constexpr std::uint16_t MaxPlacements = 200;
 /// A hedge is sent after this multiple of the mean answer time; 2 in 1,000 exponential answers take longer.
 constexpr int HedgeDelayFactor = 6;
 /// The same for an attempt at a straggler, whose answer is expected to be late.
@@ -191,6 +189,7 @@
     call.request = request;
     call.terms = *terms;
     call.service = &service;
+    call.submittedAt = now;
     if (terms->maxDeadline > Duration::zero()) {
         call.request.deadline = std::min(request.deadline, now + terms->maxDeadline);
     }
@@ -317,8 +316,10 @@
         m_servers.hold(attempt.row, m_resets.heldUntil(server));
     }
     const ServiceId service = m_servers.row(attempt.row).record.service;
-    m_servers.attemptEnded(attempt.row, report, now);
-    if (const auto it = m_calls.find(attempt.call); it != m_calls.end()) {
+    const auto it = m_calls.find(attempt.call);
+    const Duration waited = it == m_calls.end() ? Duration::zero() : now - it->second.submittedAt;
+    m_servers.attemptEnded(attempt.row, report, waited, now);
+    if (it != m_calls.end()) {
         std::replace(it->second.inFlight.begin(), it->second.inFlight.end(), report.attempt, NoAttempt);
         attemptEnded(it, attempt, report, now, effects);
     }
@@ -363,11 +364,10 @@
 {
     Call &call = it->second;
     const bool maySend = call.request.idempotent || !call.mayHaveRun;
-    if (!maySend || call.isAbandoned || call.placements >= MaxPlacements) {
+    if (!maySend || call.isAbandoned) {
         giveUp(it, ResultCode::RefusedByServer, now, effects);
         return;
     }
-    ++call.placements;
     ++m_counters.placements;
     call.service->queue.unserve(call.request.customer);
     enqueue(it->first, call);
--- a/packages/entry/entry/callengine.h
+++ b/packages/entry/entry/callengine.h
@@ -92,12 +92,12 @@
         CallRequest request;
         CallTerms terms;
         ServiceState *service = nullptr;
+        Instant submittedAt {};
         /// Attempts in flight; an empty place is AttemptId(0).
         std::array<AttemptId, MaxAttemptsInFlight> inFlight {};
         /// The last answer with a server error, passed on when nothing better comes.
         std::optional<AttemptId> serverError;
         ResultCode unknownCode = ResultCode::OutcomeUnknown;
-        std::uint16_t placements = 0;
         std::uint8_t retries = 0;
         bool wasDispatched = false;
         bool isWaiting = false;
--- a/packages/entry/entry/servertable.cpp
+++ b/packages/entry/entry/servertable.cpp
@@ -25,7 +25,10 @@
 
 /// Before the first answer a slot is assumed to be busy for this time.
 constexpr Duration AssumedLatency = 20ms;
+/// The pause after refusals in a row doubles up to this often, but only for servers in other data centres: a refusal nearby
+/// costs 0.2 ms, and a slot that an entry nearby fills stays idle for the shortest time.
 constexpr std::uint32_t MaxRefusalSteps = 3;
+constexpr Duration ShortestRefusalPause = 300us;
 
 /// A cold server gets a first attempt at once and then one per pause; each answer halves the pause.
 constexpr Duration ColdStartPause = 200ms;
@@ -242,14 +245,14 @@
     }
 }
 
-void ServerTable::attemptEnded(RowIndex index, const AttemptReport &report, Instant now)
+void ServerTable::attemptEnded(RowIndex index, const AttemptReport &report, Duration waited, Instant now)
 {
     ServerRow &row = m_rows[index];
     assert(row.inFlight > 0);
     --row.inFlight;
     ServiceAverages &averages = m_services[row.record.service].averages;
     if (report.end == AttemptEnd::RefusedByServer) {
-        noteRefusal(row, averages, now);
+        noteRefusal(row, averages, waited, now);
     } else if (isFailure(report)) {
         noteFailure(row, now);
     } else if (report.end == AttemptEnd::Answered) {
@@ -300,7 +303,7 @@
     }
 }
 
-void ServerTable::noteRefusal(ServerRow &row, ServiceAverages &averages, Instant now)
+void ServerTable::noteRefusal(ServerRow &row, ServiceAverages &averages, Duration waited, Instant now)
 {
     const double slots = slotsOf(row.record);
     if (row.load.isKnown && row.load.inFlight + row.sentSinceSample < slots * (1 - ContradictionShare) + 1) {
@@ -311,8 +314,11 @@
     averages.utilization += ServiceMeanWeight * (1 - averages.utilization);
     // One of the slots becomes free after the mean answer time divided by their number.
     const Duration latency = averages.latency == Duration::zero() ? AssumedLatency : averages.latency;
-    const Duration pause = latency / slotsOf(row.record);
-    row.refusedUntil = now + pause * (1U << std::min(row.consecutiveRefusals, MaxRefusalSteps)) / 2;
+    const std::uint32_t steps = row.isLocal ? 0 : std::min(row.consecutiveRefusals, MaxRefusalSteps);
+    const Duration pause = latency / slotsOf(row.record) * (1U << steps) / 2;
+    // A call that has waited long is tried more often, so that the entries with the longest queues get the free slots.
+    const double urgency = std::max(1.0, std::chrono::duration<double>(waited) / std::chrono::duration<double>(latency));
+    row.refusedUntil = now + std::max(ShortestRefusalPause, std::chrono::duration_cast<Duration>(pause / urgency));
     ++row.consecutiveRefusals;
 }
 
--- a/packages/entry/entry/servertable.h
+++ b/packages/entry/entry/servertable.h
@@ -83,8 +83,8 @@
 
     /// Notes that an attempt was sent to the server.
     void attemptSent(RowIndex index, Instant now);
-    /// Notes how an attempt at the server ended.
-    void attemptEnded(RowIndex index, const AttemptReport &report, Instant now);
+    /// Notes how an attempt at the server ended, for a call that had \p waited since it was submitted.
+    void attemptEnded(RowIndex index, const AttemptReport &report, Duration waited, Instant now);
     /// Holds the server back until \p resetAt.
     void hold(RowIndex index, Instant resetAt);
 
@@ -102,7 +102,7 @@
     void resetEstimates(ServerRow &row, Instant now);
     void noteReport(ServerRow &row, const ServerRecord &record, Instant now);
     void noteAnswer(ServerRow &row, ServiceAverages &averages, const AttemptReport &report, Instant now);
-    void noteRefusal(ServerRow &row, ServiceAverages &averages, Instant now);
+    void noteRefusal(ServerRow &row, ServiceAverages &averages, Duration waited, Instant now);
     void noteFailure(ServerRow &row, Instant now);
     void noteLatency(ServerRow &row, ServiceAverages &averages, Duration elapsed);
     void noteWarmth(ServerRow &row);
