Give refused attempts a budget per service

Cause: near saturation a call collects up to 40 refusals, which cost server time.

Change: a budget per service in refused attempts per 1,000 calls.

--- a/packages/bench/bench/main.cpp
+++ b/packages/bench/bench/main.cpp
@@ -19,6 +19,7 @@
 DEFINE_uint32(load, 0, "offered load in percent of the slots; 0 for 50, 80 and 95");
 DEFINE_uint32(lag, 0, "report lag in ms; 0 for 1, 50 and 1000");
 DEFINE_uint32(refusal_price, 500, "price of a refusal in us of waiting time");
+DEFINE_uint32(refusal_permille, 0, "refused attempts per 1,000 calls; 0 for the deployment's value");
 DEFINE_uint32(threads, 4, "runs at the same time");
 DEFINE_bool(markdown, false, "print the table as Markdown");
 DEFINE_bool(chain, false, "measure the retries of a chain of 7 services instead");
@@ -122,6 +123,7 @@
                         row.scenario.seed = FLAGS_seed;
                         row.scenario.length = std::chrono::seconds(FLAGS_seconds);
                         row.scenario.refusalPrice = std::chrono::microseconds(FLAGS_refusal_price);
+                        row.scenario.refusalPermille = FLAGS_refusal_permille > 0 ? FLAGS_refusal_permille : deployment.refusalPermille;
                         rows.push_back(std::move(row));
                     }
                 }
@@ -151,7 +153,8 @@
 {
     constexpr std::uint32_t Depth = 7;
     Scenario scenario;
-    scenario.deployment = { "chain", std::vector<ServicePlan>(Depth, ServicePlan { 15, 64 }) };
+    scenario.deployment = { "chain", std::vector<ServicePlan>(Depth, ServicePlan { 15, 64 }), 20'000 };
+    scenario.refusalPermille = scenario.deployment.refusalPermille;
     scenario.strategy = FLAGS_strategy == "all" ? std::string(Entry::DefaultRoutingStrategy) : FLAGS_strategy;
     scenario.reportLag = 50ms;
     scenario.seed = FLAGS_seed;
--- a/packages/bench/bench/scenario.h
+++ b/packages/bench/bench/scenario.h
@@ -40,6 +40,8 @@
 struct Deployment {
     std::string_view name;
     std::vector<ServicePlan> services;
+    /// The budget of refused attempts: high where the tail matters most, low where the measuring cost does.
+    std::uint32_t refusalPermille = 0;
 };
 
 /// One cell of the table.
@@ -53,6 +55,7 @@
     Duration length {};
     Duration meanService = 20ms;
     Duration refusalPrice {};
+    std::uint32_t refusalPermille = 0;
     /// The share of calls that may run more than once.
     double idempotentShare = 0.9;
     /// Servers of service n call service n + 1, and only service 0 is called from outside.
--- a/packages/bench/bench/stand.cpp
+++ b/packages/bench/bench/stand.cpp
@@ -84,6 +84,7 @@
         config.dataCentre = dataCentreOf(n);
         config.strategy = m_scenario.strategy;
         config.costs.refusalPrice = m_scenario.refusalPrice;
+        config.refusalPermille = m_scenario.refusalPermille;
         m_entries[n].engine = std::make_unique<CallEngine>(config, *m_contracts, *m_admission, *m_keys, *m_freshness, *m_entryRandom[n]);
         for (const Server &server : m_servers) {
             m_entries[n].engine->upsertServer(server.record, Instant {});
--- a/packages/entry/entry/callengine.cpp
+++ b/packages/entry/entry/callengine.cpp
@@ -54,6 +54,7 @@
     DeadlineQueue queue;
     RetryBudget retries;
     HedgeBudget hedges;
+    RefusalBudget refusals;
     std::unique_ptr<RoutingStrategy> strategy;
 };
 
@@ -194,6 +195,7 @@
         call.request.deadline = std::min(request.deadline, now + terms->maxDeadline);
     }
     m_timers.push(Timer { call.request.deadline, id, TimerKind::Deadline });
+    service.refusals.earn(m_config.refusalPermille);
     enqueue(id, call);
     pump(service, now, effects);
     return id;
@@ -317,8 +319,10 @@
     }
     const ServiceId service = m_servers.row(attempt.row).record.service;
     const auto it = m_calls.find(attempt.call);
-    const Duration waited = it == m_calls.end() ? Duration::zero() : now - it->second.submittedAt;
-    m_servers.attemptEnded(attempt.row, report, waited, now);
+    RefusalContext refusal;
+    refusal.waited = it == m_calls.end() ? Duration::zero() : now - it->second.submittedAt;
+    refusal.isOverBudget = report.end == AttemptEnd::RefusedByServer && !serviceState(service).refusals.tryTake();
+    m_servers.attemptEnded(attempt.row, report, refusal, now);
     if (it != m_calls.end()) {
         std::replace(it->second.inFlight.begin(), it->second.inFlight.end(), report.attempt, NoAttempt);
         attemptEnded(it, attempt, report, now, effects);
--- a/packages/entry/entry/servertable.cpp
+++ b/packages/entry/entry/servertable.cpp
@@ -28,6 +28,8 @@
 /// The pause after refusals in a row doubles up to this often, but only for servers in other data centres: a refusal nearby
 /// costs 0.2 ms, and a slot that an entry nearby fills stays idle for the shortest time.
 constexpr std::uint32_t MaxRefusalSteps = 3;
+/// Pauses are this many times longer while the budget of refused attempts is used up.
+constexpr int OverBudgetFactor = 8;
 constexpr Duration ShortestRefusalPause = 300us;
 
 /// A cold server gets a first attempt at once and then one per pause; each answer halves the pause.
@@ -245,14 +247,14 @@
     }
 }
 
-void ServerTable::attemptEnded(RowIndex index, const AttemptReport &report, Duration waited, Instant now)
+void ServerTable::attemptEnded(RowIndex index, const AttemptReport &report, const RefusalContext &refusal, Instant now)
 {
     ServerRow &row = m_rows[index];
     assert(row.inFlight > 0);
     --row.inFlight;
     ServiceAverages &averages = m_services[row.record.service].averages;
     if (report.end == AttemptEnd::RefusedByServer) {
-        noteRefusal(row, averages, waited, now);
+        noteRefusal(row, averages, refusal, now);
     } else if (isFailure(report)) {
         noteFailure(row, now);
     } else if (report.end == AttemptEnd::Answered) {
@@ -303,7 +305,7 @@
     }
 }
 
-void ServerTable::noteRefusal(ServerRow &row, ServiceAverages &averages, Duration waited, Instant now)
+void ServerTable::noteRefusal(ServerRow &row, ServiceAverages &averages, const RefusalContext &refusal, Instant now)
 {
     const double slots = slotsOf(row.record);
     if (row.load.isKnown && row.load.inFlight + row.sentSinceSample < slots * (1 - ContradictionShare) + 1) {
@@ -315,9 +317,10 @@
     // One of the slots becomes free after the mean answer time divided by their number.
     const Duration latency = averages.latency == Duration::zero() ? AssumedLatency : averages.latency;
     const std::uint32_t steps = row.isLocal ? 0 : std::min(row.consecutiveRefusals, MaxRefusalSteps);
-    const Duration pause = latency / slotsOf(row.record) * (1U << steps) / 2;
+    const int overBudget = refusal.isOverBudget ? OverBudgetFactor : 1;
+    const Duration pause = latency / slotsOf(row.record) * (1U << steps) * overBudget / 2;
     // A call that has waited long is tried more often, so that the entries with the longest queues get the free slots.
-    const double urgency = std::max(1.0, std::chrono::duration<double>(waited) / std::chrono::duration<double>(latency));
+    const double urgency = std::max(1.0, std::chrono::duration<double>(refusal.waited) / std::chrono::duration<double>(latency));
     row.refusedUntil = now + std::max(ShortestRefusalPause, std::chrono::duration_cast<Duration>(pause / urgency));
     ++row.consecutiveRefusals;
 }
--- a/packages/entry/entry/servertable.h
+++ b/packages/entry/entry/servertable.h
@@ -59,6 +59,14 @@
     double utilization = 0.5;
 };
 
+/// What decides how long a server is left alone after a refusal.
+struct RefusalContext {
+    /// How long the refused call has waited since it was submitted.
+    Duration waited {};
+    /// True when the service has used up its budget of refused attempts.
+    bool isOverBudget = false;
+};
+
 /// The servers that this entry knows, one row each. Systems run over the rows on each tick.
 class ServerTable
 {
@@ -83,8 +91,8 @@
 
     /// Notes that an attempt was sent to the server.
     void attemptSent(RowIndex index, Instant now);
-    /// Notes how an attempt at the server ended, for a call that had \p waited since it was submitted.
-    void attemptEnded(RowIndex index, const AttemptReport &report, Duration waited, Instant now);
+    /// Notes how an attempt at the server ended. \p refusal matters only for a refused one.
+    void attemptEnded(RowIndex index, const AttemptReport &report, const RefusalContext &refusal, Instant now);
     /// Holds the server back until \p resetAt.
     void hold(RowIndex index, Instant resetAt);
 
@@ -102,7 +110,7 @@
     void resetEstimates(ServerRow &row, Instant now);
     void noteReport(ServerRow &row, const ServerRecord &record, Instant now);
     void noteAnswer(ServerRow &row, ServiceAverages &averages, const AttemptReport &report, Instant now);
-    void noteRefusal(ServerRow &row, ServiceAverages &averages, Duration waited, Instant now);
+    void noteRefusal(ServerRow &row, ServiceAverages &averages, const RefusalContext &refusal, Instant now);
     void noteFailure(ServerRow &row, Instant now);
     void noteLatency(ServerRow &row, ServiceAverages &averages, Duration elapsed);
     void noteWarmth(ServerRow &row);
--- a/packages/entry/entry/sharebudget.h
+++ b/packages/entry/entry/sharebudget.h
@@ -9,6 +9,9 @@
 class ShareBudget
 {
 public:
+    /// A budget that saves up at most \p maxTokens.
+    explicit ShareBudget(std::uint32_t maxTokens = DefaultMaxTokens);
+
     /// Adds \p permille thousandths of a token for one first attempt.
     void earn(std::uint32_t permille);
     /// Takes one token; false when there is none.
@@ -19,11 +22,19 @@
 private:
     static constexpr std::uint32_t Token = 1000;
     /// Limits the burst after a quiet time.
-    static constexpr std::uint32_t MaxTokens = 10;
+    static constexpr std::uint32_t DefaultMaxTokens = 10;
 
+    std::uint32_t m_limit = DefaultMaxTokens * Token;
     std::uint32_t m_thousandths = Token;
 };
 
+/// Limits the refused attempts of a service, which cost server time without doing work.
+class RefusalBudget final : public ShareBudget
+{
+public:
+    RefusalBudget();
+};
+
 /// Limits the retries of a service, so that failing servers don't multiply the load.
 class RetryBudget final : public ShareBudget
 {
--- a/packages/entry/tests/servertabletest.cpp
+++ b/packages/entry/tests/servertabletest.cpp
@@ -35,7 +35,7 @@
         report.httpStatus = status;
         report.load = load;
         now += elapsed;
-        table.attemptEnded(row, report, Duration::zero(), now);
+        table.attemptEnded(row, report, {}, now);
     }
 
     bool isAvailable(RowIndex row)
@@ -153,7 +153,7 @@
     fixture.table.remove(ServerId("a"));
     REQUIRE(fixture.table.upsert(stubServer("b", 3), fixture.now) != 0);
     AttemptReport report;
-    fixture.table.attemptEnded(0, report, Duration::zero(), fixture.now);
+    fixture.table.attemptEnded(0, report, {}, fixture.now);
     REQUIRE(fixture.table.upsert(stubServer("c", 3), fixture.now) == 0);
     REQUIRE(fixture.table.row(0).inFlight == 0);
 }
