Remember load samples for two answer times, and allow refusals without a limit

Cause: samples faded within one mean answer time, although an entry hears of a server only every 7 of them; and any budget stops the starved entry, which needs its tries the most.

Change: the sample's weight falls by e in two mean answer times.

--- a/packages/bench/bench/main.cpp
+++ b/packages/bench/bench/main.cpp
@@ -153,8 +153,7 @@
 {
     constexpr std::uint32_t Depth = 7;
     Scenario scenario;
-    scenario.deployment = { "chain", std::vector<ServicePlan>(Depth, ServicePlan { 15, 64 }), 20'000 };
-    scenario.refusalPermille = scenario.deployment.refusalPermille;
+    scenario.deployment = { "chain", std::vector<ServicePlan>(Depth, ServicePlan { 15, 64 }), 0 };
     scenario.strategy = FLAGS_strategy == "all" ? std::string(Entry::DefaultRoutingStrategy) : FLAGS_strategy;
     scenario.reportLag = 50ms;
     scenario.seed = FLAGS_seed;
--- a/packages/bench/bench/scenario.h
+++ b/packages/bench/bench/scenario.h
@@ -40,7 +40,7 @@
 struct Deployment {
     std::string_view name;
     std::vector<ServicePlan> services;
-    /// The budget of refused attempts: high where the tail matters most, low where the measuring cost does.
+    /// The budget of refused attempts: none where the tail matters most, low where the measuring cost does.
     std::uint32_t refusalPermille = 0;
 };
 
--- a/packages/entry/entry/callengine.cpp
+++ b/packages/entry/entry/callengine.cpp
@@ -321,7 +321,8 @@
     const auto it = m_calls.find(attempt.call);
     RefusalContext refusal;
     refusal.waited = it == m_calls.end() ? Duration::zero() : now - it->second.submittedAt;
-    refusal.isOverBudget = report.end == AttemptEnd::RefusedByServer && !serviceState(service).refusals.tryTake();
+    const bool isLimited = m_config.refusalPermille > 0 && report.end == AttemptEnd::RefusedByServer;
+    refusal.isOverBudget = isLimited && !serviceState(service).refusals.tryTake();
     m_servers.attemptEnded(attempt.row, report, refusal, now);
     if (it != m_calls.end()) {
         std::replace(it->second.inFlight.begin(), it->second.inFlight.end(), report.attempt, NoAttempt);
--- a/packages/entry/entry/callengine.h
+++ b/packages/entry/entry/callengine.h
@@ -29,9 +29,9 @@
     /// A name of routingStrategyNames().
     std::string strategy = std::string(DefaultRoutingStrategy);
     RoutingCosts costs;
-    /// Refused attempts per 1,000 calls; above that, refused servers are left alone for longer. A low value saves server time,
-    /// a high one keeps the tail of the latency short near saturation.
-    std::uint32_t refusalPermille = 100'000;
+    /// Refused attempts per 1,000 calls; above that, refused servers are left alone for longer. A low value saves server time;
+    /// 0 stands for no limit and keeps the tail of the latency short near saturation.
+    std::uint32_t refusalPermille = 0;
     /// Calls that may wait for a server of one service.
     std::size_t queueLimit = 1000;
 };
--- a/packages/entry/entry/routingstrategy.cpp
+++ b/packages/entry/entry/routingstrategy.cpp
@@ -14,6 +14,9 @@
 /// Half of the assumed time for which a slot is busy before the first answer.
 constexpr Duration AssumedLatency = std::chrono::milliseconds(20);
 
+/// The weight of a load sample falls by the factor e in this multiple of the mean answer time.
+constexpr double SampleLife = 2;
+
 double slotsOf(const ServerRow &row)
 {
     return std::max<std::uint32_t>(row.record.slots, 1);
@@ -37,7 +40,7 @@
     }
     const Duration latency = averages.latency == Duration::zero() ? AssumedLatency : averages.latency;
     const double age = std::chrono::duration<double>(input.now - row.load.at) / std::chrono::duration<double>(latency);
-    const double weight = std::exp(-std::max(age, 0.0)) * row.reportTrust;
+    const double weight = std::exp(-std::max(age, 0.0) / SampleLife) * row.reportTrust;
     const double sampled = row.load.inFlight + row.sentSinceSample;
     return std::max(usual + (sampled - usual) * weight, static_cast<double>(row.inFlight));
 }
