Make least-expected-delay the default, remove the strategies that lost

Change: least-in-flight, two-choices and two-choices-reports are gone; round-robin stays as the baseline. Slow answers of a straggler double the pause between tries at it, fast ones halve it.

Ruled out: leased-slots was not built. A lease from entry to entry takes at least one message per call that finds no slot of its own; that was only reckoned, not measured.

--- a/packages/bench/bench/stand.cpp
+++ b/packages/bench/bench/stand.cpp
@@ -98,26 +98,19 @@
         if (!m_servers[n].isFaulty) {
             continue;
         }
-        if (m_scenario.fault == Fault::Drain) {
-            at(m_scenario.windowStart(), [this, n] {
-                m_servers[n].record.draining = true;
-                announce(m_servers[n], RecordDelay);
-            });
-            at(m_scenario.windowEnd(), [this, n] {
-                m_servers[n].record.draining = false;
-                m_servers[n].record.incarnation = next(m_servers[n].record.incarnation);
+        const auto change = [this, n](Instant when, bool ServerRecord::*flag, bool value, std::uint64_t incarnation) {
+            at(when, [this, n, flag, value, incarnation] {
+                m_servers[n].record.*flag = value;
+                m_servers[n].record.incarnation = Incarnation(incarnation);
                 announce(m_servers[n], RecordDelay);
             });
+        };
+        if (m_scenario.fault == Fault::Drain) {
+            change(m_scenario.windowStart(), &ServerRecord::draining, true, 1);
+            change(m_scenario.windowEnd(), &ServerRecord::draining, false, 2);
         } else if (m_scenario.fault == Fault::ColdStart) {
-            at(m_scenario.windowStart(), [this, n] {
-                m_servers[n].record.coldStart = true;
-                m_servers[n].record.incarnation = next(m_servers[n].record.incarnation);
-                announce(m_servers[n], RecordDelay);
-            });
-            at(m_scenario.windowStart() + ColdWarmUp, [this, n] {
-                m_servers[n].record.coldStart = false;
-                announce(m_servers[n], RecordDelay);
-            });
+            change(m_scenario.windowStart(), &ServerRecord::coldStart, true, 2);
+            change(m_scenario.windowStart() + ColdWarmUp, &ServerRecord::coldStart, false, 2);
         }
     }
 }
--- a/packages/daemon/daemon/entrynode.cpp
+++ b/packages/daemon/daemon/entrynode.cpp
@@ -31,6 +31,7 @@
     Entry::EngineConfig config;
     config.dataCentre = settings.instance.dataCentre;
     config.strategy = settings.routing.strategy;
+    config.refusalPermille = settings.routing.refusalPermille;
     config.queueLimit = settings.limits.queueSize;
     return config;
 }
--- a/packages/entry/entry/routingstrategy.cpp
+++ b/packages/entry/entry/routingstrategy.cpp
@@ -11,7 +11,7 @@
 namespace
 {
 
-/// Half of the assumed time for which a slot is busy before the first answer.
+/// The assumed answer time before the first answer.
 constexpr Duration AssumedLatency = std::chrono::milliseconds(20);
 
 /// The weight of a load sample falls by the factor e in this multiple of the mean answer time.
@@ -22,12 +22,6 @@
     return std::max<std::uint32_t>(row.record.slots, 1);
 }
 
-double ownLoad(const RoutingInput &input, RowIndex index)
-{
-    const ServerRow &row = input.servers.row(index);
-    return row.inFlight / slotsOf(row);
-}
-
 /// The expected number of calls in flight at the server over all entries. A sample loses its meaning within about one
 /// service time, because calls end and others arrive; what is left then is the average of the service.
 double expectedInFlight(const RoutingInput &input, RowIndex index)
@@ -53,6 +47,7 @@
     return std::max(Least, 1 - std::pow(used, slots));
 }
 
+/// The baseline of the measurements.
 class RoundRobin final : public RoutingStrategy
 {
 public:
@@ -87,41 +82,6 @@
     return best;
 }
 
-class LeastInFlight final : public RoutingStrategy
-{
-public:
-    RowIndex choose(const RoutingInput &input) override
-    {
-        return cheapest(input, [&input](RowIndex it) { return ownLoad(input, it); });
-    }
-};
-
-template<typename Cost>
-RowIndex cheaperOfTwo(const RoutingInput &input, Cost cost)
-{
-    const RowIndex first = input.candidates[input.random.below(input.candidates.size())];
-    const RowIndex second = input.candidates[input.random.below(input.candidates.size())];
-    return cost(second) < cost(first) ? second : first;
-}
-
-class TwoChoices final : public RoutingStrategy
-{
-public:
-    RowIndex choose(const RoutingInput &input) override
-    {
-        return cheaperOfTwo(input, [&input](RowIndex it) { return ownLoad(input, it); });
-    }
-};
-
-class TwoChoicesReports final : public RoutingStrategy
-{
-public:
-    RowIndex choose(const RoutingInput &input) override
-    {
-        return cheaperOfTwo(input, [&input](RowIndex it) { return expectedInFlight(input, it) / slotsOf(input.servers.row(it)); });
-    }
-};
-
 /// Chooses the least expected delay until a server takes the call: the cost of one try divided by its chance. Trying the
 /// servers in this order is optimal for independent chances.
 class LeastExpectedDelay final : public RoutingStrategy
@@ -161,9 +121,6 @@
 
 constexpr auto Strategies = std::to_array<StrategyEntry>({
     { "round-robin", &make<RoundRobin> },
-    { "least-in-flight", &make<LeastInFlight> },
-    { "two-choices", &make<TwoChoices> },
-    { "two-choices-reports", &make<TwoChoicesReports> },
     { "least-expected-delay", &make<LeastExpectedDelay> },
 });
 
--- a/packages/entry/entry/servertable.cpp
+++ b/packages/entry/entry/servertable.cpp
@@ -42,7 +42,9 @@
 constexpr std::size_t StragglerMinServers = 3;
 constexpr Duration StragglerCheckInterval = 50ms;
 constexpr Duration StragglerFirstPause = 1s;
+/// All entries try a straggler in turn; slow answers double the pause, so that their tries together don't fill its slots.
 constexpr Duration StragglerMaxPause = 8s;
+constexpr Duration StragglerMinPause = 100ms;
 
 /// A refusal by a server that claims more than this share of free slots contradicts its report.
 constexpr double ContradictionShare = 0.67;
@@ -265,6 +267,9 @@
     if (wasGivenUp && report.elapsed > row.latency) {
         noteLatency(row, averages, report.elapsed);
     }
+    if (wasGivenUp && row.isStraggler) {
+        noteWarmth(row, report.elapsed);
+    }
     release(index);
 }
 
@@ -277,7 +282,7 @@
     row.refusedUntil = Instant::min();
     row.reportTrust = std::min(1.0, row.reportTrust + TrustGain);
     noteLatency(row, averages, report.elapsed);
-    noteWarmth(row);
+    noteWarmth(row, report.elapsed);
     if (!report.load) {
         return;
     }
@@ -294,9 +299,15 @@
     averages.latency = movingMean(averages.latency, elapsed, ServiceMeanWeight);
 }
 
-void ServerTable::noteWarmth(ServerRow &row)
+void ServerTable::noteWarmth(ServerRow &row, Duration elapsed)
 {
-    if (row.isStraggler || row.admissionPause == Duration::zero()) {
+    if (row.admissionPause == Duration::zero()) {
+        return;
+    }
+    if (row.isStraggler) {
+        const bool isFaster = elapsed * 2 < row.latency;
+        const Duration pause = isFaster ? row.admissionPause / 2 : row.admissionPause * 2;
+        row.admissionPause = std::clamp(pause, StragglerMinPause, StragglerMaxPause);
         return;
     }
     row.admissionPause /= 2;
@@ -373,8 +384,6 @@
             row.isStraggler = false;
             row.admissionPause = Duration::zero();
             row.admitAfter = now;
-        } else if (row.isStraggler) {
-            row.admissionPause = std::min(StragglerMaxPause, std::max(row.admissionPause, StragglerFirstPause));
         }
     }
 }
--- a/packages/entry/entry/servertable.h
+++ b/packages/entry/entry/servertable.h
@@ -113,7 +113,7 @@
     void noteRefusal(ServerRow &row, ServiceAverages &averages, const RefusalContext &refusal, Instant now);
     void noteFailure(ServerRow &row, Instant now);
     void noteLatency(ServerRow &row, ServiceAverages &averages, Duration elapsed);
-    void noteWarmth(ServerRow &row);
+    void noteWarmth(ServerRow &row, Duration elapsed);
     void detectStragglers(ServiceRows &service, Instant now);
     void release(RowIndex index);
 
--- a/packages/settings/settings/daemonsettings.h
+++ b/packages/settings/settings/daemonsettings.h
@@ -93,7 +93,9 @@
 
 struct RoutingSettings {
     /// Name of the routing strategy.
-    std::string strategy = "two-choices-reports";
+    std::string strategy = "least-expected-delay";
+    /// Refused attempts per 1,000 calls above which full servers are tried less often; 0 for no limit.
+    std::uint32_t refusalPermille = 0;
 };
 
 struct LogSettings {
--- a/packages/settings/settings/rules.cpp
+++ b/packages/settings/settings/rules.cpp
@@ -9,8 +9,7 @@
 namespace
 {
 
-constexpr auto Strategies =
-    std::to_array<std::string_view>({ "round-robin", "least-in-flight", "two-choices", "two-choices-reports", "leased-slots" });
+constexpr auto Strategies = std::to_array<std::string_view>({ "round-robin", "least-expected-delay" });
 constexpr auto Thresholds = std::to_array<std::string_view>({ "debug", "info", "warn", "error" });
 
 constexpr Duration Millisecond = std::chrono::milliseconds(1);
@@ -132,6 +131,9 @@
       "Go on serving with an outdated contract table; P7 then does not hold during a partition." },
     { "routing.strategy", Need::Optional, ChoiceRule { Strategies, [](Slot it) -> std::string & { return it.settings.routing.strategy; } },
       "How a server is chosen for a call." },
+    { "routing.refusal_permille", Need::Optional,
+      IntegerRule { 0, 1'000'000, [](Slot it) -> std::uint32_t & { return it.settings.routing.refusalPermille; } },
+      "Attempts per 1,000 calls that full servers may refuse before they are tried less often; 0 for no limit." },
     { "log.threshold", Need::Optional, ChoiceRule { Thresholds, [](Slot it) -> std::string & { return it.settings.log.threshold; } },
       "Least severe lines that are written." },
 });
