--- a/packages/daemon/daemon/entrynode.cpp
+++ b/packages/daemon/daemon/entrynode.cpp
@@ -1,10 +1,12 @@
 #include "daemon/entrynode.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "daemon/announcementinput.h"
 #include "daemon/httpinput.h"
 #include "daemon/lookupreply.h"
+#include "limits/baseline.h"
 #include "limits/sharecodec.h"
 
 namespace Galenabarrow::Daemon
@@ -19,6 +21,9 @@
 // After this time without a reply, the request goes to all control instances, to find the leader.
 constexpr Duration ShareReplyTime = std::chrono::milliseconds(1500);
 constexpr Duration SyncInterval = std::chrono::milliseconds(10);
+// A contract with a long deadline keeps the baseline of a new entry back for that long; the entry then serves with leased
+// shares only.
+constexpr Duration LongestUnlisted = std::chrono::seconds(30);
 constexpr Duration HousekeepingInterval = std::chrono::milliseconds(100);
 
 CallEnd withoutResponse(Outcome outcome, ResultCode code)
@@ -91,7 +96,7 @@
           m_engine, m_links, lock, m_upstream, [this](const ServerId &server) { return serverAddress(server); },
           cluster.identity().instance.value() + "." + std::to_string(cluster.identity().incarnation.value()), clock)
     , m_info(std::get<Membership::InstanceInfo>(cluster.gossip().self().body))
-    , m_limitsDelay(settings.timings.freshnessLimit + SyncInterval)
+    , m_freshnessLimit(settings.timings.freshnessLimit)
 {
 }
 
@@ -441,12 +446,29 @@
 {
     if (!isRegistered()) {
         m_registeredAt.reset();
+        m_hasLimits = false;
         return false;
     }
     if (!m_registeredAt) {
         m_registeredAt = now;
     }
-    return now - *m_registeredAt > m_limitsDelay;
+    const Duration registeredFor = now - *m_registeredAt;
+    m_hasLimits = m_hasLimits || registeredFor > LongestUnlisted || (registeredFor > m_freshnessLimit && hasShareOfEveryContract(now));
+    return m_hasLimits;
+}
+
+bool EntryNode::hasShareOfEveryContract(Instant now)
+{
+    const auto &contracts = m_cluster.feed().contracts();
+    const std::size_t entries = m_cluster.feed().registeredEntries().size();
+    return std::all_of(contracts.begin(), contracts.end(), [&](const auto &it) {
+        const Limits::Share baseline = Limits::baselineTotal(it.second.contract);
+        if (it.second.withdrawn || baseline.concurrency < entries || baseline.rate == 0) {
+            return true; // too small to give every entry a share
+        }
+        const std::optional<Limits::Share> share = m_limits.shareInForce(it.first, now);
+        return share && share->concurrency > 0 && share->rate > 0;
+    });
 }
 
 bool EntryNode::isRegistered() const
--- a/packages/daemon/daemon/entrynode.h
+++ b/packages/daemon/daemon/entrynode.h
@@ -84,6 +84,7 @@
     bool isRegistered() const;
     /// True when the limits of a newly registered entry have come into force; until then it would refuse every call.
     bool hasLimits(Instant now);
+    bool hasShareOfEveryContract(Instant now);
     void syncAll(Instant now);
     void requestShares(Instant now);
 
@@ -108,8 +109,9 @@
     Membership::InstanceInfo m_info;
     std::optional<Control::ProposalTicket> m_registration;
     Instant m_nextRegistration {};
-    Duration m_limitsDelay;
+    Duration m_freshnessLimit;
     std::optional<Instant> m_registeredAt;
+    bool m_hasLimits = false;
     Instant m_nextShareRequest {};
     Instant m_lastShareReply {};
     std::string m_shareAddress;
--- a/packages/daemon/daemon/httpinput.cpp
+++ b/packages/daemon/daemon/httpinput.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
 #include <charconv>
 #include <string>
 #include <string_view>
@@ -63,9 +64,16 @@
     return length;
 }
 
-bool mayHaveBody(const std::string &method)
+bool isTokenCharacter(char ch)
 {
-    return method == "POST" || method == "PUT" || method == "PATCH";
+    return std::isalnum(static_cast<unsigned char>(ch)) != 0 || std::string_view("!#$%&'*+-.^_`|~").find(ch) != std::string_view::npos;
+}
+
+bool isHeaderLine(std::string_view line)
+{
+    const std::size_t colon = line.find(':');
+    return colon != std::string_view::npos && colon > 0 && std::all_of(line.begin(), line.begin() + colon, isTokenCharacter)
+        && std::none_of(line.begin() + colon, line.end(), [](char ch) { return ch == '\r' || ch == '\0'; });
 }
 
 }
@@ -81,12 +89,26 @@
     if (head.has("Content-Length")) {
         return parseLength(head.get("Content-Length"), maxBodyBytes);
     }
-    if (mayHaveBody(head.getMethod())) {
-        return failure(ResultCode::HeaderMissing, "Content-Length is missing");
-    }
     return std::size_t { 0 };
 }
 
+Result<void> checkHeaderLines(std::string_view head)
+{
+    std::size_t begin = head.find('\n') + 1;
+    while (begin < head.size()) {
+        const std::size_t end = head.find('\n', begin);
+        std::string_view line = head.substr(begin, end - begin);
+        if (line.ends_with('\r')) {
+            line.remove_suffix(1);
+        }
+        if (!line.empty() && !isHeaderLine(line)) {
+            return failure(ResultCode::HeaderInvalid, "a header line is malformed");
+        }
+        begin = end == std::string_view::npos ? head.size() : end + 1;
+    }
+    return {};
+}
+
 int statusForInput(ResultCode code)
 {
     switch (code) {
--- a/packages/daemon/daemon/httpinput.h
+++ b/packages/daemon/daemon/httpinput.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <string_view>
 
 #include <Poco/Net/HTTPRequest.h>
 
@@ -9,8 +10,12 @@
 namespace Galenabarrow::Daemon
 {
 
+/// Checks the lines after the request line. POCO skips lines without a colon and joins folded ones, so that it would read
+/// another request than the caller sent. Fails with HeaderInvalid.
+Result<void> checkHeaderLines(std::string_view head);
+
 /// Checks the head of a request before its body is read and returns the length of the body. Fails with
-/// BodyTooLarge, HeaderContradictory, HeaderInvalid or HeaderMissing.
+/// BodyTooLarge, HeaderContradictory or HeaderInvalid.
 Result<std::size_t> checkHead(const Poco::Net::HTTPRequest &head, std::size_t maxBodyBytes);
 
 /// The HTTP status for a fault of the input.
--- a/packages/daemon/daemon/httpserver.cpp
+++ b/packages/daemon/daemon/httpserver.cpp
@@ -1,15 +1,16 @@
 #include "daemon/httpserver.h"
 
+#include <algorithm>
 #include <array>
+#include <memory>
 #include <sstream>
 
+#include <Poco/Exception.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/HTTPServerSession.h>
 #include <Poco/Net/NetException.h>
-#include <Poco/Net/ServerSocket.h>
-#include <Poco/Net/TCPServerConnection.h>
-#include <Poco/Net/TCPServerConnectionFactory.h>
+#include <Poco/Runnable.h>
 
 #include "daemon/httpinput.h"
 #include "daemon/wholemessage.h"
@@ -20,10 +21,8 @@
 namespace
 {
 constexpr int ListenBacklog = 256;
-constexpr int MaxQueuedConnections = 64;
-// Threads that only tell callers above the limit of connections so.
-constexpr int RefusingThreads = 8;
-constexpr int ThreadIdleSeconds = 30;
+constexpr int MinThreads = 2;
+const Poco::Timespan AcceptPoll(0, 100'000);
 // A caller that was refused for its header or body gets this much of its data read, so that closing the connection does
 // not reset it before the caller has read the error.
 constexpr std::size_t MaxDiscardedBytes = std::size_t { 1 } << 20U;
@@ -34,6 +33,15 @@
     return { duration.count() };
 }
 
+void shutDown(Poco::Net::StreamSocket &socket)
+{
+    try {
+        socket.shutdown();
+    } catch (const Poco::Exception &) {
+        // Already closed by the other side.
+    }
+}
+
 void discardInput(Poco::Net::StreamSocket &socket)
 {
     std::array<char, 16 * 1024> buf {};
@@ -69,22 +77,22 @@
 
 }
 
-/// One accepted connection.
-class HttpServer::Connection : public Poco::Net::TCPServerConnection
+/// One accepted connection; deletes itself at the end of its thread's work.
+class HttpServer::Connection : public Poco::Runnable
 {
 public:
-    Connection(const Poco::Net::StreamSocket &socket, HttpServer &server, Poco::Net::HTTPServerParams::Ptr params)
-        : TCPServerConnection(socket)
+    Connection(const Poco::Net::StreamSocket &socket, HttpServer &server)
+        : m_socket(socket)
         , m_server(server)
-        , m_params(std::move(params))
     {
     }
 
     void run() override
     {
-        const bool accepted = m_server.add(*this, socket());
+        const std::unique_ptr<Connection> self(this);
+        m_server.add(*this, m_socket);
         try {
-            serve(accepted);
+            serve();
         } catch (const Poco::Exception &) {
             // A connection that broke; nobody is left to be told.
         }
@@ -94,15 +102,10 @@
 private:
     using Session = WholeMessageSession<Poco::Net::HTTPServerSession>;
 
-    void serve(bool accepted)
+    void serve()
     {
-        socket().setNoDelay(true);
-        Session session(socket(), m_params);
-        if (!accepted) {
-            ++m_server.m_counters.connectionsRefused;
-            sendError(session, { ResultCode::TooManyConnections, "the limit of connections is reached" });
-            return;
-        }
+        m_socket.setNoDelay(true);
+        Session session(m_socket, m_server.m_params);
         while (!m_server.m_closing && session.hasMoreRequests()) {
             ++m_server.m_inProgress;
             const bool goesOn = serveOneGuarded(session);
@@ -118,6 +121,9 @@
         try {
             m_server.setReading(*this, true);
             return serveOne(session);
+        } catch (const Poco::TimeoutException &) {
+            ++m_server.m_counters.slowSenders;
+            m_server.setReading(*this, false);
         } catch (const Poco::Net::MessageException &) {
             sendError(session, { ResultCode::HeaderInvalid, "the header section cannot be parsed" });
         } catch (const Poco::Exception &) {
@@ -136,7 +142,11 @@
         if (end != HeadEnd::Whole) {
             return false;
         }
-        HttpRequest request { {}, {}, m_server.m_clock.now(), socket() };
+        if (const Result<void> lines = checkHeaderLines(text); !lines) {
+            sendError(session, lines.error());
+            return false;
+        }
+        HttpRequest request { {}, {}, m_server.m_clock.now(), m_socket };
         std::istringstream stream(text);
         request.head.read(stream);
         const Result<std::size_t> length = checkHead(request.head, m_server.m_limits.bodyBytes);
@@ -167,36 +177,17 @@
         ++m_server.m_counters.badRequests;
         m_server.setReading(*this, false);
         session.writeAll(format(errorReply(statusForInput(error.code), Outcome::NotRun, error.code, error.detail), false, true));
-        discardInput(socket());
-    }
-
-    HttpServer &m_server;
-    Poco::Net::HTTPServerParams::Ptr m_params;
-};
-
-/// Makes the connections of a server.
-class HttpServer::Factory : public Poco::Net::TCPServerConnectionFactory
-{
-public:
-    Factory(HttpServer &server, Poco::Net::HTTPServerParams::Ptr params)
-        : m_server(server)
-        , m_params(std::move(params))
-    {
-    }
-
-    Poco::Net::TCPServerConnection *createConnection(const Poco::Net::StreamSocket &socket) override
-    {
-        return new Connection(socket, m_server, m_params);
+        discardInput(m_socket);
     }
 
-private:
+    Poco::Net::StreamSocket m_socket;
     HttpServer &m_server;
-    Poco::Net::HTTPServerParams::Ptr m_params;
 };
 
 HttpServer::HttpServer(HttpLimits limits, const Clock &clock)
     : m_limits(limits)
     , m_clock(clock)
+    , m_pool(MinThreads, std::max(MinThreads, static_cast<int>(limits.connections)))
 {
 }
 
@@ -219,16 +210,43 @@
 void HttpServer::serve(Handler handler)
 {
     m_handler = std::move(handler);
-    Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
-    params->setKeepAlive(true);
-    params->setMaxKeepAliveRequests(0);
-    params->setTimeout(toTimespan(m_limits.requestTime));
-    params->setKeepAliveTimeout(toTimespan(m_limits.keepAlive));
-    params->setMaxThreads(static_cast<int>(m_limits.connections) + RefusingThreads);
-    params->setMaxQueued(MaxQueuedConnections);
-    params->setThreadIdleTime(Poco::Timespan(ThreadIdleSeconds, 0));
-    m_server = std::make_unique<Poco::Net::TCPServer>(new Factory(*this, params), m_socket, params);
-    m_server->start();
+    m_params = new Poco::Net::HTTPServerParams;
+    m_params->setKeepAlive(true);
+    m_params->setMaxKeepAliveRequests(0);
+    m_params->setTimeout(toTimespan(m_limits.requestTime));
+    m_params->setKeepAliveTimeout(toTimespan(m_limits.keepAlive));
+    m_acceptor = std::thread([this] { accept(); });
+}
+
+void HttpServer::accept()
+{
+    while (!m_stopping) {
+        try {
+            if (m_socket.poll(AcceptPoll, Poco::Net::Socket::SELECT_READ)) {
+                startConnection(m_socket.acceptConnection());
+            }
+        } catch (const Poco::Exception &) {
+            // A caller that has gone before it was accepted; the next one is accepted as usual.
+        }
+    }
+}
+
+void HttpServer::startConnection(Poco::Net::StreamSocket socket)
+{
+    auto connection = std::make_unique<Connection>(socket, *this);
+    try {
+        m_pool.start(*connection);
+        connection.release();
+    } catch (const Poco::NoThreadAvailableException &) {
+        ++m_counters.connectionsRefused;
+        ++m_counters.badRequests;
+        const Error error { ResultCode::TooManyConnections, "the limit of connections is reached" };
+        const std::string reply = format(errorReply(statusForInput(error.code), Outcome::NotRun, error.code, error.detail), false, true);
+        // Non-blocking, because no connection may hold up the acceptor.
+        socket.setBlocking(false);
+        socket.sendBytes(reply.data(), static_cast<int>(reply.size()));
+        socket.shutdownSend();
+    }
 }
 
 std::string HttpServer::address() const
@@ -243,7 +261,7 @@
         if (state.isReading && now - state.readingSince > m_limits.requestTime) {
             state.isReading = false;
             ++m_counters.slowSenders;
-            state.socket.shutdown();
+            shutDown(state.socket);
         }
     }
 }
@@ -265,30 +283,27 @@
 
 void HttpServer::stop()
 {
-    if (!m_server) {
-        return;
-    }
     m_closing = true;
-    m_server->stop();
+    m_stopping = true;
+    if (m_acceptor.joinable()) {
+        m_acceptor.join();
+    }
     {
         const std::lock_guard lock(m_mutex);
         for (auto &[connection, state] : m_connections) {
-            try {
-                state.socket.shutdown();
-            } catch (const Poco::Exception &) {
-                // Already closed by the other side.
-            }
+            shutDown(state.socket);
         }
     }
-    m_server.reset(); // waits for the threads of the connections
+    m_pool.joinAll();
 }
 
-bool HttpServer::add(Connection &connection, const Poco::Net::StreamSocket &socket)
+void HttpServer::add(Connection &connection, const Poco::Net::StreamSocket &socket)
 {
     const std::lock_guard lock(m_mutex);
-    const bool accepted = m_connections.size() < m_limits.connections;
     m_connections[&connection] = ConnectionState { socket, false, {} };
-    return accepted;
+    if (m_stopping) {
+        shutDown(m_connections[&connection].socket);
+    }
 }
 
 void HttpServer::remove(Connection &connection)
--- a/packages/daemon/daemon/httpserver.h
+++ b/packages/daemon/daemon/httpserver.h
@@ -3,14 +3,15 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
-#include <memory>
 #include <mutex>
 #include <string>
+#include <thread>
 #include <unordered_map>
 
+#include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
-#include <Poco/Net/TCPServer.h>
+#include <Poco/ThreadPool.h>
 
 #include "base/clock.h"
 #include "base/resultcode.h"
@@ -39,8 +40,10 @@
 };
 
 /// Serves HTTP/1.1 with a thread per connection. Requests that break a limit get a numbered error and never reach the
-/// handler. Content-Length is required for a body: POCO reports a chunked body that was cut off as a whole one, and
-/// such a request must not run.
+/// handler. Bodies need a Content-Length; chunked requests are refused.
+///
+/// POCO's TCPServer is not used: it queues a connection while any thread still counts as idle, so that of two connections
+/// that arrive at once one can wait until another thread's connection ends.
 class HttpServer
 {
 public:
@@ -70,10 +73,10 @@
 
 private:
     class Connection;
-    class Factory;
 
-    /// False when the limit of connections is reached.
-    bool add(Connection &connection, const Poco::Net::StreamSocket &socket);
+    void accept();
+    void startConnection(Poco::Net::StreamSocket socket);
+    void add(Connection &connection, const Poco::Net::StreamSocket &socket);
     void remove(Connection &connection);
     void setReading(Connection &connection, bool reading);
 
@@ -92,7 +95,10 @@
     mutable std::mutex m_mutex;
     std::unordered_map<Connection *, ConnectionState> m_connections;
     Poco::Net::ServerSocket m_socket;
-    std::unique_ptr<Poco::Net::TCPServer> m_server;
+    Poco::Net::HTTPServerParams::Ptr m_params;
+    Poco::ThreadPool m_pool;
+    std::atomic<bool> m_stopping { false };
+    std::thread m_acceptor;
 };
 
 }
--- a/packages/teststand/teststand/standinmain.cpp
+++ b/packages/teststand/teststand/standinmain.cpp
@@ -1,5 +1,6 @@
 #include <chrono>
 #include <csignal>
+#include <fstream>
 #include <iostream>
 
 #include <Poco/Exception.h>
@@ -19,6 +20,7 @@
 DEFINE_uint64(cold_start_ms, 0, "time after the start in which calls take longer");
 DEFINE_uint32(announce_interval_ms, 1000, "time between announcements");
 DEFINE_uint64(seed, 1, "seed of the random numbers");
+DEFINE_string(counts_file, "", "file for the counts of /standin/counts, written at the end");
 DEFINE_uint32(lifetime_s, 600, "the server ends after this time");
 
 int main(int argc, char **argv)
@@ -56,6 +58,9 @@
         if (sigtimedwait(&signals, nullptr, &lifetime) == SIGTERM) {
             server.drain();
         }
+        if (!FLAGS_counts_file.empty()) {
+            std::ofstream(FLAGS_counts_file) << server.counts();
+        }
     } catch (const Poco::Exception &ec) {
         std::cerr << ec.displayText() << "\n";
         return 1;
--- a/packages/teststand/teststand/standinserver.cpp
+++ b/packages/teststand/teststand/standinserver.cpp
@@ -50,11 +50,15 @@
     return std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
 }
 
-void sendJson(Poco::Net::HTTPServerResponse &response, const Poco::JSON::Object &object)
+std::string toText(const Poco::JSON::Object &object)
 {
     std::ostringstream text;
     object.stringify(text);
-    const std::string body = text.str();
+    return text.str();
+}
+
+void sendJson(Poco::Net::HTTPServerResponse &response, const std::string &body)
+{
     response.setContentType("application/json");
     response.sendBuffer(body.data(), body.size());
 }
@@ -161,7 +165,7 @@
     if (uri == "/standin/control") {
         handleControl(request, response);
     } else if (uri == "/standin/counts") {
-        handleCounts(response);
+        sendJson(response, counts());
     } else if (uri.compare(0, CancelPath.size(), CancelPath) == 0) {
         handleCancel(uri.substr(CancelPath.size()), response);
     } else {
@@ -304,10 +308,10 @@
     m_plan.behaviour = behaviourNamed(object->optValue<std::string>("behaviour", "normal"));
     m_plan.milliseconds = object->optValue<std::uint64_t>("milliseconds", 0);
     m_planPermille = object->optValue<std::uint32_t>("permille", Permille);
-    sendJson(response, *object);
+    sendJson(response, toText(*object));
 }
 
-void StandinServer::handleCounts(Poco::Net::HTTPServerResponse &response)
+std::string StandinServer::counts()
 {
     Poco::JSON::Object::Ptr executions = new Poco::JSON::Object;
     Poco::JSON::Object object;
@@ -321,7 +325,7 @@
     object.set("cancelled", m_cancelled);
     object.set("inFlight", m_inFlight);
     object.set("mostInFlight", m_mostInFlight);
-    sendJson(response, object);
+    return toText(object);
 }
 
 void StandinServer::handleCancel(const std::string &attempt, Poco::Net::HTTPServerResponse &response)
--- /dev/null
+++ b/scripts/cost.sh
@@ -0,0 +1,53 @@
+#!/usr/bin/env bash
+# Prints the cost of 17 instances on loopback, idle and under load: CPU share and resident memory from /proc/<pid> of the
+# processes that it started, and bytes among instances from their own counters.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=${1:?usage: scripts/cost.sh <build folder> [seconds]}
+seconds=${2:-20}
+bin=$build/bin
+# shellcheck source=scripts/cluster.sh
+source scripts/cluster.sh
+ticks_per_second=$(getconf CLK_TCK)
+
+cpu_ticks() { awk '{ print $14 + $15 }' "/proc/${pid_of[$1]}/stat"; }
+resident_kb() { awk '/^VmRSS/ { print $2 }' "/proc/${pid_of[$1]}/status"; }
+peer_bytes() { operate "$1" GET /metrics | awk '/^galenabarrow_peer_bytes_total/ { sum += $2 } END { printf "%d", sum }'; }
+
+# measure <title>: mean and largest value over the instances of each role
+measure() {
+    declare -A cpu bytes
+    local it begin=$(now_ms)
+    for it in "${entries[@]}"; do
+        cpu[$it]=$(cpu_ticks "$it")
+        bytes[$it]=$(peer_bytes "$it")
+    done
+    sleep "$seconds"
+    for it in "${entries[@]}"; do
+        local elapsed=$(($(now_ms) - begin))
+        local role=entry
+        if [[ $it < i06 ]]; then role=entry+control; fi
+        echo "$role $(($(cpu_ticks "$it") - ${cpu[$it]})) $(resident_kb "$it") $(($(peer_bytes "$it") - ${bytes[$it]})) $elapsed"
+    done | awk -v hz="$ticks_per_second" -v title="$1" '
+        { c = 100 * $2 / hz / ($5 / 1000); m = $3 / 1024; b = $4 / ($5 / 1000) / 1000; n[$1]++
+          cs[$1] += c; ms[$1] += m; bs[$1] += b
+          if (c > cm[$1]) cm[$1] = c; if (m > mm[$1]) mm[$1] = m; if (b > bm[$1]) bm[$1] = b }
+        END { for (it in n) printf "%s, %d %s: CPU mean %.2f%% largest %.2f%% of a core (3.4%%); memory mean %.1f largest %.1f MB (128); bytes sent and received mean %.2f largest %.2f KB/s (5)\n",
+              title, n[it], it, cs[it] / n[it], cm[it], ms[it] / n[it], mm[it], bs[it] / n[it], bm[it] }' | sort
+}
+
+start_instances
+change_accepted() { [ "$(put_contract i01 0 first 100000 | jq .code)" = 0 ]; }
+wait_for 60 change_accepted
+for n in 1 2 3; do start_server "desk-$n" order-desk "dc$n" --service_time_us=2000; done
+for n in 1 2 3; do start_server "dispatch-$n" dispatch "dc$n" --service_time_us=2000; done
+for it in "${entries[@]}"; do wait_for 60 has_serving "$it" 17; done
+sleep 5
+measure "idle"
+"$bin/galenabarrow-load" --entries="$(entry_addresses)" --dc=dc1 --customer=abyssinia --services=order-desk,dispatch --threads=16 --rate=1000 \
+    --calls=10000000 --seconds=$((seconds + 10)) --action_permille=200 > "$work/load.json" &
+load_pid=$!
+sleep 3
+measure "1,000 calls/s over all"
+wait "$load_pid"
+jq -c '{calls, seconds, outcomes}' "$work/load.json"
