Write log times in ISO 8601

Cause: log4cxx prints the quotation marks of a quoted 'T' in a date pattern, so every line had a time such as 2026-12-04'T'02:13:02.105Z, which date refuses.

Ruled out: a locale or a wrong zone; the pattern itself was at fault.

Change: no quotes in the pattern, and the zone is GMT as the Z says.

Conclusion: log lines can be parsed.

--- a/packages/base/base/log.cpp
+++ b/packages/base/base/log.cpp
@@ -56,7 +56,7 @@
 
 void Log::configure(std::string_view threshold)
 {
-    log4cxx::LayoutPtr layout(new log4cxx::PatternLayout(LOG4CXX_STR("time=%d{yyyy-MM-dd'T'HH:mm:ss.SSS} level=%p component=%c %m%n")));
+    log4cxx::LayoutPtr layout(new log4cxx::PatternLayout(LOG4CXX_STR("time=%d{yyyy-MM-ddTHH:mm:ss.SSS}{GMT}Z level=%p component=%c %m%n")));
     log4cxx::ConsoleAppenderPtr appender(new log4cxx::ConsoleAppender(layout, log4cxx::ConsoleAppender::getSystemErr()));
     log4cxx::LogManager::resetConfiguration();
     log4cxx::BasicConfigurator::configure(appender);
