--- a/packages/report/tests/callstatisticstest.cpp
+++ b/packages/report/tests/callstatisticstest.cpp
@@ -44,6 +44,17 @@
     throw std::bad_alloc();
 }
 
+void *operator new(std::size_t size, const std::nothrow_t &) noexcept
+{
+    ++allocationCount;
+    return std::malloc(size);
+}
+
+void operator delete(void *memory, const std::nothrow_t &) noexcept
+{
+    std::free(memory);
+}
+
 void operator delete(void *memory) noexcept
 {
     std::free(memory);
--- a/packages/settings/settings/tomlreader.cpp
+++ b/packages/settings/settings/tomlreader.cpp
@@ -2,9 +2,33 @@
 
 #include <algorithm>
 #include <sstream>
+#include <stdexcept>
 
+namespace
+{
+
+/// An assertion of toml++ that does not hold for an input.
+class ParserAssertion : public std::logic_error
+{
+public:
+    using std::logic_error::logic_error;
+};
+
+[[noreturn]] void refuseInput(const char *condition)
+{
+    throw ParserAssertion(condition);
+}
+
+}
+
+// toml++ 3.3 asserts that a table header starts with a character of a key, so the line "[{a]" would end the process. With
+// NDEBUG it would take the condition for granted instead.
+#undef NDEBUG
+#define TOML_ASSERT(condition) ((condition) ? static_cast<void>(0) : refuseInput(#condition))
 #include <toml++/toml.h>
 
+#include "settings/tomlscan.h"
+
 namespace Galenabarrow::Settings
 {
 
@@ -94,16 +118,48 @@
     std::vector<Assignment> &m_assignments;
 };
 
+bool failsAssertion(std::string_view text)
+{
+    try {
+        static_cast<void>(toml::parse(text));
+    } catch (const toml::parse_error &) {
+        return false;
+    } catch (const ParserAssertion &) {
+        return true;
+    }
+    return false;
+}
+
+/// The line whose parse failed an assertion. toml++ tells no position then, so this looks for the shortest run of first
+/// lines that fails; the parser reads from the front, so every longer run fails too.
+unsigned lineOfAssertion(std::string_view text)
+{
+    std::vector<std::size_t> lineEnds;
+    for (std::size_t at = text.find('\n'); at != std::string_view::npos; at = text.find('\n', at + 1)) {
+        lineEnds.push_back(at + 1);
+    }
+    const auto isBefore = [text](std::size_t end, bool) { return !failsAssertion(text.substr(0, end)); };
+    const auto it = std::lower_bound(lineEnds.begin(), lineEnds.end(), true, isBefore);
+    return static_cast<unsigned>(it - lineEnds.begin()) + 1;
+}
+
 }
 
 std::vector<Assignment> readToml(std::string_view text, std::vector<Fault> &faults)
 {
     std::vector<Assignment> assignments;
+    std::vector<Fault> unsafe = scanToml(text);
+    if (!unsafe.empty()) {
+        faults.insert(faults.end(), unsafe.begin(), unsafe.end());
+        return assignments;
+    }
     try {
         const toml::table root = toml::parse(text);
         Flattener(assignments).addTable({}, root);
     } catch (const toml::parse_error &e) {
         faults.push_back(Fault { static_cast<unsigned>(e.source().begin.line), "", std::string(e.description()) });
+    } catch (const ParserAssertion &) {
+        faults.push_back(Fault { lineOfAssertion(text), "", "the line is not TOML" });
     }
     const auto isEarlier = [](const Assignment &a, const Assignment &b) { return a.line < b.line; };
     std::stable_sort(assignments.begin(), assignments.end(), isEarlier);
--- a/packages/settings/tests/settingstest.cpp
+++ b/packages/settings/tests/settingstest.cpp
@@ -94,7 +94,7 @@
 // Guards against a key whose value ends up in another field.
 TEST_CASE("every key reaches its field", "[settings]")
 {
-    const std::string text = Good + R"([timings]
+    const std::string text = with("key_file = \"k\"", "key_file = \"kéy#'\" # é") + R"([timings]
 election_timeout_ms = 900
 heartbeat_ms = 200
 freshness_limit_ms = 3000
@@ -119,6 +119,7 @@
     INFO((settings ? "" : settings.error().detail));
     REQUIRE(settings);
     REQUIRE(settings->instance.id == InstanceId("c1"));
+    REQUIRE(settings->cluster.keyFile == "kéy#'");
     REQUIRE(settings->instance.dataCentre == DataCentreId("north"));
     REQUIRE(settings->instance.isEntry);
     REQUIRE(settings->instance.isControl);
@@ -186,6 +187,12 @@
           "s: listen.announcements: is the address [::1]:80 of another listener" },
         { with("data_folder = \"d\"", "data_folder = \"d\"\nbootstrap = true") + "[instance]\n",
           "s:21: Error while parsing table header: cannot redefine existing table 'instance'" },
+        // toml++ 3.3 aborts the process on this header unless its assertions are caught.
+        { with("[operators]", "[{operators]"), "s:12: the line is not TOML" },
+        // toml++ 3.3 runs into undefined behaviour on a character other than ASCII where it expects white space.
+        { with("[operators]", "[operators] é"), "s:12: a character other than ASCII is allowed in comments and strings only" },
+        { Good + "x = '''\n'''\n", "s:20: multi-line strings are not allowed\ns:21: multi-line strings are not allowed" },
+        { Good + "[{limits]", "s:20: the line is not TOML" },
         { Good + "limits = 3\n", "s:20: control.replicas[0].limits: is not a setting" },
         { "limits = 3\n" + Good, "s:1: limits: expected a table, found 3" },
     };
--- a/packages/wire/wire/envelope.cpp
+++ b/packages/wire/wire/envelope.cpp
@@ -8,9 +8,12 @@
 std::vector<std::uint8_t> encode(const Envelope &envelope)
 {
     flatbuffers::FlatBufferBuilder builder;
-    const auto root =
-        Fb::CreateEnvelopeDirect(builder, envelope.sender.value().c_str(), envelope.senderAddress.c_str(), envelope.incarnation.value(),
-                                 envelope.correlation, static_cast<std::uint16_t>(envelope.kind), &envelope.payload);
+    // With lengths, so that a text with a zero byte arrives whole.
+    const auto sender = builder.CreateString(envelope.sender.value());
+    const auto senderAddress = builder.CreateString(envelope.senderAddress);
+    const auto payload = builder.CreateVector(envelope.payload);
+    const auto root = Fb::CreateEnvelope(builder, sender, senderAddress, envelope.incarnation.value(), envelope.correlation,
+                                         static_cast<std::uint16_t>(envelope.kind), payload);
     builder.Finish(root);
     return { builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize() };
 }
