Test promotion, membership changes and confirmations of RaftCore

Change: tests of RaftCore for these and for the removal of a replica before its successor joins; remarks of clang-tidy.

--- a/packages/control/control/contractstate.cpp
+++ b/packages/control/control/contractstate.cpp
@@ -63,7 +63,7 @@
         if (known != state.m_results.end()) {
             return known->second.result;
         }
-        const ProposalResult result = resultOf(ResultCode::NotAccepted);
+        ProposalResult result = resultOf(ResultCode::NotAccepted);
         state.keepResult(it.id, AnyFingerprint, result);
         return result;
     }
@@ -74,7 +74,7 @@
         if (const auto known = state.findResult(id, fingerprint)) {
             return *known;
         }
-        const ProposalResult result = function();
+        ProposalResult result = function();
         state.keepResult(id, fingerprint, result);
         return result;
     }
--- a/packages/control/control/controlservice.cpp
+++ b/packages/control/control/controlservice.cpp
@@ -31,6 +31,7 @@
 std::vector<InstanceId> instancesOf(const std::vector<ControlPeer> &peers)
 {
     std::vector<InstanceId> instances;
+    instances.reserve(peers.size());
     for (const ControlPeer &peer : peers) {
         instances.push_back(peer.instance);
     }
@@ -159,7 +160,7 @@
     return m_state;
 }
 
-void ControlService::absorb(RaftOutput output)
+void ControlService::absorb(const RaftOutput &output)
 {
     write(output);
     if (m_storeFailure) {
@@ -272,7 +273,7 @@
     } else {
         answer(origin, refusal(ResultCode::NoQuorum)); // the leader has just noticed that it lost its quorum
     }
-    absorb(std::move(output));
+    absorb(output);
 }
 
 void ControlService::forward(const Bytes &command, const Origin &origin, const InstanceId &leader)
--- a/packages/control/control/controlservice.h
+++ b/packages/control/control/controlservice.h
@@ -96,7 +96,7 @@
     };
     ControlService(ControlSettings settings, std::unique_ptr<LogStore> store, RandomSource &random, const StoreContents &contents,
                    Instant now);
-    void absorb(RaftOutput output);
+    void absorb(const RaftOutput &output);
     void write(const RaftOutput &output);
     void check(const Result<void> &done);
     void applyEntry(const LogEntry &entry);
--- a/packages/control/control/datafolder.cpp
+++ b/packages/control/control/datafolder.cpp
@@ -94,7 +94,7 @@
 Result<void> DataFolder::replace(const std::string &name, ByteView content) const
 {
     const std::string temporary = pathOf(name + ".new");
-    const Result<void> written = writeAndSync(temporary, content);
+    Result<void> written = writeAndSync(temporary, content);
     if (!written) {
         return written;
     }
@@ -116,7 +116,7 @@
         return writeFailed("cannot open " + m_path.string());
     }
     const bool isSynced = ::fsync(folder) == 0;
-    const Result<void> done = isSynced ? Result<void>() : writeFailed("cannot sync " + m_path.string());
+    Result<void> done = isSynced ? Result<void>() : writeFailed("cannot sync " + m_path.string());
     ::close(folder);
     return done;
 }
--- a/packages/control/control/disklogstore.cpp
+++ b/packages/control/control/disklogstore.cpp
@@ -132,7 +132,7 @@
     std::uint64_t syncedLength = 1; // every log begins with a hard state that was synced before the log got its name
     while (const std::optional<Record> record = readRecord(bytes.subspan(offset))) {
         syncedLength = std::max(syncedLength, record->syncedLength);
-        const Result<void> done = replay(*record, contents);
+        Result<void> done = replay(*record, contents);
         if (!done) {
             return done;
         }
--- a/packages/control/control/rafttypes.h
+++ b/packages/control/control/rafttypes.h
@@ -19,7 +19,7 @@
     InstanceId instance;
     Incarnation store;
 
-    auto operator<=>(const ReplicaId &) const = default;
+    auto operator<=>(const ReplicaId &) const = default; // NOLINT(modernize-use-nullptr): clang-tidy 14 reports the rewritten comparison
 };
 
 /// A replica of the cluster.
--- a/packages/control/tests/raftcoretest.cpp
+++ b/packages/control/tests/raftcoretest.cpp
@@ -226,3 +226,86 @@
     REQUIRE(output.append[0].membership.find(replica("c3")) == nullptr);
     REQUIRE_FALSE(fixture.core.tick(fixture.now).write); // the change is not committed yet
 }
+
+// Guards against an empty store that becomes a voter: after a second loss, the cluster would wait for data that it lacks.
+TEST_CASE("a learner is promoted only after it has synced every committed entry", "[raft]")
+{
+    Fixture fixture;
+    (void)fixture.sync(fixture.elect(2));
+    const auto acknowledge = [&](const std::string &name, std::uint64_t index) {
+        RaftMessage reply = fixture.from(name, RaftKind::AppendReply, 2);
+        reply.index = LogIndex(index);
+        return fixture.receive(reply);
+    };
+    (void)acknowledge("c2", 2);
+    fixture.core.noteJoiner(Member { replica("c4"), "c4", false }, fixture.now);
+    const RaftOutput added = fixture.core.tick(fixture.now);
+    REQUIRE_FALSE(added.append.at(0).membership.isVoter(replica("c4")));
+    (void)fixture.sync(added);
+    (void)acknowledge("c4", 3); // a learner does not count
+    REQUIRE(fixture.core.commitIndex() == LogIndex(2));
+    REQUIRE(acknowledge("c2", 3).committed.size() == 1);
+
+    RaftOutput output;
+    REQUIRE(fixture.core.propose({ 1 }, fixture.now, output));
+    (void)fixture.sync(output);
+    (void)acknowledge("c2", 4);
+    REQUIRE_FALSE(fixture.core.tick(fixture.now).write);
+    (void)acknowledge("c4", 4);
+    REQUIRE(fixture.core.tick(fixture.now).append.at(0).membership.isVoter(replica("c4")));
+}
+
+// Guards against two membership changes under way at once, whose majorities need not overlap.
+TEST_CASE("a membership change waits for the one before", "[raft]")
+{
+    Fixture fixture;
+    const RaftOutput elected = fixture.elect(2);
+    fixture.core.noteJoiner(Member { replica("c4"), "c4", false }, fixture.now);
+    REQUIRE_FALSE(fixture.core.tick(fixture.now).write); // no entry of this term is committed yet
+    (void)fixture.sync(elected);
+    RaftMessage reply = fixture.from("c2", RaftKind::AppendReply, 2);
+    reply.index = LogIndex(2);
+    (void)fixture.receive(reply);
+    REQUIRE(fixture.core.tick(fixture.now).append.size() == 1);
+    fixture.core.noteJoiner(Member { replica("c5"), "c5", false }, fixture.now);
+    REQUIRE_FALSE(fixture.core.tick(fixture.now).write);
+}
+
+// Guards against a voter that is swapped for another in one step.
+TEST_CASE("a replica with a new store replaces the old one in two steps", "[raft]")
+{
+    Fixture fixture;
+    (void)fixture.sync(fixture.elect(2));
+    RaftMessage reply = fixture.from("c2", RaftKind::AppendReply, 2);
+    reply.index = LogIndex(2);
+    (void)fixture.receive(reply);
+    const Member successor { ReplicaId { InstanceId("c3"), Incarnation(8) }, "c3", false };
+    fixture.core.noteJoiner(successor, fixture.now);
+    REQUIRE_FALSE(fixture.core.tick(fixture.now).write); // the old one may still be alive
+    fixture.now += std::chrono::milliseconds(900);
+    (void)fixture.receive(reply);
+    fixture.now += std::chrono::milliseconds(200);
+    fixture.core.noteJoiner(successor, fixture.now);
+    const RaftOutput removed = fixture.core.tick(fixture.now);
+    REQUIRE(removed.append.at(0).membership.members.size() == 2);
+    REQUIRE(removed.append.at(0).membership.findInstance(InstanceId("c3")) == nullptr);
+}
+
+// Guards against a leader that confirms reads without asking: it may have been replaced meanwhile.
+TEST_CASE("a leader confirms only what a quorum answered", "[raft]")
+{
+    Fixture fixture;
+    const Instant before = fixture.now;
+    (void)fixture.sync(fixture.elect(2));
+    RaftMessage reply = fixture.from("c2", RaftKind::AppendReply, 2);
+    reply.index = LogIndex(2);
+    REQUIRE_FALSE(fixture.core.confirmation(fixture.now));
+    reply.echo = fixture.now;
+    (void)fixture.receive(reply);
+    const Instant answered = fixture.now;
+    fixture.now += std::chrono::milliseconds(500);
+    REQUIRE(fixture.core.confirmation(fixture.now)->madeAt == answered);
+    reply.echo = before; // a late answer
+    (void)fixture.receive(reply);
+    REQUIRE(fixture.core.confirmation(fixture.now)->madeAt == answered);
+}
--- a/packages/control/tools/measurecontrol.cpp
+++ b/packages/control/tools/measurecontrol.cpp
@@ -150,8 +150,8 @@
                 }
             }
             const auto arriving = std::exchange(queue, {});
-            for (const auto &[to, envelope] : arriving) {
-                timed([&] { (void)m_services.at(to)->receive(envelope, m_now); });
+            for (const auto &message : arriving) {
+                timed([&] { (void)m_services.at(message.first)->receive(message.second, m_now); });
             }
             if (arriving.empty()) {
                 return;
