--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,12 @@
 tidy: build
 	scripts/tidy.sh $(BUILD)
 
+# The tables of docs/measurements.md; takes some minutes.
+measure: build
+	$(BUILD)/bin/galenabarrow-measure --strategy least-expected-delay --markdown
+	$(BUILD)/bin/galenabarrow-measure --strategy round-robin --lag 50 --markdown
+	$(BUILD)/bin/galenabarrow-measure --chain
+
 # Needs flatbuffers-compiler; its output is committed.
 generate:
 	flatc --cpp --cpp-std c++17 --scoped-enums -o packages/wire/wire/generated packages/wire/wire/messages.fbs
--- a/packages/bench/bench/stand.cpp
+++ b/packages/bench/bench/stand.cpp
@@ -4,8 +4,6 @@
 #include <cmath>
 #include <utility>
 
-#include "bench/permissiveparts.h"
-
 namespace Galenabarrow::Bench
 {
 
@@ -38,10 +36,6 @@
     : m_scenario(scenario)
     , m_planned(calls)
     , m_random(scenario.seed + ParentSeedOffset)
-    , m_contracts(std::make_unique<SameTerms>())
-    , m_admission(std::make_unique<AdmitAll>())
-    , m_keys(std::make_unique<NoKeys>())
-    , m_freshness(std::make_unique<AlwaysFresh>())
 {
     m_result.callsAt.resize(scenario.deployment.services.size());
     m_result.attemptsAt.resize(scenario.deployment.services.size());
@@ -52,8 +46,6 @@
     planTicks();
 }
 
-Stand::~Stand() = default;
-
 void Stand::makeServers()
 {
     for (std::uint32_t service = 0; service < m_scenario.deployment.services.size(); ++service) {
@@ -85,7 +77,7 @@
         config.strategy = m_scenario.strategy;
         config.costs.refusalPrice = m_scenario.refusalPrice;
         config.refusalPermille = m_scenario.refusalPermille;
-        m_entries[n].engine = std::make_unique<CallEngine>(config, *m_contracts, *m_admission, *m_keys, *m_freshness, *m_entryRandom[n]);
+        m_entries[n].engine = std::make_unique<CallEngine>(config, m_parts, m_parts, m_parts, m_parts, *m_entryRandom[n]);
         for (const Server &server : m_servers) {
             m_entries[n].engine->upsertServer(server.record, Instant {});
         }
--- a/packages/bench/bench/stand.h
+++ b/packages/bench/bench/stand.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "bench/measurement.h"
+#include "bench/permissiveparts.h"
 #include "bench/scenario.h"
 #include "entry/callengine.h"
 
@@ -18,7 +19,6 @@
 {
 public:
     Stand(const Scenario &scenario, const std::vector<PlannedCall> &calls);
-    ~Stand();
     Measurement run();
 
 private:
@@ -99,10 +99,7 @@
     const std::vector<PlannedCall> &m_planned;
     Measurement m_result;
     SeededRandom m_random;
-    std::unique_ptr<Entry::ContractView> m_contracts;
-    std::unique_ptr<Entry::AdmissionControl> m_admission;
-    std::unique_ptr<Entry::ActionKeys> m_keys;
-    std::unique_ptr<Entry::FreshnessView> m_freshness;
+    PermissiveParts m_parts;
     std::vector<std::unique_ptr<SeededRandom>> m_entryRandom;
     std::vector<EntryState> m_entries;
     std::vector<Server> m_servers;
