--- a/packages/entry/entry/servertable.cpp
+++ b/packages/entry/entry/servertable.cpp
@@ -30,6 +30,9 @@
 constexpr std::uint32_t MaxRefusalSteps = 3;
 /// Pauses are this many times longer while the budget of refused attempts is used up.
 constexpr int OverBudgetFactor = 8;
+/// How much a long wait shortens the pauses after refusals.
+constexpr double MaxUrgency = 50;
+constexpr double MaxUrgencyOverBudget = 4;
 constexpr Duration ShortestRefusalPause = 300us;
 
 /// A cold server gets a first attempt at once and then one per pause; each answer halves the pause.
@@ -331,7 +334,9 @@
     const int overBudget = refusal.isOverBudget ? OverBudgetFactor : 1;
     const Duration pause = latency / slotsOf(row.record) * (1U << steps) * overBudget / 2;
     // A call that has waited long is tried more often, so that the entries with the longest queues get the free slots.
-    const double urgency = std::max(1.0, std::chrono::duration<double>(refusal.waited) / std::chrono::duration<double>(latency));
+    // Under overload every call waits long; the budget then bounds the refusals of all entries together.
+    const double waits = std::chrono::duration<double>(refusal.waited) / std::chrono::duration<double>(latency);
+    const double urgency = std::clamp(waits, 1.0, refusal.isOverBudget ? MaxUrgencyOverBudget : MaxUrgency);
     row.refusedUntil = now + std::max(ShortestRefusalPause, std::chrono::duration_cast<Duration>(pause / urgency));
     ++row.consecutiveRefusals;
 }
