Prove that limits and the measuring budget are never exceeded

Cause: the division of contracts and of the measuring budget had no test.

Change: tests of limits over 17 entries, two control instances and a faulty network, with all baselines used up and the leased half moving between entries; tests of each rule of a lease; tests of the measuring budget over 17 entries with views that differ.

Ruled out: a first random test with many faults at once; it admitted a tenth as many calls and saw few of the broken rules below. Random tests alone do not see a lease counted from the reply, so each rule also has its own test.

Seen to fail, each with the code broken on purpose: leases counted from the reply or going on, older replies taken, tokens kept after a lease, time counted with a later baseline, a baseline that rises at once or without a wait after a start, a lowered contract that keeps its lease, grants of an old contract, a new leader that grants at once or concurrency too early, an ignored age of the confirmation, requests out of order, held concurrency ignored or ended early, calls after a lease ignored, grants still in force or only the last one counted, leases of a restarted entry forgotten, indivisible calls that stay; spends not reserved, credit without bound, a budget not divided, a reserve not taken out, credit at a restart, a share that rises at once, an overrun not charged, a sampled share that does not fall, a prober that depends on the order of the entries. Not seen to fail: a full bucket at a start (the wait for the baseline empties it) and the first calls of a burst sampled at the share before (the budget bounds them).

--- /dev/null
+++ b/packages/limits/tests/leasetest.cpp
@@ -0,0 +1,239 @@
+#include <catch2/catch.hpp>
+
+#include "limits/baseline.h"
+#include "limitsworld.h"
+
+using namespace Galenabarrow;
+using namespace Galenabarrow::Limits;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const Contract Terms = makeContract(1000, 200, 100);
+const CustomerId &Customer = Terms.customer;
+const Instant Start = Instant(1h);
+// By then every entry has its baseline, and the allocator may grant everything.
+const Instant Ready = Start + 20s;
+
+/// Two registered entries and the allocator of the leader. The leased half is 500 calls/s, 100 burst, 50 in flight.
+struct Pair {
+    Pair()
+    {
+        allocator.setContract(Terms);
+        allocator.setRegisteredEntries(entries);
+        allocator.becomeLeader(Start);
+        for (CustomerLimits *it : { &a, &b }) {
+            it->setContract(Terms, Start);
+            it->setRegisteredEntries(entries, Start);
+        }
+    }
+
+    ShareReply answer(const ShareRequest &request, Instant now, Duration age = {})
+    {
+        return allocator.answer(request, age, now);
+    }
+
+    /// A request with much demand.
+    static ShareRequest requestOf(CustomerLimits &entry, Instant now)
+    {
+        ShareRequest request = entry.makeRequest(now);
+        const std::uint32_t held = request.demands.empty() ? 0 : request.demands.front().heldConcurrency;
+        request.demands = { { Customer, 1000000, 100, held } };
+        return request;
+    }
+
+    static Share granted(const ShareReply &reply)
+    {
+        return reply.grants.empty() ? Share {} : reply.grants.front().share;
+    }
+
+    static int admitAll(CustomerLimits &entry, Instant now)
+    {
+        int admitted = 0;
+        for (; entry.admit(Customer, now); ++admitted) {
+            entry.release(Customer, now);
+        }
+        return admitted;
+    }
+
+    /// What \p entry has above its baseline.
+    static std::uint32_t leased(CustomerLimits &entry, Instant now)
+    {
+        return entry.shareInForce(Customer, now)->concurrency - 25;
+    }
+
+    std::vector<InstanceId> entries { InstanceId("a"), InstanceId("b") };
+    ShareAllocator allocator { {} };
+    CustomerLimits a { InstanceId("a"), Incarnation(1), {}, Start };
+    CustomerLimits b { InstanceId("b"), Incarnation(2), {}, Start };
+};
+
+}
+
+// Guards against an entry that uses a lease after the leader has granted it again.
+TEST_CASE("an entry counts its lease from when it asked, and takes only the newest answer", "[limits]")
+{
+    Pair pair;
+    const ShareRequest first = Pair::requestOf(pair.a, Ready);
+    const ShareReply late = pair.answer(first, Ready);
+    const ShareRequest second = Pair::requestOf(pair.a, Ready + 1s);
+    REQUIRE_FALSE(pair.a.applyGrant(late, Ready + 1s));
+    const ShareReply reply = pair.answer(second, Ready + 1s, 500ms);
+    REQUIRE(reply.lease == Duration(2500ms)); // ends before a leader elected since the last confirmation grants
+    REQUIRE(pair.a.applyGrant(reply, Ready + 1900ms));
+    REQUIRE_FALSE(pair.a.applyGrant(reply, Ready + 1900ms));
+    REQUIRE(Pair::leased(pair.a, Ready + 3499ms) == 50);
+    REQUIRE(Pair::leased(pair.a, Ready + 3500ms) == 0);
+    SECTION("an answer that comes after its lease is not taken")
+    {
+        const ShareReply tooLate = pair.answer(Pair::requestOf(pair.a, Ready + 4s), Ready + 4s);
+        REQUIRE_FALSE(pair.a.applyGrant(tooLate, Ready + 7s));
+    }
+    SECTION("an answer that leaves a customer out ends its lease")
+    {
+        REQUIRE(pair.a.applyGrant(pair.answer(Pair::requestOf(pair.a, Ready + 4s), Ready + 4s), Ready + 4s));
+        REQUIRE(Pair::leased(pair.a, Ready + 5s) == 50);
+        const ShareRequest next = pair.a.makeRequest(Ready + 5s);
+        REQUIRE(pair.a.applyGrant(ShareReply { next.number, 3s, {} }, Ready + 5s));
+        REQUIRE(Pair::leased(pair.a, Ready + 5s) == 0);
+    }
+    SECTION("tokens of a lease end with it")
+    {
+        pair.a.makeRequest(Ready + 3400ms);
+        REQUIRE(Pair::admitAll(pair.a, Ready + 3500ms) == 50);
+        REQUIRE(Pair::admitAll(pair.a, Ready + 3600ms) == 25); // 250 calls/s without the lease
+    }
+    SECTION("time before the baseline is in force brings no tokens")
+    {
+        CustomerLimits started(InstanceId("a"), Incarnation(3), {}, Ready);
+        started.setContract(Terms, Ready);
+        started.setRegisteredEntries(pair.entries, Ready);
+        REQUIRE(Pair::admitAll(started, Ready + 5s) == 0);
+        REQUIRE(Pair::admitAll(started, Ready + 5100ms) == 25);
+    }
+}
+
+// Guards against a share granted twice.
+TEST_CASE("the leader grants a share again only when nobody can use it any more", "[limits]")
+{
+    Pair pair;
+    const ShareReply toA = pair.answer(Pair::requestOf(pair.a, Ready), Ready);
+    const Share all = Pair::granted(toA);
+    REQUIRE((all.rate == 500000 && all.burst == 100 && all.concurrency == 50));
+    SECTION("a lease counts until it ends, and its concurrency until the calls have ended")
+    {
+        REQUIRE(Pair::granted(pair.answer(Pair::requestOf(pair.b, Ready + 2900ms), Ready + 2900ms)) == Share {});
+        REQUIRE(Pair::granted(pair.answer(Pair::requestOf(pair.b, Ready + 4900ms), Ready + 4900ms)).concurrency == 0);
+        REQUIRE(Pair::granted(pair.answer(Pair::requestOf(pair.b, Ready + 5s), Ready + 5s)).concurrency == 50);
+        REQUIRE(pair.allocator.answer(ShareRequest { InstanceId("a"), Incarnation(1), 1, 0, {} }, {}, Ready).lease == Duration(0));
+    }
+    SECTION("a restarted entry does not get what its earlier process has")
+    {
+        CustomerLimits again(InstanceId("a"), Incarnation(3), {}, Ready + 1s);
+        again.setContract(Terms, Ready + 1s);
+        REQUIRE(Pair::granted(pair.answer(Pair::requestOf(again, Ready + 1s), Ready + 1s)) == Share {});
+    }
+    SECTION("a grant counts while its holder has not installed a later one")
+    {
+        pair.a.applyGrant(toA, Ready);
+        pair.answer(Pair::requestOf(pair.b, Ready + 100ms), Ready + 100ms);
+        // A's share falls, but the answer is lost: A keeps what it has.
+        REQUIRE(Pair::granted(pair.answer(Pair::requestOf(pair.a, Ready + 1s), Ready + 1s)).rate < 300000);
+        REQUIRE(Pair::granted(pair.answer(Pair::requestOf(pair.b, Ready + 2s), Ready + 2s)).rate == 0);
+    }
+    SECTION("calls above the baseline hold their concurrency, also when the lease has ended")
+    {
+        pair.a.applyGrant(toA, Ready);
+        for (int n = 0; n < 60; ++n) {
+            pair.a.admit(Customer, Ready + Duration(20ms) * n);
+        }
+        REQUIRE(pair.a.inFlight(Customer) >= 55);
+        pair.answer(pair.a.makeRequest(Ready + 3s), Ready + 3s);
+        REQUIRE(Pair::granted(pair.answer(Pair::requestOf(pair.b, Ready + 3s), Ready + 3s)).concurrency <= 20);
+        REQUIRE(Pair::granted(pair.answer(Pair::requestOf(pair.b, Ready + 6500ms), Ready + 6500ms)).concurrency <= 20);
+    }
+    SECTION("a request that was overtaken is not answered with a lease")
+    {
+        const ShareRequest overtaken = Pair::requestOf(pair.a, Ready + 1s);
+        pair.answer(Pair::requestOf(pair.a, Ready + 1100ms), Ready + 1100ms);
+        REQUIRE(pair.answer(overtaken, Ready + 1200ms).lease == Duration(0));
+    }
+}
+
+// Guards against two leaders whose leases add up.
+TEST_CASE("a new leader waits for the leases of the one before", "[limits]")
+{
+    Pair pair;
+    pair.allocator.becomeLeader(Ready);
+    REQUIRE(pair.answer(Pair::requestOf(pair.a, Ready + 2900ms), Ready + 2900ms).lease == Duration(0));
+    // B may be cut off and still have calls under an earlier lease.
+    const Share early = Pair::granted(pair.answer(Pair::requestOf(pair.a, Ready + 3s), Ready + 3s));
+    REQUIRE((early.rate == 500000 && early.concurrency == 0));
+    SECTION("what an entry holds counts until its calls have ended")
+    {
+        ShareRequest holding = Pair::requestOf(pair.b, Ready + 3s);
+        holding.demands.front().heldConcurrency = 35;
+        REQUIRE(pair.allocator.answer(holding, 3s, Ready + 3s).lease == Duration(0)); // not confirmed lately enough to grant
+        REQUIRE(Pair::granted(pair.answer(Pair::requestOf(pair.a, Ready + 7900ms), Ready + 7900ms)).concurrency == 15);
+        REQUIRE(Pair::granted(pair.answer(Pair::requestOf(pair.a, Ready + 8s), Ready + 8s)).concurrency == 50);
+        return;
+    }
+    const bool isHeard = GENERATE(false, true);
+    if (isHeard) {
+        pair.answer(pair.b.makeRequest(Ready + 3s), Ready + 3s);
+    }
+    REQUIRE(Pair::granted(pair.answer(Pair::requestOf(pair.a, Ready + 4s), Ready + 4s)).concurrency == (isHeard ? 50 : 0));
+    REQUIRE(Pair::granted(pair.answer(Pair::requestOf(pair.a, Ready + 5s), Ready + 5s)).concurrency == 50);
+}
+
+// Guards against limits of an earlier contract that stay in use.
+TEST_CASE("a lowered contract ends the lease, and grants of the earlier one are not taken", "[limits]")
+{
+    Pair pair;
+    REQUIRE(pair.a.applyGrant(pair.answer(Pair::requestOf(pair.a, Ready), Ready), Ready));
+    Contract lowered = makeContract(100, 20, 10);
+    lowered.version = Version(2);
+    const ShareReply earlier = pair.answer(Pair::requestOf(pair.a, Ready + 1s), Ready + 1s);
+    pair.a.setContract(lowered, Ready + 1s);
+    REQUIRE(pair.a.shareInForce(Customer, Ready + 1s) == Share { 25000, 5, 3 });
+    REQUIRE(pair.a.applyGrant(earlier, Ready + 1s));
+    REQUIRE(pair.a.shareInForce(Customer, Ready + 1s) == Share { 25000, 5, 3 });
+}
+
+// Guards against baselines that add up to more than half of the contract while entries know different lists.
+TEST_CASE("a baseline falls at once and rises after a wait", "[limits]")
+{
+    const std::vector<InstanceId> two { InstanceId("a"), InstanceId("b") };
+    const std::vector<InstanceId> one { InstanceId("a") };
+    BaselineShares shares(InstanceId("a"), 5s, Start);
+    shares.setRegisteredEntries(one, Start);
+    REQUIRE(shares.shareOf(Terms, Start + 4900ms) == Share {}); // a restarted entry may know a list that others do not
+    REQUIRE(shares.shareOf(Terms, Start + 5s).concurrency == 50);
+    shares.setRegisteredEntries(two, Start + 6s);
+    REQUIRE(shares.shareOf(Terms, Start + 6s).concurrency == 25);
+    shares.setRegisteredEntries(one, Start + 7s);
+    REQUIRE(shares.shareOf(Terms, Start + 7s + 11900ms).concurrency == 25); // two freshness limits and the longest deadline
+    REQUIRE(shares.shareOf(Terms, Start + 7s + 12s).concurrency == 50);
+
+    BaselineShares added(InstanceId("b"), 5s, Start);
+    added.setRegisteredEntries(one, Start);
+    added.setRegisteredEntries(two, Start + 6s);
+    REQUIRE(added.shareOf(Terms, Start + 17900ms) == Share {});
+    REQUIRE(added.shareOf(Terms, Start + 18s).concurrency == 25);
+}
+
+// Guards against one entry that keeps the last indivisible call for ever.
+TEST_CASE("indivisible calls change hands", "[limits]")
+{
+    Pair pair;
+    pair.allocator.setContract(makeContract(100, 1, 1));
+    int toA = 0;
+    int toB = 0;
+    for (int n = 0; n < 60; ++n) {
+        const Instant now = Ready + n * 1s;
+        toA += static_cast<int>(Pair::granted(pair.answer(Pair::requestOf(pair.a, now), now)).burst);
+        toB += static_cast<int>(Pair::granted(pair.answer(Pair::requestOf(pair.b, now), now)).burst);
+    }
+    REQUIRE((toA > 5 && toB > 5));
+}
--- /dev/null
+++ b/packages/limits/tests/limitsworld.h
@@ -0,0 +1,307 @@
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "base/random.h"
+#include "limits/customerlimits.h"
+#include "limits/shareallocator.h"
+#include "limits/sharecodec.h"
+#include "testnetwork/lossynetwork.h"
+
+namespace Galenabarrow::Limits
+{
+
+inline Contract makeContract(std::uint32_t rate, std::uint32_t burst, std::uint32_t concurrency)
+{
+    Contract contract;
+    contract.customer = CustomerId("north");
+    contract.version = Version(1);
+    contract.services = { ServiceTerms { ServiceId("order-desk"), {}, std::chrono::seconds(2), 0, 0 } };
+    contract.ratePerSecond = rate;
+    contract.burst = burst;
+    contract.concurrency = concurrency;
+    return contract;
+}
+
+/// Checks that the calls admitted in every span of time stay within rate x time + burst.
+class RateCheck
+{
+public:
+    void reset(const Contract &contract, Instant now)
+    {
+        m_contract = contract;
+        m_level = 0;
+        m_at = now;
+    }
+
+    /// False when the call is one too many.
+    bool admit(Instant now)
+    {
+        const double elapsed = std::chrono::duration<double>(now - m_at).count();
+        m_level = std::max(0.0, m_level - elapsed * m_contract.ratePerSecond) + 1;
+        m_at = now;
+        return m_level <= m_contract.burst + 1e-6;
+    }
+
+private:
+    Contract m_contract;
+    double m_level = 0;
+    Instant m_at {};
+};
+
+/// 17 entries with their limits, two control instances of which one is the true leader, and the links between them.
+class World
+{
+public:
+    static constexpr std::size_t EntryCount = 17;
+    static constexpr Duration Tick = std::chrono::milliseconds(10);
+    static constexpr Duration FenceLimit = std::chrono::seconds(5);
+    /// A leader that no quorum confirms gives up after this.
+    static constexpr Duration CheckQuorum = std::chrono::milliseconds(1500);
+
+    World(const Contract &contract, std::uint64_t seed)
+        : m_random(seed)
+        , m_network(m_random)
+        , m_contract(contract)
+    {
+        for (std::size_t n = 0; n < EntryCount; ++n) {
+            m_registered.push_back(idOf(n));
+        }
+        for (ShareAllocator &it : m_allocators) {
+            it.setContract(contract);
+            it.setRegisteredEntries(m_registered);
+        }
+        m_allocators[0].becomeLeader(m_now);
+        for (std::size_t n = 0; n < EntryCount; ++n) {
+            startEntry(n);
+        }
+        m_rate.reset(contract, m_now);
+        m_allowed = contract;
+    }
+
+    /// The process of an entry ends, and a new one starts; its calls end with it.
+    void startEntry(std::size_t n)
+    {
+        Entry &entry = m_entries[n];
+        m_inFlight -= static_cast<std::uint32_t>(entry.calls.size());
+        entry.calls.clear();
+        entry.limits = std::make_unique<CustomerLimits>(idOf(n), Incarnation(++m_lives), LimitTimes { FenceLimit }, m_now);
+        entry.knownAt = m_now;
+        entry.nextRequest = m_now + anyTime(std::chrono::seconds(1));
+        learn(entry);
+    }
+
+    /// Another control instance is elected; the one before may go on until its check of the quorum fails.
+    void changeLeader()
+    {
+        m_confirmedAt = m_now;
+        m_leader = 1 - m_leader;
+        m_allocators[m_leader].becomeLeader(m_now);
+    }
+
+    /// Until it is known everywhere, the higher limits count.
+    void setContract(Contract contract)
+    {
+        contract.version = next(m_contract.version);
+        const Contract &earlier = m_isChanging ? m_allowed : m_contract;
+        m_allowed.ratePerSecond = std::max(earlier.ratePerSecond, contract.ratePerSecond);
+        m_allowed.burst = std::max(earlier.burst, contract.burst);
+        m_allowed.concurrency = std::max(earlier.concurrency, contract.concurrency);
+        m_rate.reset(m_allowed, m_now);
+        m_contract = contract;
+        m_changedAt = m_now;
+        m_isChanging = true;
+        for (ShareAllocator &it : m_allocators) {
+            it.setContract(contract);
+        }
+    }
+
+    void setRegistered(std::size_t count)
+    {
+        m_registered.clear();
+        for (std::size_t n = 0; n < count; ++n) {
+            m_registered.push_back(idOf(n));
+        }
+        for (ShareAllocator &it : m_allocators) {
+            it.setRegisteredEntries(m_registered);
+        }
+    }
+
+    void step()
+    {
+        m_now += Tick;
+        deliver();
+        for (std::size_t n = 0; n < EntryCount; ++n) {
+            Entry &entry = m_entries[n];
+            // An entry learns of changes with a random lag. Without news for 5 s it is fenced.
+            if (!entry.isCutOff && m_random.below(m_ticksPerNews) == 0) {
+                entry.knownAt = m_now;
+                learn(entry);
+            }
+            endCalls(entry);
+            if (m_now >= entry.nextRequest) {
+                entry.nextRequest = m_now + std::chrono::seconds(1);
+                // After an election some entries still ask the old leader.
+                const bool asksOld = m_now - m_confirmedAt < 2 * CheckQuorum && m_random.below(2) == 0;
+                const std::size_t control = asksOld ? 1 - m_leader : m_leader;
+                m_network.send(n, EntryCount + control, encode(entry.limits->makeRequest(m_now)), m_now);
+            }
+        }
+        finishChange();
+    }
+
+    /// A call that lasts up to the longest deadline. False when the limits refuse it.
+    bool call(std::size_t n)
+    {
+        Entry &entry = m_entries[n];
+        if (m_now - entry.knownAt >= FenceLimit || !entry.limits->admit(m_contract.customer, m_now)) {
+            return false;
+        }
+        entry.calls.emplace(m_now + anyTime(m_longestCall), true);
+        ++m_admitted;
+        ++m_inFlight;
+        m_isRateKept = m_rate.admit(m_now) && m_isRateKept;
+        m_isConcurrencyKept = m_inFlight <= m_allowed.concurrency && m_isConcurrencyKept;
+        return true;
+    }
+
+    std::size_t leader() const
+    {
+        return EntryCount + m_leader;
+    }
+
+    bool isKept() const
+    {
+        return m_isRateKept && m_isConcurrencyKept;
+    }
+
+    void setLongestCall(Duration longest)
+    {
+        m_longestCall = longest;
+    }
+
+    void setTicksPerNews(std::uint64_t ticks)
+    {
+        m_ticksPerNews = ticks;
+    }
+
+    void cutOff(std::size_t n, bool isCutOff)
+    {
+        m_entries[n].isCutOff = isCutOff;
+    }
+
+    TestNetwork::LinkFaults &faults()
+    {
+        return m_network.faults();
+    }
+
+    RandomSource &random()
+    {
+        return m_random;
+    }
+
+    std::uint64_t admitted() const
+    {
+        return m_admitted;
+    }
+
+    std::uint32_t inFlight() const
+    {
+        return m_inFlight;
+    }
+
+    Instant now() const
+    {
+        return m_now;
+    }
+
+private:
+    struct Entry {
+        std::unique_ptr<CustomerLimits> limits;
+        /// Every change before this is known.
+        Instant knownAt {};
+        bool isCutOff = false;
+        Instant nextRequest {};
+        /// The end of each call.
+        std::multimap<Instant, bool> calls;
+    };
+
+    static InstanceId idOf(std::size_t n)
+    {
+        return InstanceId("entry-" + std::to_string(10 + n));
+    }
+
+    Duration anyTime(Duration most)
+    {
+        return Duration(static_cast<Duration::rep>(m_random.below(static_cast<std::uint64_t>(most.count()))));
+    }
+
+    void learn(Entry &entry)
+    {
+        entry.limits->setContract(m_contract, m_now);
+        entry.limits->setRegisteredEntries(m_registered, m_now);
+    }
+
+    void endCalls(Entry &entry)
+    {
+        while (!entry.calls.empty() && entry.calls.begin()->first <= m_now) {
+            entry.calls.erase(entry.calls.begin());
+            entry.limits->release(m_contract.customer, m_now);
+            --m_inFlight;
+        }
+    }
+
+    void deliver()
+    {
+        for (const auto &it : m_network.takeArrived(m_now)) {
+            if (it.to < EntryCount) {
+                m_entries[it.to].limits->applyGrant(*decodeShareReply(it.message), m_now);
+                continue;
+            }
+            const std::size_t control = it.to - EntryCount;
+            const Duration age = control == m_leader ? Duration::zero() : m_now - m_confirmedAt;
+            if (age < CheckQuorum) {
+                const ShareReply reply = m_allocators[control].answer(*decodeShareRequest(it.message), age, m_now);
+                m_network.send(it.to, it.from, encode(reply), m_now);
+            }
+        }
+    }
+
+    // The new contract holds once every entry knows it or is fenced, and calls admitted before have ended.
+    void finishChange()
+    {
+        if (m_isChanging && m_now - m_changedAt >= FenceLimit + std::chrono::seconds(2) + Tick) {
+            m_isChanging = false;
+            m_allowed = m_contract;
+            m_rate.reset(m_contract, m_now);
+        }
+    }
+
+    SeededRandom m_random;
+    TestNetwork::LossyNetwork<std::vector<std::uint8_t>> m_network;
+    Contract m_contract;
+    Instant m_now = Instant(std::chrono::hours(1));
+    std::vector<InstanceId> m_registered;
+    std::array<ShareAllocator, 2> m_allocators { ShareAllocator({}), ShareAllocator({}) };
+    std::size_t m_leader = 0;
+    Instant m_confirmedAt {};
+    std::array<Entry, EntryCount> m_entries;
+    std::uint64_t m_lives = 0;
+    Duration m_longestCall = std::chrono::seconds(2);
+    std::uint64_t m_ticksPerNews = 200;
+    RateCheck m_rate;
+    /// What the entries may admit in all.
+    Contract m_allowed;
+    Instant m_changedAt {};
+    bool m_isChanging = false;
+    std::uint64_t m_admitted = 0;
+    std::uint32_t m_inFlight = 0;
+    bool m_isRateKept = true;
+    bool m_isConcurrencyKept = true;
+};
+
+}
--- /dev/null
+++ b/packages/measuring/tests/measuringtest.cpp
@@ -0,0 +1,338 @@
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "base/random.h"
+#include "measuring/measuringbudget.h"
+#include "measuring/probeassignment.h"
+#include "measuring/sampler.h"
+
+using namespace Galenabarrow;
+using namespace Galenabarrow::Measuring;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::size_t EntryCount = 17;
+constexpr Duration Tick = 10ms;
+constexpr Duration Window = 10s;
+constexpr Duration ProbeReserve = 20ms;
+
+struct Deployment {
+    std::string name;
+    std::uint32_t servers;
+    std::uint32_t slotsPerServer;
+    double budgetPermille;
+};
+
+const Deployment Abyssinia { "Abyssinia", 33, 3, 5 };
+const Deployment ODalaigh { "O Dalaigh", 30, 2, 2.5 };
+
+InstanceId entryId(std::size_t n)
+{
+    return InstanceId("entry-" + std::to_string(n));
+}
+
+ServerId serverId(std::size_t n)
+{
+    return ServerId("server-" + std::to_string(n));
+}
+
+/// Sums what was spent in the last window, and keeps the highest share of the slots' time.
+class Ledger
+{
+public:
+    explicit Ledger(double slotTime)
+        : m_slotTime(slotTime)
+    {
+    }
+
+    void spend(Duration cost, Instant now)
+    {
+        m_spends.emplace_back(now, cost);
+        m_sum += cost;
+        while (now - m_spends.front().first >= Window) {
+            m_sum -= m_spends.front().second;
+            m_spends.pop_front();
+        }
+        m_highest = std::max(m_highest, std::chrono::duration<double>(m_sum).count() / m_slotTime * 1000);
+    }
+
+    /// In thousandths of the slots' time.
+    double highest() const
+    {
+        return m_highest;
+    }
+
+    void restart()
+    {
+        m_highest = 0;
+    }
+
+private:
+    double m_slotTime;
+    std::deque<std::pair<Instant, Duration>> m_spends;
+    Duration m_sum {};
+    double m_highest = 0;
+};
+
+/// 17 entries that measure the same servers, each with its own view of entries and servers.
+class World
+{
+public:
+    World(const Deployment &deployment, std::uint64_t seed)
+        : m_deployment(deployment)
+        , m_random(seed)
+        , m_ledger(deployment.servers * deployment.slotsPerServer * std::chrono::duration<double>(Window).count())
+    {
+        for (std::size_t n = 0; n < EntryCount; ++n) {
+            start(n, EntryCount, 0);
+        }
+    }
+
+    /// A new process that sees \p visible entries, itself too, and not the last \p unseen servers.
+    void start(std::size_t n, std::size_t visible, std::uint32_t unseen)
+    {
+        BudgetSettings settings;
+        settings.budgetPermille = m_deployment.budgetPermille;
+        settings.window = Window;
+        Entry &entry = m_entries[n];
+        entry.pending.clear();
+        entry.budget = std::make_unique<MeasuringBudget>(settings, m_now);
+        entry.sampler = std::make_unique<Sampler>(*entry.budget, 50us, m_random, m_now);
+        see(n, visible, unseen);
+    }
+
+    void see(std::size_t n, std::size_t visible, std::uint32_t unseen)
+    {
+        Entry &entry = m_entries[n];
+        std::vector<InstanceId> entries;
+        for (std::size_t other = 0; other < visible; ++other) {
+            entries.push_back(entryId((n + other) % EntryCount));
+        }
+        ProbeAssignment assignment;
+        assignment.setEntries(entries);
+        entry.seen = m_deployment.servers - unseen;
+        entry.assigned.clear();
+        for (std::size_t server = 0; server < entry.seen; ++server) {
+            if (assignment.prober(serverId(server)) == entryId(n)) {
+                entry.assigned.push_back(server);
+            }
+        }
+        entry.budget->setShare(entry.seen * m_deployment.slotsPerServer, EntryCount, m_now);
+    }
+
+    /// Runs with \p calls per entry and second.
+    void run(Duration time, std::uint32_t calls)
+    {
+        for (const Instant end = m_now + time; m_now < end;) {
+            m_now += Tick;
+            for (std::size_t n = 0; n < EntryCount; ++n) {
+                probe(n);
+                const auto perTick = std::max<std::uint64_t>(calls / 100, calls > 0 && m_random.below(100) < calls ? 1 : 0);
+                for (std::uint64_t call = 0; call < perTick; ++call) {
+                    measureCall(m_entries[n]);
+                }
+            }
+        }
+    }
+
+    Ledger &ledger()
+    {
+        return m_ledger;
+    }
+
+    std::size_t recentlyProbed() const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(m_probedAt.begin(), m_probedAt.end(), [this](const auto &it) { return m_now - it.second < 10s; }));
+    }
+
+    RandomSource &random()
+    {
+        return m_random;
+    }
+
+private:
+    struct Entry {
+        std::unique_ptr<MeasuringBudget> budget;
+        std::unique_ptr<Sampler> sampler;
+        std::uint32_t seen = 0;
+        /// Servers that this entry probes, as it sees it.
+        std::vector<std::size_t> assigned;
+        std::map<std::size_t, Instant> nextProbe;
+        /// Probes under way: their end, and what they cost.
+        std::multimap<Instant, Duration> pending;
+    };
+
+    void probe(std::size_t n)
+    {
+        Entry &entry = m_entries[n];
+        while (!entry.pending.empty() && entry.pending.begin()->first <= m_now) {
+            entry.budget->settle(Spend::Probe, ProbeReserve, entry.pending.begin()->second, m_now);
+            entry.pending.erase(entry.pending.begin());
+        }
+        // The server that waits longest comes first, or a small budget would never reach the others.
+        std::vector<std::pair<Instant, std::size_t>> due;
+        for (const std::size_t server : entry.assigned) {
+            if (m_now >= entry.nextProbe[server]) {
+                due.emplace_back(entry.nextProbe[server], server);
+            }
+        }
+        std::sort(due.begin(), due.end());
+        for (const auto &[since, server] : due) {
+            if (!entry.budget->reserve(Spend::Probe, ProbeReserve, m_now)) {
+                break;
+            }
+            // One probe in 20 meets a straggler and is ended at what it reserved.
+            const Duration cost = m_random.below(20) == 0 ? ProbeReserve : Duration(6ms);
+            m_ledger.spend(cost, m_now);
+            entry.pending.emplace(m_now + cost, cost);
+            entry.nextProbe[server] = m_now + 1s;
+            m_probedAt[server] = m_now;
+        }
+    }
+
+    void measureCall(Entry &entry)
+    {
+        if (entry.sampler->sample(m_now)) {
+            m_ledger.spend(50us, m_now);
+        }
+        if (entry.budget->reserve(Spend::Report, 5us, m_now)) {
+            m_ledger.spend(5us, m_now);
+        }
+    }
+
+    Deployment m_deployment;
+    SeededRandom m_random;
+    Ledger m_ledger;
+    Instant m_now = Instant(1h);
+    std::array<Entry, EntryCount> m_entries;
+    std::map<std::size_t, Instant> m_probedAt;
+};
+
+}
+
+// Guards against measuring that costs more than its budget, summed over entries that see different things.
+TEST_CASE("the spent share stays within the budget", "[measuring]")
+{
+    const Deployment deployment = GENERATE(Abyssinia, ODalaigh);
+    World world(deployment, 51);
+    const auto phase = [&](const char *name, Duration time, std::uint32_t calls) {
+        world.run(time, calls);
+        std::cout << deployment.name << ", " << name << ": at most " << world.ledger().highest() << " permille of "
+                  << deployment.budgetPermille << ", " << world.recentlyProbed() << " of " << deployment.servers
+                  << " servers probed in the last 10 s\n";
+        REQUIRE(world.ledger().highest() <= deployment.budgetPermille);
+        world.ledger().restart();
+    };
+    phase("idle", 60s, 0);
+    REQUIRE(world.recentlyProbed() == deployment.servers);
+    phase("under load", 60s, 100);
+    phase("in a 100-fold burst", 3s, 10000);
+    for (std::size_t n = 0; n < EntryCount; ++n) {
+        world.see(n, 1 + world.random().below(EntryCount), static_cast<std::uint32_t>(world.random().below(8)));
+    }
+    phase("with views that differ", 60s, 100);
+    const auto restartAll = [&] {
+        for (std::size_t n = 0; n < EntryCount; ++n) {
+            world.start(n, 1, static_cast<std::uint32_t>(world.random().below(8))); // each believes it is alone and probes every server
+        }
+    };
+    for (int round = 0; round < 20; ++round) {
+        restartAll();
+        world.run(500ms, 100);
+    }
+    for (int round = 0; round < 3; ++round) {
+        restartAll();
+        world.run(13s, 100);
+    }
+    phase("after mass restarts", 30s, 100);
+    REQUIRE(world.recentlyProbed() >= deployment.servers / 2);
+}
+
+// Guards against samples that are all taken at the start of a burst, and against a rate that does not fall.
+TEST_CASE("the sampled share falls as the call rate rises", "[measuring]")
+{
+    SeededRandom random(52);
+    Instant now(1h);
+    MeasuringBudget budget({}, now);
+    budget.setShare(99, EntryCount, now);
+    now += 20s;
+    Sampler sampler(budget, 50us, random, now);
+    double before = 1.1;
+    for (const int callsPerTick : { 1, 10, 100, 1000 }) {
+        int fewest = callsPerTick * 100;
+        for (int span = 0; span < 20; ++span) {
+            int samples = 0;
+            for (int tick = 0; tick < 50; ++tick) {
+                now += Tick;
+                for (int call = 0; call < callsPerTick; ++call) {
+                    samples += sampler.sample(now) ? 1 : 0;
+                }
+            }
+            fewest = std::min(fewest, samples);
+        }
+        std::cout << "sampling at " << callsPerTick * 100 << " calls/s: share " << sampler.probability(now) << "\n";
+        REQUIRE(sampler.probability(now) < before);
+        REQUIRE(fewest > 10);
+        before = sampler.probability(now);
+    }
+}
+
+// Guards against a probe that costs more than it reserved and is not paid back.
+TEST_CASE("an overrun is counted and paid from later budget", "[measuring]")
+{
+    Instant now(1h);
+    MeasuringBudget budget({}, now);
+    REQUIRE_FALSE(budget.reserve(Spend::Probe, 6ms, now));
+    budget.setShare(99, EntryCount, now);
+    REQUIRE_FALSE(budget.reserve(Spend::Probe, 6ms, now + 10s)); // the share rises after its delay
+    now += 30s;
+    REQUIRE_FALSE(budget.reserve(Spend::Probe, 21ms, now));
+    REQUIRE(budget.reserve(Spend::Probe, 20ms, now));
+    REQUIRE_FALSE(budget.reserve(Spend::Probe, 20ms, now));
+    budget.settle(Spend::Probe, 20ms, 120ms, now);
+    REQUIRE((budget.overruns() == 1 && budget.spent() == Duration(120ms)));
+    REQUIRE_FALSE(budget.reserve(Spend::Probe, 1ms, now + 5s));
+    REQUIRE(budget.reserve(Spend::Probe, 1ms, now + 10s));
+    budget.setShare(99, 0, now + 10s);
+    REQUIRE(budget.rate(Spend::Probe, now + 10s) == 0);
+}
+
+// Guards against a server probed by nobody or by several, and against every server changing its prober with one entry.
+TEST_CASE("each server has one prober, and a lost entry moves only its own servers", "[measuring]")
+{
+    std::vector<InstanceId> entries;
+    for (std::size_t n = 0; n < EntryCount; ++n) {
+        entries.push_back(entryId(n));
+    }
+    ProbeAssignment all;
+    all.setEntries(entries);
+    std::vector<InstanceId> reversed(entries.rbegin(), entries.rend());
+    ProbeAssignment other;
+    other.setEntries(reversed);
+    entries.erase(entries.begin() + 4);
+    ProbeAssignment fewer;
+    fewer.setEntries(entries);
+    std::map<std::string, int> counts;
+    for (std::size_t n = 0; n < 3400; ++n) {
+        const InstanceId prober = all.prober(serverId(n)).value();
+        REQUIRE(other.prober(serverId(n)) == prober);
+        REQUIRE((prober == entryId(4) || fewer.prober(serverId(n)) == prober));
+        ++counts[prober.value()];
+    }
+    for (const auto &[entry, count] : counts) {
+        REQUIRE((count > 140 && count < 260)); // 200 on average
+    }
+    REQUIRE(counts.size() == EntryCount);
+    REQUIRE_FALSE(ProbeAssignment().prober(serverId(1)));
+}
