--- a/packages/control/tests/raftcoretest.cpp
+++ b/packages/control/tests/raftcoretest.cpp
@@ -309,3 +309,27 @@
     (void)fixture.receive(reply);
     REQUIRE(fixture.core.confirmation(fixture.now)->madeAt == answered);
 }
+
+// Guards against a leader that lacks accepted entries.
+TEST_CASE("a replica votes only for a candidate whose log is not behind", "[raft]")
+{
+    struct Case {
+        std::uint64_t index;
+        std::uint64_t term;
+        bool isGranted;
+    };
+    const std::vector<Case> cases { { 2, 1, false }, { 3, 1, true }, { 4, 1, true }, { 2, 2, true }, { 9, 0, false } };
+    for (const RaftKind kind : { RaftKind::Vote, RaftKind::PreVote }) {
+        for (const Case &it : cases) {
+            Fixture fixture({ entryAt(2, 1), entryAt(3, 1) });
+            RaftMessage vote = fixture.from("c2", kind, 5);
+            vote.index = LogIndex(it.index);
+            vote.logTerm = Term(it.term);
+            RaftOutput output = fixture.receive(vote);
+            if (output.write) {
+                output = fixture.sync(output);
+            }
+            REQUIRE(output.messages.at(0).isRejected != it.isGranted);
+        }
+    }
+}
