Copy records before they are read, so that they are aligned

Cause: the sanitizer build stopped in the tests of DiskLogStore with a load of a misaligned address; the payload of a record starts after 25 bytes of header.

Change: Record holds a copy of its payload.

Ruled out: a header of a multiple of 8 bytes; records follow each other without padding, so the next one would be misaligned again.

Conclusion: the sanitizers report nothing more in these tests.

--- a/packages/control/control/record.cpp
+++ b/packages/control/control/record.cpp
@@ -74,8 +74,9 @@
     if (checksum(whole) != get<std::uint64_t>(bytes.data() + ChecksumOffset)) {
         return std::nullopt;
     }
+    const ByteView payload = whole.subspan(RecordHeaderSize);
     return Record { static_cast<RecordType>(bytes[TypeOffset]), get<std::uint64_t>(bytes.data() + SyncedOffset),
-                    whole.subspan(RecordHeaderSize), whole.size() };
+                    Bytes(payload.begin(), payload.end()), whole.size() };
 }
 
 std::uint64_t largestSyncedLength(ByteView bytes)
--- a/packages/control/control/record.h
+++ b/packages/control/control/record.h
@@ -21,7 +21,8 @@
     /// The length of the file that was known to be synced when the record was written. A damaged record below that
     /// length of any later record was durable once, so it is corruption and not a torn write.
     std::uint64_t syncedLength = 0;
-    ByteView payload;
+    /// A copy, because readers of FlatBuffers need aligned memory.
+    Bytes payload;
     /// Bytes of the record with its header.
     std::size_t size = 0;
 };
