--- a/packages/entry/entry/callengine.h
+++ b/packages/entry/entry/callengine.h
@@ -29,6 +29,9 @@
     /// A name of routingStrategyNames().
     std::string strategy = std::string(DefaultRoutingStrategy);
     RoutingCosts costs;
+    /// Refused attempts per 1,000 calls; above that, refused servers are left alone for longer. A low value saves server time;
+    /// 0 stands for no limit and keeps the tail of the latency short near saturation.
+    std::uint32_t refusalPermille = 0;
     /// Calls that may wait for a server of one service.
     std::size_t queueLimit = 1000;
 };
@@ -92,12 +95,12 @@
         CallRequest request;
         CallTerms terms;
         ServiceState *service = nullptr;
+        Instant submittedAt {};
         /// Attempts in flight; an empty place is AttemptId(0).
         std::array<AttemptId, MaxAttemptsInFlight> inFlight {};
         /// The last answer with a server error, passed on when nothing better comes.
         std::optional<AttemptId> serverError;
         ResultCode unknownCode = ResultCode::OutcomeUnknown;
-        std::uint16_t placements = 0;
         std::uint8_t retries = 0;
         bool wasDispatched = false;
         bool isWaiting = false;
