Give idle entries an equal part of the leased headroom

Cause: headroom was divided in proportion to demand, so an entry without demand held no leased share.

Ruled out: listing an entry only when its baseline is in force, because that waits two freshness limits plus the longest deadline; a larger contract in the test, because the contract there is already far above the load.

Change: what remains after the excess demand is divided equally.

Conclusion: a burst can start at any entry.

--- a/packages/limits/limits/shareallocator.cpp
+++ b/packages/limits/limits/shareallocator.cpp
@@ -29,21 +29,20 @@
     std::uint64_t baseline = 0;
 };
 
-/// The part of each holder in \p total, rounded down: its excess over the baseline, and its part of what remains as
-/// headroom. When the excess of all is more than the total, the total in proportion to it.
+/// The part of each holder in \p total, rounded down: its excess over the baseline, and an equal part of what remains as
+/// headroom. When the excess of all is more than the total, the total in proportion to it. Headroom in proportion to
+/// demand left an idle entry without any, so that the first calls of a burst were refused until the next grant.
 std::vector<std::uint64_t> divide(std::uint64_t total, const Demands &demands)
 {
-    std::uint64_t allWanted = 0;
     std::uint64_t allExcess = 0;
     for (const std::uint64_t it : demands.wanted) {
-        allWanted += it;
         allExcess += excess(it, demands.baseline);
     }
     std::vector<std::uint64_t> parts;
     for (const std::uint64_t it : demands.wanted) {
         const std::uint64_t own = excess(it, demands.baseline);
         const bool isShort = allExcess >= total;
-        parts.push_back(isShort ? proportion(total, own, allExcess) : own + proportion(total - allExcess, it, allWanted));
+        parts.push_back(isShort ? proportion(total, own, allExcess) : own + (total - allExcess) / demands.wanted.size());
     }
     return parts;
 }
--- a/packages/limits/tests/leasetest.cpp
+++ b/packages/limits/tests/leasetest.cpp
@@ -237,3 +237,25 @@
     }
     REQUIRE((toA > 5 && toB > 5));
 }
+
+// Guards against an idle entry without a leased share: the first calls of a burst there were refused (code 103) until
+// the next grant.
+TEST_CASE("an idle entry has an equal part of the headroom", "[limits]")
+{
+    Pair pair;
+    Share toBusy;
+    Share toIdle;
+    for (int n = 0; n < 10; ++n) {
+        const Instant now = Ready + n * 1s;
+        ShareRequest busy = Pair::requestOf(pair.a, now);
+        busy.demands.front().rate /= 2;
+        busy.demands.front().concurrency = 10;
+        ShareRequest idle = Pair::requestOf(pair.b, now);
+        idle.demands.front().rate = 0;
+        idle.demands.front().concurrency = 0;
+        toBusy = Pair::granted(pair.answer(busy, now));
+        toIdle = Pair::granted(pair.answer(idle, now));
+    }
+    REQUIRE(toBusy.concurrency == 25);
+    REQUIRE(toIdle.concurrency == 25);
+}
