Keep refused connections open until the caller has read the error

A refused connection is drained for 500 ms instead of closed at once, because closing with unread bytes resets it and the error can be lost.

--- a/packages/daemon/daemon/callcontent.cpp
+++ b/packages/daemon/daemon/callcontent.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cstdlib>
 
 #include <Poco/String.h>
 
@@ -135,4 +136,17 @@
     return std::nullopt;
 }
 
+CallEnd endOfForwarded(UpstreamResponse response)
+{
+    const std::string outcome = response.header(OutcomeHeader);
+    const auto code = static_cast<ResultCode>(std::strtoul(response.header(CodeHeader).c_str(), nullptr, 10));
+    if (outcome == outcomeName(Outcome::Answered)) {
+        return CallEnd { Outcome::Answered, code, std::move(response) };
+    }
+    if (outcome == outcomeName(Outcome::NotRun)) {
+        return CallEnd { Outcome::NotRun, code, {} };
+    }
+    return CallEnd { Outcome::Unknown, code == ResultCode::Ok ? ResultCode::KeyOwnerUnreachable : code, {} };
+}
+
 }
--- a/packages/daemon/daemon/callcontent.h
+++ b/packages/daemon/daemon/callcontent.h
@@ -35,6 +35,8 @@
     UpstreamResponse response;
 };
 
+/// The end that another entry states in its reply to a forwarded call; unknown when it states none.
+CallEnd endOfForwarded(UpstreamResponse response);
 /// True for headers that belong to one connection or to the protocol between entry and server, and are not passed on.
 bool isHopHeader(const std::string &name);
 /// The reply to the caller.
--- a/packages/daemon/daemon/enginelinks.cpp
+++ b/packages/daemon/daemon/enginelinks.cpp
@@ -64,4 +64,20 @@
     return it == contract->services.end() ? nullptr : &*it;
 }
 
+Entry::ServerRecord toServerRecord(const Membership::Record &record, Instant now)
+{
+    const auto &info = std::get<Membership::ServerInfo>(record.body);
+    Entry::ServerRecord server;
+    server.server = ServerId(record.key.id);
+    server.service = info.service;
+    server.dataCentre = info.dataCentre;
+    server.incarnation = record.incarnation;
+    server.slots = info.slots;
+    server.reportedInFlight = record.load;
+    server.reportAge = now - record.heardAt;
+    server.draining = record.leaving;
+    server.coldStart = info.coldStart;
+    return server;
+}
+
 }
--- a/packages/daemon/daemon/enginelinks.h
+++ b/packages/daemon/daemon/enginelinks.h
@@ -3,7 +3,9 @@
 #include "actions/actionregistry.h"
 #include "daemon/clusternode.h"
 #include "entry/engineinterfaces.h"
+#include "entry/serverrecord.h"
 #include "limits/customerlimits.h"
+#include "membership/record.h"
 
 namespace Galenabarrow::Daemon
 {
@@ -30,4 +32,7 @@
     Actions::ActionRegistry &m_registry;
 };
 
+/// What the engine needs of the record of a server.
+Entry::ServerRecord toServerRecord(const Membership::Record &record, Instant now);
+
 }
--- a/packages/daemon/daemon/entrynode.cpp
+++ b/packages/daemon/daemon/entrynode.cpp
@@ -47,36 +47,6 @@
     return limits;
 }
 
-Entry::ServerRecord toServerRecord(const Membership::Record &record, Instant now)
-{
-    const auto &info = std::get<Membership::ServerInfo>(record.body);
-    Entry::ServerRecord server;
-    server.server = ServerId(record.key.id);
-    server.service = info.service;
-    server.dataCentre = info.dataCentre;
-    server.incarnation = record.incarnation;
-    server.slots = info.slots;
-    server.reportedInFlight = record.load;
-    server.reportAge = now - record.heardAt;
-    server.draining = record.leaving;
-    server.coldStart = info.coldStart;
-    return server;
-}
-
-/// The outcome that another entry states in its reply; unknown when it states none.
-CallEnd endOfForwarded(UpstreamResponse response)
-{
-    const std::string outcome = response.header(OutcomeHeader);
-    const auto code = static_cast<ResultCode>(std::strtoul(response.header(CodeHeader).c_str(), nullptr, 10));
-    if (outcome == outcomeName(Outcome::Answered)) {
-        return CallEnd { Outcome::Answered, code, std::move(response) };
-    }
-    if (outcome == outcomeName(Outcome::NotRun)) {
-        return withoutResponse(Outcome::NotRun, code);
-    }
-    return withoutResponse(Outcome::Unknown, code == ResultCode::Ok ? ResultCode::KeyOwnerUnreachable : code);
-}
-
 }
 
 EntryNode::EntryNode(const Settings::DaemonSettings &settings, ClusterNode &cluster, Wire::PeerNetwork &network, std::mutex &lock,
--- a/packages/daemon/daemon/httpserver.cpp
+++ b/packages/daemon/daemon/httpserver.cpp
@@ -22,6 +22,10 @@
 {
 constexpr int ListenBacklog = 256;
 constexpr int MinThreads = 2;
+// A refused connection stays open for this long: closing it with unread bytes would reset it, and the caller could lose
+// the error.
+constexpr Duration RefusedLinger = std::chrono::milliseconds(500);
+constexpr std::size_t MaxRefused = 64;
 const Poco::Timespan AcceptPoll(0, 100'000);
 // A caller that was refused for its header or body gets this much of its data read, so that closing the connection does
 // not reset it before the caller has read the error.
@@ -222,6 +226,7 @@
 {
     while (!m_stopping) {
         try {
+            discardRefused();
             if (m_socket.poll(AcceptPoll, Poco::Net::Socket::SELECT_READ)) {
                 startConnection(m_socket.acceptConnection());
             }
@@ -246,6 +251,26 @@
         socket.setBlocking(false);
         socket.sendBytes(reply.data(), static_cast<int>(reply.size()));
         socket.shutdownSend();
+        m_refused.push_back(Refused { socket, m_clock.now() });
+    }
+}
+
+void HttpServer::discardRefused()
+{
+    std::array<char, 4096> buf {};
+    const Instant now = m_clock.now();
+    const auto isDone = [&](Refused &it) {
+        try {
+            return now - it.since > RefusedLinger || it.socket.receiveBytes(buf.data(), static_cast<int>(buf.size())) == 0;
+        } catch (const Poco::TimeoutException &) {
+            return false; // nothing to read at present
+        } catch (const Poco::Exception &) {
+            return true;
+        }
+    };
+    std::erase_if(m_refused, isDone);
+    while (m_refused.size() > MaxRefused) {
+        m_refused.pop_front();
     }
 }
 
--- a/packages/daemon/daemon/httpserver.h
+++ b/packages/daemon/daemon/httpserver.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <mutex>
 #include <string>
@@ -76,6 +77,7 @@
 
     void accept();
     void startConnection(Poco::Net::StreamSocket socket);
+    void discardRefused();
     void add(Connection &connection, const Poco::Net::StreamSocket &socket);
     void remove(Connection &connection);
     void setReading(Connection &connection, bool reading);
@@ -86,6 +88,11 @@
         Instant readingSince {};
     };
 
+    struct Refused {
+        Poco::Net::StreamSocket socket;
+        Instant since {};
+    };
+
     HttpLimits m_limits;
     const Clock &m_clock;
     Handler m_handler;
@@ -97,6 +104,8 @@
     Poco::Net::ServerSocket m_socket;
     Poco::Net::HTTPServerParams::Ptr m_params;
     Poco::ThreadPool m_pool;
+    /// Used by the acceptor only.
+    std::deque<Refused> m_refused;
     std::atomic<bool> m_stopping { false };
     std::thread m_acceptor;
 };
