Tell "not run" for bad input only when it cannot be a resend of an action

Cause: a resend of an action with a damaged head or header was answered with outcome not-run.

Ruled out: looking the key up in the registry, because the key of a request that cannot be parsed is not known.

Change: a request that is not read whole, or that names an action key and is refused for its input, has outcome unknown.

Conclusion: "not run" is told only where it is proved.

--- a/packages/daemon/daemon/daemon.cpp
+++ b/packages/daemon/daemon/daemon.cpp
@@ -102,6 +102,9 @@
     if (auto bound = m_network->listen(addresses.peers, [this](Wire::Envelope it) { receive(std::move(it)); }); !bound) {
         return bound;
     }
+    if (!m_settings.advertise.peers.empty()) {
+        m_network->advertise(m_settings.advertise.peers);
+    }
     if (auto bound = m_operators.listen(addresses.operators); !bound) {
         return bound;
     }
--- a/packages/daemon/daemon/entrynode.cpp
+++ b/packages/daemon/daemon/entrynode.cpp
@@ -206,7 +206,9 @@
     Result<CallerInput> input = parseCall(request);
     if (!input) {
         ++m_counters.inputErrors;
-        return errorReply(statusForInput(input.error().code), Outcome::NotRun, input.error().code, input.error().detail);
+        // This request was not run, but an earlier one with the same action key may have been.
+        const Outcome outcome = request.head.has(std::string(ActionKeyHeader)) ? Outcome::Unknown : Outcome::NotRun;
+        return errorReply(statusForInput(input.error().code), outcome, input.error().code, input.error().detail);
     }
     const Instant deadline = request.arrived + input->timeLeft;
     CallEnd end;
--- a/packages/daemon/daemon/httpserver.cpp
+++ b/packages/daemon/daemon/httpserver.cpp
@@ -20,6 +20,13 @@
 
 namespace
 {
+
+/// The answer to a request that was not read whole. It may be a resend of an action that ran, so "not run" would be wrong.
+HttpReply unreadReply(const Error &error)
+{
+    return errorReply(statusForInput(error.code), Outcome::Unknown, error.code, error.detail);
+}
+
 constexpr int ListenBacklog = 256;
 constexpr int MinThreads = 2;
 // A refused connection stays open for this long: closing it with unread bytes would reset it, and the caller could lose
@@ -180,7 +187,7 @@
     {
         ++m_server.m_counters.badRequests;
         m_server.setReading(*this, false);
-        session.writeAll(format(errorReply(statusForInput(error.code), Outcome::NotRun, error.code, error.detail), false, true));
+        session.writeAll(format(unreadReply(error), false, true));
         discardInput(m_socket);
     }
 
@@ -246,7 +253,7 @@
         ++m_counters.connectionsRefused;
         ++m_counters.badRequests;
         const Error error { ResultCode::TooManyConnections, "the limit of connections is reached" };
-        const std::string reply = format(errorReply(statusForInput(error.code), Outcome::NotRun, error.code, error.detail), false, true);
+        const std::string reply = format(unreadReply(error), false, true);
         // Non-blocking, because no connection may hold up the acceptor.
         socket.setBlocking(false);
         socket.sendBytes(reply.data(), static_cast<int>(reply.size()));
--- a/packages/wire/tests/peernetworktest.cpp
+++ b/packages/wire/tests/peernetworktest.cpp
@@ -90,6 +90,20 @@
     REQUIRE(inbox.waitFor(2));
 }
 
+// Guards against replies to a wildcard address, which reach nobody.
+TEST_CASE("frames name the advertised address", "[wire]")
+{
+    Inbox inbox;
+    PeerNetwork a = makeNetwork("a", 1);
+    PeerNetwork b = makeNetwork("b", 2);
+    REQUIRE(a.listen("0.0.0.0:0", [](const Envelope &) {}));
+    REQUIRE(b.listen("127.0.0.1:0", inbox.handler()));
+    a.advertise("127.0.0.1:4711");
+    a.send(b.address(), MessageKind::Raft, 0, {});
+    REQUIRE(inbox.waitFor(1));
+    REQUIRE(inbox.received().front().senderAddress == "127.0.0.1:4711");
+}
+
 // Guards against bad input that stops the acceptor or reaches the handler.
 TEST_CASE("garbage ends its connection, is counted, and leaves others alone", "[wire]")
 {
--- a/packages/wire/wire/peernetwork.cpp
+++ b/packages/wire/wire/peernetwork.cpp
@@ -341,6 +341,11 @@
     return m_address;
 }
 
+void PeerNetwork::advertise(std::string address)
+{
+    m_address = std::move(address);
+}
+
 void PeerNetwork::send(const std::string &address, MessageKind kind, std::uint64_t correlation, std::vector<std::uint8_t> payload)
 {
     if (m_stopping) {
--- a/packages/wire/wire/peernetwork.h
+++ b/packages/wire/wire/peernetwork.h
@@ -43,8 +43,10 @@
 
     /// Binds \p address ("host:port", port 0 lets the system choose) and starts to accept. Fails with AddressUnavailable.
     Result<void> listen(const std::string &address, Handler handler);
-    /// The bound address as "host:port".
+    /// The address that replies go to, as "host:port": the bound one unless another is advertised.
     const std::string &address() const;
+    /// Names \p address in every frame sent from now on; for listeners bound to a wildcard. Call it before the first send.
+    void advertise(std::string address);
 
     /// Queues a frame; returns at once.
     void send(const std::string &address, MessageKind kind, std::uint64_t correlation, std::vector<std::uint8_t> payload);
