Record a forwarded action once

Cause: an action that the wrong entry forwarded to the owner of its key was recorded at both, so the burn report counted it twice.

Ruled out: recording at the owner only, because the caller's latency holds the extra hop too.

Change: an entry that receives a forwarded call leaves the record to the entry that the caller asked.

Figures: new process test, calls recorded over two entries for one action: before 2, after 1.

Conclusion: the burn report counts what callers saw.

--- a/packages/daemon/daemon/entrynode.cpp
+++ b/packages/daemon/daemon/entrynode.cpp
@@ -226,6 +226,9 @@
         : end.outcome == Outcome::NotRun                                   ? m_counters.notRun
                                                                            : m_counters.unknown;
     ++counter;
+    if (!input->forwardedBy.empty()) {
+        return replyFor(std::move(end)); // recorded by the entry that the caller asked
+    }
     m_statistics.record(input->customer, input->service, Report::CallSample { end.outcome, end.code, m_clock.now() - request.arrived });
     return replyFor(std::move(end));
 }
--- a/packages/daemon/tests/callprocesstest.cpp
+++ b/packages/daemon/tests/callprocesstest.cpp
@@ -1,5 +1,7 @@
 #include <csignal>
 #include <future>
+#include <sstream>
+#include <string>
 #include <thread>
 
 #include <catch2/catch.hpp>
@@ -14,11 +16,38 @@
 namespace
 {
 
+/// The sum of all calls that a metrics page counts.
+std::size_t recordedCalls(const std::string &page)
+{
+    const std::string name = "galenabarrow_calls_total{";
+    std::size_t sum = 0;
+    std::istringstream lines(page);
+    for (std::string line; std::getline(lines, line);) {
+        if (line.rfind(name, 0) == 0) {
+            sum += std::stoull(line.substr(line.rfind(' ') + 1));
+        }
+    }
+    return sum;
+}
+
 /// A fast server, so that the tests spend their time on what they test.
 const std::vector<std::string> FastServer { "--service_time_us=500", "--distribution=fixed" };
 
 }
 
+// Guards against a burn report that counts a forwarded call at both entries.
+TEST_CASE("a forwarded action is recorded once", "[daemon][process]")
+{
+    Cluster cluster(2);
+    cluster.startServer(FastServer);
+    REQUIRE(cluster.action(1, cluster.keyScope(0) + ":forwarded").outcome == "answered");
+    std::size_t recorded = 0;
+    for (std::size_t n = 0; n < 2; ++n) {
+        recorded += recordedCalls(cluster.operate(n, "GET", "/metrics").body);
+    }
+    REQUIRE(recorded == 1);
+}
+
 // Guards against any break on the way from a lookup to the response of a server, over separate processes.
 TEST_CASE("a call is answered end to end", "[daemon][process]")
 {
