--- a/packages/daemon/daemon/callcontent.cpp
+++ b/packages/daemon/daemon/callcontent.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cstdlib>
 
 #include <Poco/String.h>
 
@@ -73,7 +74,7 @@
 }
 
 // A server may not keep itself out of use for longer than this by one header.
-constexpr std::int64_t MaxResetSeconds = 24 * 3600;
+constexpr std::int64_t MaxResetSeconds = 86'400;
 
 }
 
@@ -135,4 +136,17 @@
     return std::nullopt;
 }
 
+CallEnd endOfForwarded(UpstreamResponse response)
+{
+    const std::string outcome = response.header(OutcomeHeader);
+    const auto code = static_cast<ResultCode>(std::strtoul(response.header(CodeHeader).c_str(), nullptr, 10));
+    if (outcome == outcomeName(Outcome::Answered)) {
+        return CallEnd { Outcome::Answered, code, std::move(response) };
+    }
+    if (outcome == outcomeName(Outcome::NotRun)) {
+        return CallEnd { Outcome::NotRun, code, {} };
+    }
+    return CallEnd { Outcome::Unknown, code == ResultCode::Ok ? ResultCode::KeyOwnerUnreachable : code, {} };
+}
+
 }
--- a/packages/daemon/daemon/clusternode.cpp
+++ b/packages/daemon/daemon/clusternode.cpp
@@ -1,5 +1,6 @@
 #include "daemon/clusternode.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -40,10 +41,16 @@
     return gossip;
 }
 
+// Once a second keeps changes far below the bound of 7 s; twice a second took much of a control instance's 5 KB/s.
+constexpr Duration MaxFeedInterval = std::chrono::seconds(1);
+// With fewer, one lost reply and a late confirmation would fence the entry.
+constexpr int FeedsPerFreshnessLimit = 5;
+
 Control::FeedTiming feedTiming(const Settings::DaemonSettings &settings)
 {
     Control::FeedTiming timing;
     timing.freshnessLimit = settings.timings.freshnessLimit;
+    timing.interval = std::min(MaxFeedInterval, timing.freshnessLimit / FeedsPerFreshnessLimit);
     return timing;
 }
 
@@ -118,10 +125,10 @@
     }
 }
 
-Control::ProposalTicket ClusterNode::startProposal(Control::Command command, Duration patience)
+Control::ProposalTicket ClusterNode::startProposal(const Control::Command &command, Duration patience)
 {
     const Instant now = m_clock.now();
-    const Control::ProposalTicket ticket = m_proposals.propose(std::move(command), now + patience, now);
+    const Control::ProposalTicket ticket = m_proposals.propose(command, now + patience, now);
     send(m_proposals.takeOutgoing());
     return ticket;
 }
@@ -137,10 +144,10 @@
     return result;
 }
 
-Control::ProposalResult ClusterNode::propose(Control::Command command, Duration patience)
+Control::ProposalResult ClusterNode::propose(const Control::Command &command, Duration patience)
 {
     std::unique_lock lock(m_lock);
-    const Control::ProposalTicket ticket = startProposal(std::move(command), patience);
+    const Control::ProposalTicket ticket = startProposal(command, patience);
     std::optional<Control::ProposalResult> result;
     // Every proposal finishes at the latest at the first tick after its deadline.
     m_resultArrived.wait(lock, [&] { return (result = takeResult(ticket)).has_value(); });
--- a/packages/daemon/daemon/entrynode.cpp
+++ b/packages/daemon/daemon/entrynode.cpp
@@ -18,8 +18,10 @@
 constexpr Duration RegistrationPatience = std::chrono::seconds(3);
 constexpr Duration RegistrationPause = std::chrono::milliseconds(500);
 constexpr Duration ShareInterval = std::chrono::seconds(1);
+// An entry without calls keeps its lease of 3 s with fewer requests; all of them go to the one control leader.
+constexpr Duration IdleShareInterval = std::chrono::milliseconds(1500);
 // After this time without a reply, the request goes to all control instances, to find the leader.
-constexpr Duration ShareReplyTime = std::chrono::milliseconds(1500);
+constexpr Duration ShareReplyTime = std::chrono::milliseconds(2000);
 constexpr Duration SyncInterval = std::chrono::milliseconds(10);
 // A contract with a long deadline keeps the baseline of a new entry back for that long; the entry then serves with leased
 // shares only.
@@ -48,36 +50,6 @@
     return limits;
 }
 
-Entry::ServerRecord toServerRecord(const Membership::Record &record, Instant now)
-{
-    const auto &info = std::get<Membership::ServerInfo>(record.body);
-    Entry::ServerRecord server;
-    server.server = ServerId(record.key.id);
-    server.service = info.service;
-    server.dataCentre = info.dataCentre;
-    server.incarnation = record.incarnation;
-    server.slots = info.slots;
-    server.reportedInFlight = record.load;
-    server.reportAge = now - record.heardAt;
-    server.draining = record.leaving;
-    server.coldStart = info.coldStart;
-    return server;
-}
-
-/// The outcome that another entry states in its reply; unknown when it states none.
-CallEnd endOfForwarded(UpstreamResponse response)
-{
-    const std::string outcome = response.header(OutcomeHeader);
-    const auto code = static_cast<ResultCode>(std::strtoul(response.header(CodeHeader).c_str(), nullptr, 10));
-    if (outcome == outcomeName(Outcome::Answered)) {
-        return CallEnd { Outcome::Answered, code, std::move(response) };
-    }
-    if (outcome == outcomeName(Outcome::NotRun)) {
-        return withoutResponse(Outcome::NotRun, code);
-    }
-    return withoutResponse(Outcome::Unknown, code == ResultCode::Ok ? ResultCode::KeyOwnerUnreachable : code);
-}
-
 }
 
 EntryNode::EntryNode(const Settings::DaemonSettings &settings, ClusterNode &cluster, Wire::PeerNetwork &network, std::mutex &lock,
@@ -236,7 +208,9 @@
     Result<CallerInput> input = parseCall(request);
     if (!input) {
         ++m_counters.inputErrors;
-        return errorReply(statusForInput(input.error().code), Outcome::NotRun, input.error().code, input.error().detail);
+        // This request was not run, but an earlier one with the same action key may have been.
+        const Outcome outcome = request.head.has(std::string(ActionKeyHeader)) ? Outcome::Unknown : Outcome::NotRun;
+        return errorReply(statusForInput(input.error().code), outcome, input.error().code, input.error().detail);
     }
     const Instant deadline = request.arrived + input->timeLeft;
     CallEnd end;
@@ -252,6 +226,9 @@
         : end.outcome == Outcome::NotRun                                   ? m_counters.notRun
                                                                            : m_counters.unknown;
     ++counter;
+    if (!input->forwardedBy.empty()) {
+        return replyFor(std::move(end)); // recorded by the entry that the caller asked
+    }
     m_statistics.record(input->customer, input->service, Report::CallSample { end.outcome, end.code, m_clock.now() - request.arrived });
     return replyFor(std::move(end));
 }
@@ -298,7 +275,7 @@
 
 CallEnd EntryNode::forward(HttpRequest &request, const CallerInput &input, const InstanceId &owner, Instant deadline)
 {
-    const CallEnd unreachable = withoutResponse(Outcome::Unknown, ResultCode::KeyOwnerUnreachable);
+    CallEnd unreachable = withoutResponse(Outcome::Unknown, ResultCode::KeyOwnerUnreachable);
     std::optional<std::string> address;
     {
         const std::lock_guard lock(m_lock);
@@ -504,8 +481,9 @@
     if (now < m_nextShareRequest) {
         return;
     }
-    m_nextShareRequest = now + ShareInterval;
     const Limits::ShareRequest request = m_limits.makeRequest(now);
+    const bool isIdle = std::all_of(request.demands.begin(), request.demands.end(), [](const auto &it) { return it.rate == 0; });
+    m_nextShareRequest = now + (isIdle ? IdleShareInterval : ShareInterval);
     if (request.demands.empty()) {
         return;
     }
--- a/packages/daemon/daemon/httpserver.cpp
+++ b/packages/daemon/daemon/httpserver.cpp
@@ -20,8 +20,19 @@
 
 namespace
 {
+
+/// The answer to a request that was not read whole. It may be a resend of an action that ran, so "not run" would be wrong.
+HttpReply unreadReply(const Error &error)
+{
+    return errorReply(statusForInput(error.code), Outcome::Unknown, error.code, error.detail);
+}
+
 constexpr int ListenBacklog = 256;
 constexpr int MinThreads = 2;
+// A refused connection stays open for this long: closing it with unread bytes would reset it, and the caller could lose
+// the error.
+constexpr Duration RefusedLinger = std::chrono::milliseconds(500);
+constexpr std::size_t MaxRefused = 64;
 const Poco::Timespan AcceptPoll(0, 100'000);
 // A caller that was refused for its header or body gets this much of its data read, so that closing the connection does
 // not reset it before the caller has read the error.
@@ -44,7 +55,7 @@
 
 void discardInput(Poco::Net::StreamSocket &socket)
 {
-    std::array<char, 16 * 1024> buf {};
+    std::array<char, 16'384> buf {};
     std::size_t total = 0;
     socket.shutdownSend();
     while (total < MaxDiscardedBytes && socket.poll(DiscardPause, Poco::Net::Socket::SELECT_READ)) {
@@ -176,7 +187,7 @@
     {
         ++m_server.m_counters.badRequests;
         m_server.setReading(*this, false);
-        session.writeAll(format(errorReply(statusForInput(error.code), Outcome::NotRun, error.code, error.detail), false, true));
+        session.writeAll(format(unreadReply(error), false, true));
         discardInput(m_socket);
     }
 
@@ -222,6 +233,7 @@
 {
     while (!m_stopping) {
         try {
+            discardRefused();
             if (m_socket.poll(AcceptPoll, Poco::Net::Socket::SELECT_READ)) {
                 startConnection(m_socket.acceptConnection());
             }
@@ -236,16 +248,36 @@
     auto connection = std::make_unique<Connection>(socket, *this);
     try {
         m_pool.start(*connection);
-        connection.release();
+        (void)connection.release(); // deletes itself when its thread's work ends
     } catch (const Poco::NoThreadAvailableException &) {
         ++m_counters.connectionsRefused;
         ++m_counters.badRequests;
         const Error error { ResultCode::TooManyConnections, "the limit of connections is reached" };
-        const std::string reply = format(errorReply(statusForInput(error.code), Outcome::NotRun, error.code, error.detail), false, true);
+        const std::string reply = format(unreadReply(error), false, true);
         // Non-blocking, because no connection may hold up the acceptor.
         socket.setBlocking(false);
         socket.sendBytes(reply.data(), static_cast<int>(reply.size()));
         socket.shutdownSend();
+        m_refused.push_back(Refused { socket, m_clock.now() });
+    }
+}
+
+void HttpServer::discardRefused()
+{
+    std::array<char, 4096> buf {};
+    const Instant now = m_clock.now();
+    const auto isDone = [&](Refused &it) {
+        try {
+            return now - it.since > RefusedLinger || it.socket.receiveBytes(buf.data(), static_cast<int>(buf.size())) == 0;
+        } catch (const Poco::TimeoutException &) {
+            return false; // nothing to read at present
+        } catch (const Poco::Exception &) {
+            return true;
+        }
+    };
+    std::erase_if(m_refused, isDone);
+    while (m_refused.size() > MaxRefused) {
+        m_refused.pop_front();
     }
 }
 
