--- a/packages/bench/bench/scenario.cpp
+++ b/packages/bench/bench/scenario.cpp
@@ -70,7 +70,7 @@
 const std::vector<Deployment> &allDeployments()
 {
     static const std::vector<Deployment> Deployments {
-        { "abyssinia", { { 17, 3 }, { 16, 3 } }, 20'000 },
+        { "abyssinia", { { 17, 3 }, { 16, 3 } }, 0 },
         { "odalaigh", { { 15, 2 }, { 15, 2 } }, 700 },
     };
     return Deployments;
--- a/packages/entry/entry/callengine.h
+++ b/packages/entry/entry/callengine.h
@@ -31,7 +31,7 @@
     RoutingCosts costs;
     /// Refused attempts per 1,000 calls; above that, refused servers are left alone for longer. A low value saves server time;
     /// 0 stands for no limit and keeps the tail of the latency short near saturation.
-    std::uint32_t refusalPermille = 20'000;
+    std::uint32_t refusalPermille = 0;
     /// Calls that may wait for a server of one service.
     std::size_t queueLimit = 1000;
 };
--- a/packages/settings/settings/daemonsettings.h
+++ b/packages/settings/settings/daemonsettings.h
@@ -95,7 +95,7 @@
     /// Name of the routing strategy.
     std::string strategy = "least-expected-delay";
     /// Refused attempts per 1,000 calls above which full servers are tried less often; 0 for no limit.
-    std::uint32_t refusalPermille = 20'000;
+    std::uint32_t refusalPermille = 0;
 };
 
 struct LogSettings {
