--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -70,7 +70,7 @@
         echo "[operators]"
         echo 'token_file = "token"'
         echo "[log]"
-        echo 'threshold = "warn"'
+        echo "threshold = \"${log_threshold:-warn}\""
         echo "[control]"
         if [ "$4" = yes ]; then
             echo "data_folder = \"data-$1\""
--- a/scripts/cost.sh
+++ b/scripts/cost.sh
@@ -3,8 +3,9 @@
 # processes that it started, and bytes among instances from their own counters.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-build=${1:?usage: scripts/cost.sh <build folder> [seconds]}
+build=${1:?usage: scripts/cost.sh <build folder> [seconds] [calls per second]}
 seconds=${2:-20}
+rate=${3:-1000}
 bin=$build/bin
 # shellcheck source=scripts/cluster.sh
 source scripts/cluster.sh
@@ -43,10 +44,10 @@
 for it in "${entries[@]}"; do wait_for 60 has_serving "$it" 17; done
 sleep 5
 measure "idle"
-"$bin/galenabarrow-load" --entries="$(entry_addresses)" --dc=dc1 --customer=abyssinia --services=order-desk,dispatch --threads=16 --rate=1000 \
+"$bin/galenabarrow-load" --entries="$(entry_addresses)" --dc=dc1 --customer=abyssinia --services=order-desk,dispatch --threads=16 --rate="$rate" \
     --calls=10000000 --seconds=$((seconds + 10)) --action_permille=200 > "$work/load.json" &
 load_pid=$!
 sleep 3
-measure "1,000 calls/s over all"
+measure "$rate calls/s over all"
 wait "$load_pid"
 jq -c '{calls, seconds, outcomes}' "$work/load.json"
