Use the usual terms for timeouts and disconnected callers

Cause: "patience" and "forsaken calls" are not terms of the field.

Ruled out: one name setTimeout for the session, because POCO has it with another meaning.

Change: names and one comment only.

Conclusion: no change in behaviour.

--- a/packages/control/tests/simulation.cpp
+++ b/packages/control/tests/simulation.cpp
@@ -118,10 +118,10 @@
     }
 }
 
-void Simulation::proposeRemotely(const std::string &tag, const Command &command, Duration patience)
+void Simulation::proposeRemotely(const std::string &tag, const Command &command, Duration timeout)
 {
     const Instant time = timeAt(Operator);
-    m_tags[{ Operator, operatorClient->propose(command, time + patience, time) }] = tag;
+    m_tags[{ Operator, operatorClient->propose(command, time + timeout, time) }] = tag;
 }
 
 std::string Simulation::leader() const
--- a/packages/control/tests/simulation.h
+++ b/packages/control/tests/simulation.h
@@ -57,7 +57,7 @@
     /// All results in the order of their arrival.
     std::vector<std::pair<std::string, ProposalResult>> resultOrder;
     /// Proposes as an operator elsewhere; the result appears in results under \p tag.
-    void proposeRemotely(const std::string &tag, const Command &command, Duration patience);
+    void proposeRemotely(const std::string &tag, const Command &command, Duration timeout);
 
     /// The leader with the highest term; empty without one.
     std::string leader() const;
--- a/packages/daemon/daemon/callrunner.cpp
+++ b/packages/daemon/daemon/callrunner.cpp
@@ -19,7 +19,7 @@
 // Receive timeouts end an attempt in time; this is for responses that arrive in small pieces.
 constexpr Duration ExpiryGrace = std::chrono::milliseconds(20);
 constexpr Duration CancellationTime = std::chrono::milliseconds(200);
-// Cancellations are a courtesy to the server; above this many waiting ones the rest is dropped.
+// Servers do not depend on cancellations; above this many waiting ones the rest is dropped.
 constexpr std::size_t MaxWaitingJobs = 256;
 
 std::int64_t unixSeconds()
@@ -109,18 +109,18 @@
     }
 }
 
-void CallRunner::abandonForsakenCalls(Instant now)
+void CallRunner::abandonDisconnectedCalls(Instant now)
 {
     std::vector<Entry::Effect> effects;
     const std::lock_guard lock(m_lock);
-    std::vector<CallId> forsaken;
+    std::vector<CallId> disconnected;
     for (auto &[id, call] : m_calls) {
         if (!call->isAbandoned && !call->finish && hasClosed(call->caller)) {
             call->isAbandoned = true;
-            forsaken.push_back(id);
+            disconnected.push_back(id);
         }
     }
-    for (const CallId &id : forsaken) {
+    for (const CallId &id : disconnected) {
         m_engine.abandon(id, now, effects);
     }
     apply(effects);
--- a/packages/daemon/daemon/callrunner.h
+++ b/packages/daemon/daemon/callrunner.h
@@ -43,7 +43,7 @@
     /// Runs the engine's tick and gives up attempts whose deadline has passed; called on every tick without the lock.
     void tick(Instant now);
     /// Abandons the calls whose callers have closed their connection; called a few times per second without the lock.
-    void abandonForsakenCalls(Instant now);
+    void abandonDisconnectedCalls(Instant now);
     /// Calls that have not ended.
     std::size_t callsInProgress() const;
     /// Ends the workers; called when no call is left.
--- a/packages/daemon/daemon/clusternode.cpp
+++ b/packages/daemon/daemon/clusternode.cpp
@@ -125,10 +125,10 @@
     }
 }
 
-Control::ProposalTicket ClusterNode::startProposal(const Control::Command &command, Duration patience)
+Control::ProposalTicket ClusterNode::startProposal(const Control::Command &command, Duration timeout)
 {
     const Instant now = m_clock.now();
-    const Control::ProposalTicket ticket = m_proposals.propose(command, now + patience, now);
+    const Control::ProposalTicket ticket = m_proposals.propose(command, now + timeout, now);
     send(m_proposals.takeOutgoing());
     return ticket;
 }
@@ -144,10 +144,10 @@
     return result;
 }
 
-Control::ProposalResult ClusterNode::propose(const Control::Command &command, Duration patience)
+Control::ProposalResult ClusterNode::propose(const Control::Command &command, Duration timeout)
 {
     std::unique_lock lock(m_lock);
-    const Control::ProposalTicket ticket = startProposal(command, patience);
+    const Control::ProposalTicket ticket = startProposal(command, timeout);
     std::optional<Control::ProposalResult> result;
     // Every proposal finishes at the latest at the first tick after its deadline.
     m_resultArrived.wait(lock, [&] { return (result = takeResult(ticket)).has_value(); });
--- a/packages/daemon/daemon/clusternode.h
+++ b/packages/daemon/daemon/clusternode.h
@@ -46,10 +46,10 @@
     void tick(Instant now);
     /// Sends what the cores have to send; call it with the lock held after a change that should spread at once.
     void flush(Instant now);
-    /// Blocks until \p command is decided or \p patience has passed; call it without the lock.
-    Control::ProposalResult propose(const Control::Command &command, Duration patience);
+    /// Blocks until \p command is decided or \p timeout has passed; call it without the lock.
+    Control::ProposalResult propose(const Control::Command &command, Duration timeout);
     /// Sends a proposal without waiting for its result; with the lock held.
-    Control::ProposalTicket startProposal(const Control::Command &command, Duration patience);
+    Control::ProposalTicket startProposal(const Control::Command &command, Duration timeout);
     /// The result of a started proposal, once; with the lock held.
     std::optional<Control::ProposalResult> takeResult(Control::ProposalTicket ticket);
 
--- a/packages/daemon/daemon/daemon.cpp
+++ b/packages/daemon/daemon/daemon.cpp
@@ -17,7 +17,7 @@
 constexpr Duration ClusterTick = std::chrono::milliseconds(20);
 // Requests that callers sent just before the end of max-age still arrive.
 constexpr Duration Linger = std::chrono::seconds(1);
-constexpr Duration DeregisterPatience = std::chrono::seconds(2);
+constexpr Duration DeregistrationTimeout = std::chrono::seconds(2);
 
 HttpLimits httpLimits(const Settings::LimitSettings &settings)
 {
@@ -163,7 +163,7 @@
         m_callers.closeAfterReplies();
         m_entry->stopAccepting();
         waitForCalls(limit);
-        m_entry->deregister(DeregisterPatience);
+        m_entry->deregister(DeregistrationTimeout);
     }
     m_log.info("stopped");
 }
--- a/packages/daemon/daemon/entrynode.cpp
+++ b/packages/daemon/daemon/entrynode.cpp
@@ -15,7 +15,7 @@
 namespace
 {
 
-constexpr Duration RegistrationPatience = std::chrono::seconds(3);
+constexpr Duration RegistrationTimeout = std::chrono::seconds(3);
 constexpr Duration RegistrationPause = std::chrono::milliseconds(500);
 constexpr Duration ShareInterval = std::chrono::seconds(1);
 // An entry without calls keeps its lease of 3 s with fewer requests; all of them go to the one control leader.
@@ -122,7 +122,7 @@
     m_runner.tick(now);
     if (now >= m_nextHousekeeping) {
         m_nextHousekeeping = now + HousekeepingInterval;
-        m_runner.abandonForsakenCalls(now);
+        m_runner.abandonDisconnectedCalls(now);
         m_upstream.closeIdle(now);
     }
 }
@@ -159,12 +159,12 @@
     return m_runner.callsInProgress();
 }
 
-void EntryNode::deregister(Duration patience)
+void EntryNode::deregister(Duration timeout)
 {
     const Identity &self = m_cluster.identity();
     Control::EntryRemoval removal { ChangeId("remove-" + self.instance.value() + "-" + std::to_string(self.incarnation.value())),
                                     self.instance };
-    const Control::ProposalResult result = m_cluster.propose(std::move(removal), patience);
+    const Control::ProposalResult result = m_cluster.propose(std::move(removal), timeout);
     m_log.info("entry removed", { { "code", std::string(resultCodeName(result.code)) } });
 }
 
@@ -473,7 +473,7 @@
     Control::EntryRegistration registration;
     registration.id = ChangeId("register-" + self.instance.value() + "-" + std::to_string(self.incarnation.value()));
     registration.entry = Control::RegisteredEntry { self.instance, self.incarnation, self.callerAddress, self.dataCentre };
-    m_registration = m_cluster.startProposal(std::move(registration), RegistrationPatience);
+    m_registration = m_cluster.startProposal(std::move(registration), RegistrationTimeout);
 }
 
 void EntryNode::requestShares(Instant now)
--- a/packages/daemon/daemon/entrynode.h
+++ b/packages/daemon/daemon/entrynode.h
@@ -56,8 +56,8 @@
     /// From now on no new call is accepted.
     void stopAccepting();
     std::size_t callsInProgress() const;
-    /// Removes the registration, as far as control answers within \p patience.
-    void deregister(Duration patience);
+    /// Removes the registration, as far as control answers within \p timeout.
+    void deregister(Duration timeout);
 
     const CallCounters &counters() const;
     const UpstreamCounters &upstreamCounters() const;
--- a/packages/daemon/daemon/operatorsapi.cpp
+++ b/packages/daemon/daemon/operatorsapi.cpp
@@ -20,7 +20,7 @@
 constexpr std::string_view ContractsPath = "/v1/contracts";
 constexpr std::string_view ServersPath = "/v1/servers/";
 constexpr std::string_view DrainSuffix = "/drain";
-constexpr Duration ChangePatience = std::chrono::seconds(5);
+constexpr Duration ChangeTimeout = std::chrono::seconds(5);
 
 /// Takes the same time wherever two texts of one length differ, so that the time tells nothing about the token.
 bool isEqual(std::string_view a, std::string_view b)
@@ -176,7 +176,7 @@
     if (!change) {
         return inputError(change.error());
     }
-    const Control::ProposalResult result = m_cluster.propose(*change, ChangePatience);
+    const Control::ProposalResult result = m_cluster.propose(*change, ChangeTimeout);
     return changeReply(ChangeResult { result.code, result.version, result.winner });
 }
 
--- a/packages/daemon/daemon/upstreamclient.cpp
+++ b/packages/daemon/daemon/upstreamclient.cpp
@@ -150,7 +150,7 @@
     UpstreamResponse response;
     session.resetHandedOver();
     try {
-        session.setPatience(request.deadline - m_clock.now());
+        session.setSocketTimeouts(request.deadline - m_clock.now());
         session.writeAll(format(request));
         receive(request, session, response);
     } catch (const Poco::TimeoutException &) {
@@ -174,7 +174,7 @@
 void UpstreamClient::receive(const UpstreamRequest &request, UpstreamSession &session, UpstreamResponse &response)
 {
     Poco::Net::HTTPResponse head;
-    session.setPatience(request.deadline - m_clock.now());
+    session.setSocketTimeouts(request.deadline - m_clock.now());
     const ResponseEnd end = session.receiveWhole(request.method, head, response.body);
     if (end != ResponseEnd::Whole) {
         response.body.clear();
--- a/packages/daemon/daemon/upstreamsession.cpp
+++ b/packages/daemon/daemon/upstreamsession.cpp
@@ -17,7 +17,7 @@
 constexpr std::size_t MaxChunkLine = 1024;
 constexpr int HexBase = 16;
 // A receive timeout of 0 would wait without end.
-constexpr Duration LeastPatience = std::chrono::milliseconds(1);
+constexpr Duration MinSocketTimeout = std::chrono::milliseconds(1);
 
 /// The length in a chunk's first line; chunk extensions are ignored.
 bool parseChunkLength(const std::string &line, std::size_t &length)
@@ -41,7 +41,7 @@
 
 void UpstreamSession::open(Duration timeout)
 {
-    const Poco::Timespan span(std::max(timeout, LeastPatience).count());
+    const Poco::Timespan span(std::max(timeout, MinSocketTimeout).count());
     setTimeout(span, span, span);
     reconnect();
     socket().setNoDelay(true);
@@ -52,9 +52,9 @@
     return !connected() || hasLeftover() || socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
 }
 
-void UpstreamSession::setPatience(Duration timeout)
+void UpstreamSession::setSocketTimeouts(Duration timeout)
 {
-    const Poco::Timespan span(std::max(timeout, LeastPatience).count());
+    const Poco::Timespan span(std::max(timeout, MinSocketTimeout).count());
     socket().setSendTimeout(span);
     socket().setReceiveTimeout(span);
 }
--- a/packages/teststand/teststand/loadgenerator.cpp
+++ b/packages/teststand/teststand/loadgenerator.cpp
@@ -29,7 +29,7 @@
 using SteadyTime = std::chrono::steady_clock::time_point;
 constexpr std::uint64_t Permille = 1000;
 // A caller waits a little longer than its deadline, because the entry answers at the deadline.
-constexpr std::int64_t PatienceMs = 2000;
+constexpr std::int64_t GraceMs = 2000;
 constexpr int ActionTries = 3;
 
 struct Target {
@@ -176,7 +176,7 @@
         if (!session) {
             session = std::make_unique<Poco::Net::HTTPClientSession>(Poco::Net::SocketAddress(address));
             session->setKeepAlive(true);
-            session->setTimeout(Poco::Timespan(1, 0), Poco::Timespan(1, 0), Poco::Timespan((m_config.deadlineMs + PatienceMs) * 1000));
+            session->setTimeout(Poco::Timespan(1, 0), Poco::Timespan(1, 0), Poco::Timespan((m_config.deadlineMs + GraceMs) * 1000));
         }
         return *session;
     }
