Do not claim a key for an action whose deadline has passed

The test of bad input sends an action without a key scope and without time left, and expected not-run with code 104. The entry claimed the key in the replicated log; whether the claim was decided before the first tick after the deadline depended on the speed of the disk. When it was not, the answer was unknown with code 205.

Ruled out: a longer time for the claim (the caller has gone, and an overload of expired calls would load control), and not-run without a claim (an earlier request with the key may have run at another entry).

Change: a claim needs time left, so the answer is always unknown with code 205.

Conclusion: the test depended on the time that a claim takes; the product's answer no longer does.

--- a/packages/daemon/daemon/entrynode.cpp
+++ b/packages/daemon/daemon/entrynode.cpp
@@ -309,6 +309,11 @@
 
 Actions::KeyOwnership EntryNode::claim(const CallerInput &input, InstanceId &owner, Instant deadline)
 {
+    // A claim that cannot be decided in time only adds load to control. Whether it was decided before the first tick after
+    // the deadline depended on the speed of the disk.
+    if (m_clock.now() >= deadline) {
+        return Actions::KeyOwnership::Unclaimed;
+    }
     {
         const std::lock_guard lock(m_lock);
         if (!m_registry.canClaim()) {
