Use server records from peers at once

Cause: an action right after the status page of its entry showed the server got code 105, no server. Records that arrive by gossip entered the membership table at once, which the status page shows, and the call engine only at the next tick of 10 ms, or later on a busy machine. Records that servers announce to the entry itself were used at once.

Ruled out: a wait in the test (callers see the same), and reading the status from the engine (a drain would still take effect later than it arrives).

Change: the entry takes changed server records into the engine when a message has been received. The limit of freshness in process tests is 1 s again; only the test of a deadline that passes in a freeze takes 5 s, so that the fence does not hide the check of the deadline.

The window is too short for a test of its own that fails reliably without the change.

Conclusion: what the status page shows is what the next call uses; drains from peers take effect up to 10 ms earlier.

--- a/packages/daemon/daemon/daemon.cpp
+++ b/packages/daemon/daemon/daemon.cpp
@@ -217,6 +217,9 @@
         return;
     }
     m_cluster->receive(envelope, now);
+    if (m_entry) {
+        m_entry->syncServers(now);
+    }
 }
 
 void Daemon::runTicks()
--- a/packages/daemon/daemon/entrynode.h
+++ b/packages/daemon/daemon/entrynode.h
@@ -48,6 +48,8 @@
     HttpReply handleAnnouncement(const HttpRequest &request);
     /// Takes a ShareReply; with the lock held.
     void receive(const Wire::Envelope &envelope, Instant now);
+    /// Takes changed records of servers into the call engine, so that calls see what the status page shows; with the lock held.
+    void syncServers(Instant now);
     /// Call it every millisecond while there are calls, and every few milliseconds otherwise; without the lock.
     void tick(Instant now);
 
@@ -78,7 +80,6 @@
     std::optional<std::string> serverAddress(const ServerId &server) const;
 
     void syncContracts(Instant now);
-    void syncServers(Instant now);
     void updateSelf(Instant now);
     void registerSelf(Instant now);
     bool isRegistered() const;
--- a/packages/daemon/tests/entryprocesstest.cpp
+++ b/packages/daemon/tests/entryprocesstest.cpp
@@ -63,7 +63,7 @@
     constexpr int FreshnessLimitMs = 1000;
     Cluster cluster(2, FreshnessLimitMs);
     cluster.startServer(FastServer);
-    REQUIRE(waitUntil([&] { return cluster.call(1, "GET", "/stock").outcome == "answered"; }));
+    REQUIRE(cluster.call(1, "GET", "/stock").outcome == "answered");
     const std::string key = cluster.keyScope(1) + ":frozen";
     cluster.entry(1).process->signal(SIGSTOP);
     auto action = std::async(std::launch::async, [&] { return cluster.action(1, key, {}, 20'000); });
@@ -83,7 +83,9 @@
 // Guards against calls that wait in the queue while the process is frozen and are dispatched after their deadline.
 TEST_CASE("a call whose deadline passed while the entry was frozen is not dispatched", "[daemon][process]")
 {
-    Cluster cluster(1);
+    // Longer than the freeze, so that the deadline alone has to prevent the dispatch.
+    constexpr int FreshnessLimitMs = 5000;
+    Cluster cluster(1, FreshnessLimitMs);
     cluster.startServer({ "--service_time_us=400000", "--distribution=fixed", "--slots=1" });
     const std::string scope = cluster.keyScope(0);
     auto first = std::async(std::launch::async, [&] { return cluster.action(0, scope + ":first"); });
--- a/packages/daemon/tests/processfixture.h
+++ b/packages/daemon/tests/processfixture.h
@@ -67,9 +67,8 @@
 class Cluster
 {
 public:
-    /// \p freshnessLimitMs is the age of the contracts at which an entry is fenced. Tests of the fence take a short one; the
-    /// others a longer one, since a busy disk or machine can hold up the control instance for more than a second.
-    explicit Cluster(std::size_t entryCount, int freshnessLimitMs = 3000);
+    /// \p freshnessLimitMs is the age of the contracts at which an entry is fenced.
+    explicit Cluster(std::size_t entryCount, int freshnessLimitMs = 1000);
 
     Entry &entry(std::size_t number);
     std::vector<std::string> callerAddresses() const;
