Move the ownership of actions out of EntryNode

Ruled out: a split of the registration at the same time, since others work on it.

Change: ActionDispatcher claims keys, finds their owner, and runs the action here or forwards it. CallCounters has a header of its own. No change of behaviour.

Conclusion: the path of an action can be read in one file.

--- a/packages/daemon/daemon/entrynode.cpp
+++ b/packages/daemon/daemon/entrynode.cpp
@@ -28,11 +28,6 @@
 constexpr Duration LongestUnlisted = std::chrono::seconds(30);
 constexpr Duration HousekeepingInterval = std::chrono::milliseconds(100);
 
-CallEnd withoutResponse(Outcome outcome, ResultCode code)
-{
-    return CallEnd { outcome, code, {} };
-}
-
 Entry::EngineConfig engineConfig(const Settings::DaemonSettings &settings)
 {
     Entry::EngineConfig config;
@@ -68,6 +63,9 @@
     , m_runner(
           m_engine, m_links, lock, m_upstream, [this](const ServerId &server) { return serverAddress(server); },
           cluster.identity().instance.value() + "." + std::to_string(cluster.identity().incarnation.value()), clock)
+    , m_actions(
+          cluster, m_registry, m_upstream, m_counters, lock, clock,
+          [this](HttpRequest &request, const CallerInput &input, Instant deadline) { return runOwn(request, input, false, deadline); })
     , m_info(std::get<Membership::InstanceInfo>(cluster.gossip().self().body))
     , m_freshnessLimit(settings.timings.freshnessLimit)
 {
@@ -217,7 +215,7 @@
     if (isIdempotentCall(request, *input)) {
         end = runOwn(request, *input, true, deadline);
     } else if (input->key) {
-        end = runAction(request, *input, deadline);
+        end = m_actions.run(request, *input, deadline);
     } else {
         ++m_counters.inputErrors;
         return errorReply(400, Outcome::NotRun, ResultCode::HeaderMissing, std::string(ActionKeyHeader) + " is missing for an action");
@@ -233,31 +231,6 @@
     return replyFor(std::move(end));
 }
 
-CallEnd EntryNode::runAction(HttpRequest &request, CallerInput &input, Instant deadline)
-{
-    InstanceId owner;
-    Actions::KeyOwnership ownership = Actions::KeyOwnership::Unclaimed;
-    if (input.key->scope) {
-        owner = input.key->scope->owner;
-        const std::lock_guard lock(m_lock);
-        ownership = m_registry.ownership(*input.key);
-    } else {
-        ownership = claim(input, owner, deadline);
-    }
-    switch (ownership) {
-    case Actions::KeyOwnership::Own:
-        return runOwn(request, input, false, deadline);
-    case Actions::KeyOwnership::OtherInstance:
-        return forward(request, input, owner, deadline);
-    case Actions::KeyOwnership::EndedIncarnation:
-        return withoutResponse(Outcome::Unknown, ResultCode::KeyOwnerEnded);
-    case Actions::KeyOwnership::Unclaimed:
-        break;
-    }
-    // An earlier request with this key may have been claimed and run by another entry.
-    return withoutResponse(Outcome::Unknown, ResultCode::KeyOwnerUnreachable);
-}
-
 CallEnd EntryNode::runOwn(HttpRequest &request, const CallerInput &input, bool isIdempotent, Instant deadline)
 {
     Entry::CallRequest call;
@@ -273,86 +246,12 @@
     return m_runner.run(call, contentOf(request, input, !isIdempotent), request.connection);
 }
 
-CallEnd EntryNode::forward(HttpRequest &request, const CallerInput &input, const InstanceId &owner, Instant deadline)
-{
-    CallEnd unreachable = withoutResponse(Outcome::Unknown, ResultCode::KeyOwnerUnreachable);
-    std::optional<std::string> address;
-    {
-        const std::lock_guard lock(m_lock);
-        address = callerAddressOf(owner);
-    }
-    // A call is forwarded once, so that two entries that disagree about an owner never pass it back and forth.
-    if (!address || !input.forwardedBy.empty()) {
-        return unreachable;
-    }
-    ++m_counters.forwarded;
-    UpstreamRequest forwarded { *address, request.head.getMethod(), request.head.getURI(), {}, std::move(request.body), deadline, true };
-    for (const auto &field : request.head) {
-        if (!isHopHeader(field.first)) {
-            forwarded.headers.push_back(field);
-        }
-    }
-    for (const char *name : { CustomerHeader, ActionKeyHeader, DepthHeader, AttemptHeader, "Content-Type" }) {
-        if (request.head.has(name)) {
-            forwarded.headers.emplace_back(name, request.head.get(name));
-        }
-    }
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - m_clock.now());
-    forwarded.headers.emplace_back(DeadlineHeader, std::to_string(std::max<std::int64_t>(left.count(), 0)));
-    forwarded.headers.emplace_back(ForwardedHeader, m_cluster.identity().instance.value());
-    // The owner answers at the deadline at the latest; its answer still has to arrive here.
-    forwarded.deadline = deadline + std::chrono::milliseconds(50);
-    ExchangeHandle handle;
-    UpstreamResponse response = m_upstream.exchange(forwarded, handle);
-    return response.end == Entry::AttemptEnd::Answered ? endOfForwarded(std::move(response)) : unreachable;
-}
-
-Actions::KeyOwnership EntryNode::claim(const CallerInput &input, InstanceId &owner, Instant deadline)
-{
-    // A claim that cannot be decided in time only adds load to control. Whether it was decided before the first tick after
-    // the deadline depended on the speed of the disk.
-    if (m_clock.now() >= deadline) {
-        return Actions::KeyOwnership::Unclaimed;
-    }
-    {
-        const std::lock_guard lock(m_lock);
-        if (!m_registry.canClaim()) {
-            return Actions::KeyOwnership::Unclaimed;
-        }
-    }
-    ++m_counters.claims;
-    const Identity &self = m_cluster.identity();
-    const std::string key = Actions::printActionKey(Actions::qualified(*input.key, input.customer));
-    const Control::ProposalResult result =
-        m_cluster.propose(Control::KeyClaim { key, self.instance, self.incarnation }, deadline - m_clock.now());
-    if (result.code != ResultCode::Ok) {
-        return Actions::KeyOwnership::Unclaimed;
-    }
-    owner = result.owner;
-    const std::lock_guard lock(m_lock);
-    return m_registry.ownership(result.owner, result.ownerIncarnation);
-}
-
 bool EntryNode::isIdempotentCall(const HttpRequest &request, const CallerInput &input)
 {
     const std::lock_guard lock(m_lock);
     return isIdempotent(request.head.getMethod(), input.target, m_links.serviceTerms(input.customer, input.service));
 }
 
-std::optional<std::string> EntryNode::callerAddressOf(const InstanceId &instance) const
-{
-    const Membership::Record *record = m_cluster.members().find({ Membership::RecordKind::Instance, instance.value() });
-    if (record != nullptr) {
-        return std::get<Membership::InstanceInfo>(record->body).callerAddress;
-    }
-    for (const Control::RegisteredEntry &it : m_cluster.feed().registeredEntries()) {
-        if (it.instance == instance) {
-            return it.address;
-        }
-    }
-    return std::nullopt;
-}
-
 std::optional<std::string> EntryNode::serverAddress(const ServerId &server) const
 {
     const Membership::Record *record = m_cluster.members().find({ Membership::RecordKind::Server, server.value() });
--- a/packages/daemon/daemon/entrynode.h
+++ b/packages/daemon/daemon/entrynode.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <atomic>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -10,6 +9,8 @@
 #include "actions/actionregistry.h"
 #include "base/clock.h"
 #include "base/log.h"
+#include "daemon/actiondispatcher.h"
+#include "daemon/callcounters.h"
 #include "daemon/callerinput.h"
 #include "daemon/callrunner.h"
 #include "daemon/clusternode.h"
@@ -22,16 +23,6 @@
 namespace Galenabarrow::Daemon
 {
 
-/// How calls ended at this entry.
-struct CallCounters {
-    std::atomic<std::uint64_t> answered { 0 };
-    std::atomic<std::uint64_t> notRun { 0 };
-    std::atomic<std::uint64_t> unknown { 0 };
-    std::atomic<std::uint64_t> inputErrors { 0 };
-    std::atomic<std::uint64_t> forwarded { 0 };
-    std::atomic<std::uint64_t> claims { 0 };
-};
-
 /// The role entry: answers callers and servers. Its cores are guarded by the lock of the ClusterNode.
 class EntryNode
 {
@@ -71,12 +62,8 @@
 private:
     HttpReply handleLookup(const HttpRequest &request);
     HttpReply handleCall(HttpRequest &request);
-    CallEnd runAction(HttpRequest &request, CallerInput &input, Instant deadline);
     CallEnd runOwn(HttpRequest &request, const CallerInput &input, bool isIdempotent, Instant deadline);
-    CallEnd forward(HttpRequest &request, const CallerInput &input, const InstanceId &owner, Instant deadline);
-    Actions::KeyOwnership claim(const CallerInput &input, InstanceId &owner, Instant deadline);
     bool isIdempotentCall(const HttpRequest &request, const CallerInput &input);
-    std::optional<std::string> callerAddressOf(const InstanceId &instance) const;
     std::optional<std::string> serverAddress(const ServerId &server) const;
 
     void syncContracts(Instant now);
@@ -102,6 +89,7 @@
     Entry::CallEngine m_engine;
     UpstreamClient m_upstream;
     CallRunner m_runner;
+    ActionDispatcher m_actions;
 
     std::uint64_t m_seenFeedChanges = 0;
     std::uint64_t m_seenMemberChanges = 0;
