--- a/packages/teststand/teststand/loadgenerator.cpp
+++ b/packages/teststand/teststand/loadgenerator.cpp
@@ -109,7 +109,7 @@
         call.isAction = m_random.below(Permille) < m_config.actionPermille;
         const std::string &service = m_config.services[m_random.below(m_config.services.size())];
         const std::string prefix = m_config.direct.empty() ? "/s/" + service : std::string();
-        call.path = prefix + (call.isAction ? "/orders" : "/stock");
+        call.path = prefix + (call.isAction ? "/orders" : m_config.lookupPath);
         if (call.isAction) {
             call.key = m_targets.front().keyScope + ":" + call.mark;
         }
--- a/packages/teststand/teststand/loadgenerator.h
+++ b/packages/teststand/teststand/loadgenerator.h
@@ -20,6 +20,8 @@
     std::string dataCentre;
     std::string customer;
     std::vector<std::string> services;
+    /// The path of lookups, below the service.
+    std::string lookupPath = "/stock";
     std::uint32_t threads = 4;
     /// Calls per second over all threads; 0 sends the next call when the last one has ended.
     std::uint32_t ratePerSecond = 0;
--- a/packages/teststand/teststand/loadmain.cpp
+++ b/packages/teststand/teststand/loadmain.cpp
@@ -18,6 +18,7 @@
 DEFINE_uint32(deadline_ms, 1000, "deadline of each call");
 DEFINE_uint32(action_permille, 0, "share of actions, per 1,000");
 DEFINE_uint32(body_bytes, 200, "size of the bodies of responses");
+DEFINE_string(lookup_path, "/stock", "path of lookups; the contract has to name it as idempotent");
 DEFINE_uint64(seed, 1, "seed of the random numbers");
 DEFINE_string(behaviours, "", "behaviours of the stand-in server to ask for in turn");
 DEFINE_uint32(behaviour_every, 10, "one call in this many asks for a behaviour");
@@ -61,6 +62,7 @@
     config.deadlineMs = FLAGS_deadline_ms;
     config.actionPermille = FLAGS_action_permille;
     config.bodyBytes = FLAGS_body_bytes;
+    config.lookupPath = FLAGS_lookup_path;
     config.seed = FLAGS_seed;
     config.behaviours = split(FLAGS_behaviours);
     config.behaviourEvery = std::max(1U, FLAGS_behaviour_every);
