Fill the connections of an entry reliably in the test of their bound

Cause: "connections are bounded and slow senders time out" failed once in 3 runs of test-daemon at once on a busy machine: no call got code 408 within a minute. The test opens 80 slow senders and then calls until it is refused. A call or an announcement that has one of the 64 connections while the last sender is refused leaves its place free when it ends; from then on each call finds that place.

Ruled out: a fault of the bound.

Change: each call that is not refused is followed by one more slow sender. The codes that were seen are printed on failure. All checks stay.

Conclusion: the test no longer depends on who has a connection at that moment.

--- a/packages/daemon/tests/entryprocesstest.cpp
+++ b/packages/daemon/tests/entryprocesstest.cpp
@@ -1,6 +1,7 @@
 #include <chrono>
 #include <csignal>
 #include <future>
+#include <map>
 #include <thread>
 
 #include <catch2/catch.hpp>
@@ -236,10 +237,21 @@
     const std::string callers = cluster.entry(0).callers;
     // More than the limit of 64 connections of these clusters; the stand-in server's announcements need one now and then.
     std::vector<std::future<std::string>> slow;
-    for (int n = 0; n < 80; ++n) {
+    const auto addSlowSender = [&] {
         slow.push_back(std::async(std::launch::async, [&] { return sendRaw(callers, "GET /s/orders/stock HTTP/1.1\r\nHost:", false); }));
+    };
+    for (int n = 0; n < 80; ++n) {
+        addSlowSender();
     }
-    REQUIRE(waitUntil([&] { return cluster.call(0, "GET", "/stock").code == 408; }));
+    // A call or announcement that had a connection while the senders came leaves its place free, so each try adds a sender.
+    std::map<int, int> codes;
+    const bool isFull = waitUntil([&] {
+        ++codes[cluster.call(0, "GET", "/stock").code];
+        addSlowSender();
+        return codes.contains(408);
+    });
+    CAPTURE(codes);
+    REQUIRE(isFull);
     int held = 0;
     for (auto &it : slow) {
         const std::string answer = it.get();
