Let a call wait for a share that was asked for

The entry refuses a call as soon as its own share of the limit is used up, although the leader could grant more within milliseconds.

Ruled out: larger baselines (their sum must stay within the contract), and a wait for every refused call (a customer above its contract would hold connections for nothing).

Change: AdmissionControl can say until when a larger share is expected. The engine then keeps the call, admits it when a share comes into force, and refuses it with the same code otherwise. Waiting calls are bounded by the queue's limit; a wait ends with the deadline or the caller. No implementation expects shares yet, so nothing changes in the daemon.

Conclusion: the limits have to say when a share request is on its way.

--- a/packages/entry/entry/callengine.cpp
+++ b/packages/entry/entry/callengine.cpp
@@ -182,23 +182,80 @@
         refuse(id, request, ResultCode::QueueFull, now, effects);
         return id;
     }
-    if (const auto admitted = m_admission.admit(request.customer, now); !admitted) {
-        refuse(id, request, admitted.error(), now, effects);
+    const auto admission = m_admission.admit(request.customer, now);
+    if (admission) {
+        admitted(addCall(id, request, *terms, service, now), now, effects);
         return id;
     }
-    Call &call = m_calls[id];
+    const auto until = m_admission.shareExpectedUntil(request.customer, now);
+    if (!until || m_waitingForShare.size() >= m_config.queueLimit) {
+        refuse(id, request, admission.error(), now, effects);
+        return id;
+    }
+    waitForShare(addCall(id, request, *terms, service, now), admission.error(), *until);
+    return id;
+}
+
+CallEngine::CallMap::iterator CallEngine::addCall(CallId id, const CallRequest &request, const CallTerms &terms, ServiceState &service,
+                                                  Instant now)
+{
+    const auto it = m_calls.emplace(id, Call {}).first;
+    Call &call = it->second;
     call.request = request;
-    call.terms = *terms;
+    call.terms = terms;
     call.service = &service;
     call.submittedAt = now;
-    if (terms->maxDeadline > Duration::zero()) {
-        call.request.deadline = std::min(request.deadline, now + terms->maxDeadline);
+    if (terms.maxDeadline > Duration::zero()) {
+        call.request.deadline = std::min(request.deadline, now + terms.maxDeadline);
     }
     m_timers.push(Timer { call.request.deadline, id, TimerKind::Deadline });
+    return it;
+}
+
+void CallEngine::waitForShare(CallMap::iterator it, ResultCode refusal, Instant until)
+{
+    it->second.admissionRefusal = refusal;
+    m_waitingForShare.push_back(it->first);
+    m_timers.push(Timer { until, it->first, TimerKind::Admission });
+    ++m_counters.shareWaits;
+}
+
+void CallEngine::shareArrived(Instant now, Effects &effects)
+{
+    std::deque<CallId> waiting;
+    waiting.swap(m_waitingForShare);
+    for (const CallId &id : waiting) {
+        const auto it = m_calls.find(id);
+        if (it == m_calls.end()) {
+            continue;
+        }
+        if (m_admission.admitWaiting(it->second.request.customer, now)) {
+            admitted(it, now, effects);
+        } else {
+            m_waitingForShare.push_back(id);
+        }
+    }
+}
+
+void CallEngine::forgetEndedWaits()
+{
+    const auto hasEnded = [this](CallId id) {
+        const auto it = m_calls.find(id);
+        return it == m_calls.end() || it->second.isAdmitted;
+    };
+    while (!m_waitingForShare.empty() && hasEnded(m_waitingForShare.front())) {
+        m_waitingForShare.pop_front();
+    }
+}
+
+void CallEngine::admitted(CallMap::iterator it, Instant now, Effects &effects)
+{
+    Call &call = it->second;
+    ServiceState &service = *call.service;
+    call.isAdmitted = true;
     service.refusals.earn(m_config.refusalPermille);
-    enqueue(id, call);
+    enqueue(it->first, call);
     pump(service, now, effects);
-    return id;
 }
 
 void CallEngine::enqueue(CallId id, Call &call)
@@ -420,7 +477,9 @@
     if (call.isWaiting) {
         call.service->queue.remove(call.request.customer, call.request.deadline, it->first);
     }
-    m_admission.release(call.request.customer, now);
+    if (call.isAdmitted) {
+        m_admission.release(call.request.customer, now);
+    }
     if (call.request.actionKey) {
         m_keys.finish(*call.request.actionKey, outcome, now);
     }
@@ -435,7 +494,7 @@
         return;
     }
     it->second.isAbandoned = true;
-    if (it->second.request.idempotent || it->second.isWaiting) {
+    if (it->second.request.idempotent || it->second.isWaiting || !it->second.isAdmitted) {
         ServiceState &service = *it->second.service;
         giveUp(it, ResultCode::NotSent, now, effects);
         pump(service, now, effects);
@@ -451,11 +510,7 @@
         if (it == m_calls.end()) {
             continue;
         }
-        if (timer.kind == TimerKind::Deadline) {
-            giveUp(it, ResultCode::DeadlineExpired, now, effects);
-        } else {
-            hedge(timer.call, it->second, now, effects);
-        }
+        timerFired(timer.kind, it, now, effects);
     }
     m_servers.tick(now);
     m_resets.prune(now);
@@ -464,6 +519,24 @@
     }
 }
 
+void CallEngine::timerFired(TimerKind kind, CallMap::iterator it, Instant now, Effects &effects)
+{
+    switch (kind) {
+    case TimerKind::Deadline:
+        giveUp(it, ResultCode::DeadlineExpired, now, effects);
+        return;
+    case TimerKind::Hedge:
+        hedge(it->first, it->second, now, effects);
+        return;
+    case TimerKind::Admission:
+        if (!it->second.isAdmitted) {
+            giveUp(it, it->second.admissionRefusal, now, effects);
+        }
+        forgetEndedWaits();
+        return;
+    }
+}
+
 std::optional<Instant> CallEngine::nextWakeUp(Instant now) const
 {
     std::optional<Instant> wake;
--- a/packages/entry/entry/callengine.h
+++ b/packages/entry/entry/callengine.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstddef>
+#include <deque>
 #include <memory>
 #include <optional>
 #include <queue>
@@ -45,6 +46,8 @@
     std::uint64_t placements = 0;
     std::uint64_t hedges = 0;
     std::uint64_t cancels = 0;
+    /// Calls that waited for a share of their customer's limit.
+    std::uint64_t shareWaits = 0;
 };
 
 /// The deterministic core of an entry. It decides where and when calls run, and has no sockets, threads or clock.
@@ -70,6 +73,8 @@
     CallId submit(const CallRequest &request, Instant now, std::vector<Effect> &effects);
     /// Takes the end of an attempt. Reports for unknown attempts are ignored.
     void report(const AttemptReport &report, Instant now, std::vector<Effect> &effects);
+    /// Admits calls that wait for a share of their customer's limit; call it when a share has come into force.
+    void shareArrived(Instant now, std::vector<Effect> &effects);
     /// The caller went away. A lookup is cancelled and finished at once. An action in flight is not cancelled, so that its
     /// key gets the true outcome; FinishCall then follows at its end.
     void abandon(CallId call, Instant now, std::vector<Effect> &effects);
@@ -104,6 +109,10 @@
         std::uint8_t retries = 0;
         bool wasDispatched = false;
         bool isWaiting = false;
+        /// False while the call waits for a share of its customer's limit.
+        bool isAdmitted = false;
+        /// Why the call was not admitted at once.
+        ResultCode admissionRefusal = ResultCode::Ok;
         /// An attempt ended without proof that it was not run.
         bool mayHaveRun = false;
         bool isAbandoned = false;
@@ -115,7 +124,7 @@
         bool isHedge = false;
     };
 
-    enum class TimerKind : std::uint8_t { Deadline, Hedge };
+    enum class TimerKind : std::uint8_t { Deadline, Hedge, Admission };
     struct Timer {
         Instant at {};
         CallId call;
@@ -130,12 +139,17 @@
     std::optional<ResultCode> refusalBeforeAdmission(const CallRequest &request, Instant now) const;
     void refuse(CallId id, const CallRequest &request, ResultCode code, Instant now, Effects &effects);
 
+    CallMap::iterator addCall(CallId id, const CallRequest &request, const CallTerms &terms, ServiceState &service, Instant now);
+    void waitForShare(CallMap::iterator it, ResultCode refusal, Instant until);
+    void forgetEndedWaits();
+    void admitted(CallMap::iterator it, Instant now, Effects &effects);
     void enqueue(CallId id, Call &call);
     void pump(ServiceState &service, Instant now, Effects &effects);
     bool pumpOne(ServiceState &service, Instant now, Effects &effects);
     void finishAllWaiting(ServiceState &service, ResultCode code, Instant now, Effects &effects);
     void dispatch(CallId id, Call &call, RowIndex row, bool isHedge, Instant now, Effects &effects);
     void hedge(CallId id, Call &call, Instant now, Effects &effects);
+    void timerFired(TimerKind kind, CallMap::iterator it, Instant now, Effects &effects);
     void armHedge(CallId id, const Call &call, Duration delay, Instant now);
 
     void attemptEnded(CallMap::iterator it, const Attempt &attempt, const AttemptReport &report, Instant now, Effects &effects);
@@ -158,6 +172,8 @@
     std::unordered_map<AttemptId, Attempt> m_attempts;
     std::priority_queue<Timer, std::vector<Timer>, std::greater<>> m_timers;
     std::vector<RowIndex> m_candidates;
+    /// Calls that wait for a share, in the order of their arrival; also some that have ended.
+    std::deque<CallId> m_waitingForShare;
     CallId m_lastCall;
     AttemptId m_lastAttempt;
     EngineCounters m_counters;
--- a/packages/entry/entry/engineinterfaces.h
+++ b/packages/entry/entry/engineinterfaces.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 
 #include <tl/expected.hpp>
 
@@ -39,6 +40,16 @@
     virtual ~AdmissionControl() = default;
     /// Takes one call of \p customer; RateLimited or ConcurrencyLimited when a limit is reached.
     virtual tl::expected<void, ResultCode> admit(const CustomerId &customer, Instant now) = 0;
+    /// Until when a refused call may wait for a larger share of the limit that was asked for; nothing when none was.
+    virtual std::optional<Instant> shareExpectedUntil(const CustomerId & /*customer*/, Instant /*now*/) const
+    {
+        return std::nullopt;
+    }
+    /// As admit(), for a call that has waited for a share. Its demand was counted by admit().
+    virtual tl::expected<void, ResultCode> admitWaiting(const CustomerId &customer, Instant now)
+    {
+        return admit(customer, now);
+    }
     /// Ends one admitted call.
     virtual void release(const CustomerId &customer, Instant now) = 0;
 };
--- a/packages/entry/tests/enginefixture.h
+++ b/packages/entry/tests/enginefixture.h
@@ -52,6 +52,7 @@
 {
 public:
     MAKE_MOCK2(admit, AdmitResult(const CustomerId &, Instant), override);
+    MAKE_CONST_MOCK2(shareExpectedUntil, std::optional<Instant>(const CustomerId &, Instant), override);
     MAKE_MOCK2(release, void(const CustomerId &, Instant), override);
 };
 
@@ -90,6 +91,7 @@
     SeededRandom random { 1 };
     TermsResult terms { CallTerms { 10s, 1000, 1000 } };
     AdmitResult admitted;
+    std::optional<Instant> shareUntil;
     BeginResult begun;
     bool isFenced = false;
     int releases = 0;
@@ -104,6 +106,7 @@
     {
         allowed.push_back(NAMED_ALLOW_CALL(contracts, terms(trompeloeil::_, trompeloeil::_)).LR_RETURN(terms));
         allowed.push_back(NAMED_ALLOW_CALL(admission, admit(trompeloeil::_, trompeloeil::_)).LR_RETURN(admitted));
+        allowed.push_back(NAMED_ALLOW_CALL(admission, shareExpectedUntil(trompeloeil::_, trompeloeil::_)).LR_RETURN(shareUntil));
         allowed.push_back(NAMED_ALLOW_CALL(admission, release(trompeloeil::_, trompeloeil::_)).LR_SIDE_EFFECT(++releases));
         allowed.push_back(NAMED_ALLOW_CALL(keys, begin(trompeloeil::_, trompeloeil::_)).LR_RETURN(begun));
         allowed.push_back(
