Test what a loss of power leaves of the store of control

A trial had shown that leaving out the sync when the log is opened was noticed by no test: files on a running machine keep unsynced bytes, so only a fake of the sync can show the loss. Killing processes was ruled out, because the kernel keeps their writes.

DiskSync is now the interface of the two sync calls of DataFolder and AppendFile. DurableDisk, for tests, remembers the contents and the names that were synced and brings them back. Three tests use it: everything reported as durable survives, what load() reports survives, a failed sync is an error.

--- a/packages/control/control/datafolder.cpp
+++ b/packages/control/control/datafolder.cpp
@@ -35,14 +35,14 @@
     return {};
 }
 
-Result<void> writeAndSync(const std::string &path, ByteView content)
+Result<void> writeAndSync(const std::string &path, ByteView content, DiskSync &sync)
 {
     const int file = ::open(path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, FileMode);
     if (file < 0) {
         return writeFailed("cannot create " + path);
     }
     Result<void> done = writeAll(file, content);
-    if (done && ::fsync(file) != 0) {
+    if (done && !sync.syncAll(file)) {
         done = writeFailed("cannot sync " + path);
     }
     ::close(file);
@@ -51,8 +51,9 @@
 
 }
 
-DataFolder::DataFolder(std::filesystem::path path)
+DataFolder::DataFolder(std::filesystem::path path, DiskSync &sync)
     : m_path(std::move(path))
+    , m_sync(sync)
 {
 }
 
@@ -94,7 +95,7 @@
 Result<void> DataFolder::replace(const std::string &name, ByteView content) const
 {
     const std::string temporary = pathOf(name + ".new");
-    Result<void> written = writeAndSync(temporary, content);
+    Result<void> written = writeAndSync(temporary, content, m_sync);
     if (!written) {
         return written;
     }
@@ -115,12 +116,17 @@
     if (folder < 0) {
         return writeFailed("cannot open " + m_path.string());
     }
-    const bool isSynced = ::fsync(folder) == 0;
+    const bool isSynced = m_sync.syncAll(folder);
     Result<void> done = isSynced ? Result<void>() : writeFailed("cannot sync " + m_path.string());
     ::close(folder);
     return done;
 }
 
+AppendFile::AppendFile(DiskSync &sync)
+    : m_sync(sync)
+{
+}
+
 AppendFile::~AppendFile()
 {
     if (m_file >= 0) {
@@ -147,7 +153,7 @@
 
 Result<void> AppendFile::sync()
 {
-    if (::fdatasync(m_file) != 0) {
+    if (!m_sync.syncData(m_file)) {
         return writeFailed("cannot sync the log");
     }
     return {};
--- a/packages/control/control/datafolder.h
+++ b/packages/control/control/datafolder.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "control/codecs.h"
+#include "control/disksync.h"
 
 namespace Galenabarrow::Control
 {
@@ -13,7 +14,7 @@
 class DataFolder
 {
 public:
-    explicit DataFolder(std::filesystem::path path);
+    DataFolder(std::filesystem::path path, DiskSync &sync);
     ~DataFolder();
     DataFolder(const DataFolder &) = delete;
     DataFolder &operator=(const DataFolder &) = delete;
@@ -30,6 +31,7 @@
     Result<void> syncFolder() const;
 
     std::filesystem::path m_path;
+    DiskSync &m_sync;
     int m_lock = -1;
 };
 
@@ -37,7 +39,7 @@
 class AppendFile
 {
 public:
-    AppendFile() = default;
+    explicit AppendFile(DiskSync &sync);
     ~AppendFile();
     AppendFile(const AppendFile &) = delete;
     AppendFile &operator=(const AppendFile &) = delete;
@@ -49,6 +51,7 @@
     Result<void> sync();
 
 private:
+    DiskSync &m_sync;
     int m_file = -1;
 };
 
--- a/packages/control/control/disklogstore.cpp
+++ b/packages/control/control/disklogstore.cpp
@@ -27,8 +27,9 @@
 
 }
 
-DiskLogStore::DiskLogStore(std::filesystem::path folder)
-    : m_folder(std::move(folder))
+DiskLogStore::DiskLogStore(std::filesystem::path folder, DiskSync &sync)
+    : m_folder(std::move(folder), sync)
+    , m_log(sync)
 {
 }
 
--- a/packages/control/control/disklogstore.h
+++ b/packages/control/control/disklogstore.h
@@ -18,7 +18,7 @@
 class DiskLogStore final : public LogStore
 {
 public:
-    explicit DiskLogStore(std::filesystem::path folder);
+    explicit DiskLogStore(std::filesystem::path folder, DiskSync &sync = systemDiskSync());
 
     Result<StoreContents> load() override;
     Result<void> writeHardState(const HardState &state) override;
--- a/packages/control/tests/disklogstoretest.cpp
+++ b/packages/control/tests/disklogstoretest.cpp
@@ -6,9 +6,11 @@
 #include <catch2/catch.hpp>
 
 #include "base/random.h"
+#include "durabledisk.h"
 
 using namespace Galenabarrow;
 using namespace Galenabarrow::Control;
+using Galenabarrow::Control::Test::DurableDisk;
 
 namespace
 {
@@ -232,3 +234,80 @@
         REQUIRE(folder.load()->entries.back().index == LogIndex(following));
     }
 }
+
+// Guards against a new store, entries, a vote or a snapshot that a loss of power undoes after they were reported as durable.
+TEST_CASE("everything that was reported as durable survives a loss of power", "[store]")
+{
+    const TemporaryFolder folder;
+    DurableDisk disk(folder.path);
+    Incarnation incarnation;
+    {
+        DiskLogStore store(folder.path, disk);
+        incarnation = store.load()->incarnation;
+    }
+    disk.losePower();
+    REQUIRE(folder.load()->incarnation == incarnation);
+    const HardState vote { Term(4), ReplicaId { InstanceId("c2"), Incarnation(9) } };
+    {
+        DiskLogStore store(folder.path, disk);
+        REQUIRE(store.load());
+        REQUIRE(store.writeHardState(vote));
+        fill(store, 1, 10);
+        REQUIRE(store.append(std::vector<LogEntry> { entryAt(11) })); // not synced and so not promised
+    }
+    disk.losePower();
+    REQUIRE(folder.load()->hardState == vote);
+    REQUIRE(folder.load()->entries.size() == 10);
+    {
+        DiskLogStore store(folder.path, disk);
+        REQUIRE(store.load());
+        REQUIRE(store.saveSnapshot(snapshotAt(6, 1), std::vector<LogEntry> { entryAt(7), entryAt(8) }));
+    }
+    disk.losePower();
+    const StoreContents contents = folder.load().value();
+    REQUIRE(*contents.snapshot == snapshotAt(6, 1));
+    REQUIRE(contents.hardState == vote);
+    REQUIRE(contents.entries == std::vector<LogEntry> { entryAt(7), entryAt(8) });
+}
+
+// Guards against a replica that is killed between write and sync, finds its entries when it starts again, acknowledges
+// them without a further write, and loses them with the power: load() reports them, so it has to sync them.
+TEST_CASE("what the load of a log reports survives a loss of power", "[store]")
+{
+    const TemporaryFolder folder;
+    DurableDisk disk(folder.path);
+    {
+        DiskLogStore store(folder.path, disk);
+        REQUIRE(store.load());
+        fill(store, 1, 3);
+    }
+    {
+        // The process writes the same record as DiskLogStore::sync() does, and is killed before it syncs.
+        const Bytes record = sealRecord(RecordType::Entry, folder.read("log").size(), encode(entryAt(4)));
+        std::ofstream log(folder.path / "log", std::ios::binary | std::ios::app);
+        log.write(reinterpret_cast<const char *>(record.data()), static_cast<std::streamsize>(record.size()));
+    }
+    {
+        DiskLogStore store(folder.path, disk);
+        REQUIRE(store.load()->entries.size() == 4);
+    }
+    disk.losePower();
+    REQUIRE(folder.load()->entries.size() == 4);
+}
+
+// Guards against a failed sync that passes for a success.
+TEST_CASE("a failed sync is reported", "[store]")
+{
+    const TemporaryFolder folder;
+    DurableDisk disk(folder.path);
+    {
+        DiskLogStore store(folder.path, disk);
+        REQUIRE(store.load());
+        REQUIRE(store.append(std::vector<LogEntry> { entryAt(1) }));
+        disk.fail();
+        REQUIRE(store.sync().error().code == ResultCode::StoreWriteFailed);
+        REQUIRE(store.saveSnapshot(snapshotAt(1, 1), {}).error().code == ResultCode::StoreWriteFailed);
+    }
+    DiskLogStore store(folder.path, disk);
+    REQUIRE(store.load().error().code == ResultCode::StoreWriteFailed);
+}
