--- /dev/null
+++ b/packages/bench/bench/fairnesshooks.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <array>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "bench/measurement.h"
+#include "bench/standhooks.h"
+#include "limits/customerlimits.h"
+#include "limits/shareallocator.h"
+
+namespace Galenabarrow::Bench
+{
+
+/// The calls of one group of customers in one window.
+struct GroupResult {
+    Measurement measurement;
+    /// Calls that were not answered, by code.
+    std::map<ResultCode, std::uint64_t> refusals;
+};
+
+/// The limits of all entries with leases from one control leader, and the results of the customer in excess and of the
+/// others, apart.
+class FairnessHooks final : public StandHooks
+{
+public:
+    /// The customer that goes into excess.
+    static constexpr std::uint32_t ExcessCustomer = 0;
+
+    /// All customers have \p contract; the names and services are filled in.
+    FairnessHooks(const Scenario &scenario, std::uint32_t customers, Contract contract);
+
+    Entry::AdmissionControl &admission(std::uint32_t entry) override;
+    void tick(Instant now) override;
+    void finished(const PlannedCall &call, ResultCode code, bool isGood, Instant now) override;
+
+    /// Calls that arrived between windowStart() and windowEnd() of the scenario.
+    GroupResult excess;
+    GroupResult others;
+    /// The parts of others that arrived in the first SettleTime after windowStart(), while the burst of the contract is used
+    /// up, and later.
+    Measurement firstOthers;
+    Measurement laterOthers;
+    static constexpr Duration SettleTime = 5s;
+
+private:
+    class Admission final : public Entry::AdmissionControl
+    {
+    public:
+        Admission(InstanceId self, Instant now);
+        tl::expected<void, ResultCode> admit(const CustomerId &customer, Instant now) override;
+        void release(const CustomerId &customer, Instant now) override;
+
+        Limits::CustomerLimits limits;
+        Instant nextRequest {};
+        /// Arrives with the next tick.
+        std::optional<Limits::ShareReply> reply;
+    };
+
+    const Scenario &m_scenario;
+    Limits::ShareAllocator m_leader;
+    std::vector<std::unique_ptr<Admission>> m_entries;
+};
+
+}
--- a/packages/bench/bench/main.cpp
+++ b/packages/bench/bench/main.cpp
@@ -7,6 +7,7 @@
 
 #include <gflags/gflags.h>
 
+#include "bench/fairness.h"
 #include "bench/lowerbound.h"
 #include "bench/stand.h"
 
@@ -23,6 +24,10 @@
 DEFINE_uint32(threads, 4, "runs at the same time");
 DEFINE_bool(markdown, false, "print the table as Markdown");
 DEFINE_bool(chain, false, "measure the retries of a chain of 7 services instead");
+DEFINE_bool(fairness, false, "measure what a customer in excess does to the others instead");
+DEFINE_uint32(customers, 0, "only with --fairness: customers; 0 for 5 and 20");
+DEFINE_uint32(contract_percent, 120, "only with --fairness: the contract's rate in percent of what a customer usually offers");
+DEFINE_uint32(contract_span, 1000, "only with --fairness: burst and concurrency, as the calls of this many ms at the contract's rate");
 // NOLINTEND(readability-identifier-naming)
 
 namespace
@@ -178,6 +183,33 @@
                 share(static_cast<double>(result.failures), static_cast<double>(result.calls)));
 }
 
+void measureFairnessTable()
+{
+    constexpr std::uint32_t DefaultLoad = 70;
+    std::printf("%s", fairnessHeader().c_str());
+    const std::vector<std::uint32_t> counts = FLAGS_customers > 0 ? std::vector { FLAGS_customers } : std::vector { 5U, 20U };
+    for (const Deployment &deployment : allDeployments()) {
+        if (FLAGS_deployment != "all" && FLAGS_deployment != deployment.name) {
+            continue;
+        }
+        for (const std::uint32_t customers : counts) {
+            FairnessPlan plan;
+            plan.customers = customers;
+            plan.contractPercent = FLAGS_contract_percent;
+            plan.contractSpan = std::chrono::milliseconds(FLAGS_contract_span);
+            plan.scenario.deployment = deployment;
+            plan.scenario.strategy = FLAGS_strategy == "all" ? std::string(Entry::DefaultRoutingStrategy) : FLAGS_strategy;
+            plan.scenario.loadPercent = FLAGS_load > 0 ? FLAGS_load : DefaultLoad;
+            plan.scenario.reportLag = FLAGS_lag > 0 ? std::chrono::milliseconds(FLAGS_lag) : 50ms;
+            plan.scenario.seed = FLAGS_seed;
+            plan.scenario.length = std::chrono::seconds(FLAGS_seconds);
+            plan.scenario.refusalPrice = std::chrono::microseconds(FLAGS_refusal_price);
+            plan.scenario.refusalPermille = FLAGS_refusal_permille > 0 ? FLAGS_refusal_permille : deployment.refusalPermille;
+            std::printf("%s", measureFairness(plan).c_str());
+        }
+    }
+}
+
 }
 
 int main(int argc, char **argv)
@@ -190,6 +222,10 @@
         measureChain("every server fails 20% of calls", 0, 0.2);
         return 0;
     }
+    if (FLAGS_fairness) {
+        measureFairnessTable();
+        return 0;
+    }
     std::vector<Row> rows = selectedRows();
     measureAll(rows);
     print(Header);
--- a/packages/bench/bench/scenario.cpp
+++ b/packages/bench/bench/scenario.cpp
@@ -12,6 +12,7 @@
 namespace
 {
 constexpr std::uint32_t CustomerCount = 20;
+constexpr std::uint64_t AddedSeedOffset = 5000;
 constexpr std::uint32_t DrainingServers = 3;
 constexpr std::array<std::string_view, 6> FaultNames { "none", "straggler", "fail-fast", "cold-start", "drain-3", "lying" };
 
@@ -19,6 +20,11 @@
 {
     return Duration(static_cast<Duration::rep>(-meanMicroseconds * std::log(1 - random.unit())) + 1);
 }
+
+void sortByArrival(std::vector<PlannedCall> &calls)
+{
+    std::stable_sort(calls.begin(), calls.end(), [](const PlannedCall &a, const PlannedCall &b) { return a.at < b.at; });
+}
 }
 
 Instant Scenario::windowStart() const
@@ -52,10 +58,27 @@
             calls.push_back(call);
         }
     }
-    std::stable_sort(calls.begin(), calls.end(), [](const PlannedCall &a, const PlannedCall &b) { return a.at < b.at; });
+    sortByArrival(calls);
     return calls;
 }
 
+void addCalls(const Scenario &scenario, std::uint32_t customer, double perSecond, std::vector<PlannedCall> &calls)
+{
+    SeededRandom random(scenario.seed + AddedSeedOffset);
+    const double gap = 1e6 / perSecond;
+    for (Instant at = scenario.windowStart(); at < scenario.windowEnd(); at += exponential(random, gap)) {
+        PlannedCall call;
+        call.at = at;
+        call.work = exponential(random, static_cast<double>(scenario.meanService.count()));
+        call.service = static_cast<std::uint32_t>(random.below(scenario.deployment.services.size()));
+        call.entry = static_cast<std::uint32_t>(random.below(EntryCount));
+        call.customer = customer;
+        call.isIdempotent = random.unit() < scenario.idempotentShare;
+        calls.push_back(call);
+    }
+    sortByArrival(calls);
+}
+
 std::string_view faultName(Fault fault)
 {
     return FaultNames.at(static_cast<std::size_t>(fault));
--- a/packages/bench/bench/scenario.h
+++ b/packages/bench/bench/scenario.h
@@ -83,6 +83,8 @@
 
 /// Draws arrivals (Poisson) and service times (exponential) from the seed of the scenario.
 std::vector<PlannedCall> planCalls(const Scenario &scenario);
+/// Adds calls of \p customer at \p perSecond over all services to \p calls, in the window of the scenario.
+void addCalls(const Scenario &scenario, std::uint32_t customer, double perSecond, std::vector<PlannedCall> &calls);
 
 std::string_view faultName(Fault fault);
 const std::vector<Fault> &allFaults();
--- a/packages/bench/bench/stand.cpp
+++ b/packages/bench/bench/stand.cpp
@@ -32,9 +32,10 @@
     return std::tie(at, order) > std::tie(other.at, other.order);
 }
 
-Stand::Stand(const Scenario &scenario, const std::vector<PlannedCall> &calls)
+Stand::Stand(const Scenario &scenario, const std::vector<PlannedCall> &calls, StandHooks *hooks)
     : m_scenario(scenario)
     , m_planned(calls)
+    , m_hooks(hooks)
     , m_random(scenario.seed + ParentSeedOffset)
 {
     m_result.callsAt.resize(scenario.deployment.services.size());
@@ -77,7 +78,8 @@
         config.strategy = m_scenario.strategy;
         config.costs.refusalPrice = m_scenario.refusalPrice;
         config.refusalPermille = m_scenario.refusalPermille;
-        m_entries[n].engine = std::make_unique<CallEngine>(config, m_parts, m_parts, m_parts, m_parts, *m_entryRandom[n]);
+        AdmissionControl &admission = m_hooks ? m_hooks->admission(n) : m_parts;
+        m_entries[n].engine = std::make_unique<CallEngine>(config, m_parts, admission, m_parts, m_parts, *m_entryRandom[n]);
         for (const Server &server : m_servers) {
             m_entries[n].engine->upsertServer(server.record, Instant {});
         }
@@ -125,6 +127,9 @@
 {
     for (Instant when {}; when < Instant(m_scenario.length); when += TickInterval) {
         at(when, [this] {
+            if (m_hooks) {
+                m_hooks->tick(m_clock.now());
+            }
             for (std::uint32_t n = 0; n < EntryCount; ++n) {
                 tick(n);
             }
@@ -265,6 +270,9 @@
         respond(*call.parent, isGood ? 200 : ServerError);
         return;
     }
+    if (m_hooks) {
+        m_hooks->finished(call.plan, effect.code, isGood, m_clock.now());
+    }
     if (call.plan.at < m_scenario.windowStart() || call.plan.at >= m_scenario.windowEnd()) {
         return;
     }
--- a/packages/bench/bench/stand.h
+++ b/packages/bench/bench/stand.h
@@ -9,6 +9,7 @@
 #include "bench/measurement.h"
 #include "bench/permissiveparts.h"
 #include "bench/scenario.h"
+#include "bench/standhooks.h"
 #include "entry/callengine.h"
 
 namespace Galenabarrow::Bench
@@ -18,7 +19,8 @@
 class Stand
 {
 public:
-    Stand(const Scenario &scenario, const std::vector<PlannedCall> &calls);
+    /// \p hooks may be null: then every call is admitted.
+    Stand(const Scenario &scenario, const std::vector<PlannedCall> &calls, StandHooks *hooks = nullptr);
     Measurement run();
 
 private:
@@ -97,6 +99,7 @@
 
     const Scenario &m_scenario;
     const std::vector<PlannedCall> &m_planned;
+    StandHooks *m_hooks;
     Measurement m_result;
     SeededRandom m_random;
     PermissiveParts m_parts;
