Count the bytes between instances by message kind

Cause: the control leader sends and receives more than 5 KB/s, and the metrics did not show which messages make up the bytes. docs/design.md took share requests for the largest part when idle.

Change: galenabarrow_peer_message_bytes_total has the labels kind and direction. Frames of an unknown kind count only in the totals. scripts/cost.sh prints the rates for the control leader and for one entry.

--- a/packages/daemon/daemon/metricspage.cpp
+++ b/packages/daemon/daemon/metricspage.cpp
@@ -29,6 +29,12 @@
     page.family("galenabarrow_peer_bytes_total", MetricsText::Kind::Counter, "Bytes of frames between instances.")
         .sample({ { "direction", "sent" } }, peers.bytesSent.load())
         .sample({ { "direction", "received" } }, peers.bytesReceived.load());
+    page.family("galenabarrow_peer_message_bytes_total", MetricsText::Kind::Counter, "Bytes of frames between instances by message kind.");
+    for (std::size_t n = 0; n < peers.kinds.size(); ++n) {
+        const std::string_view kind = Wire::MessageKindNames[n].name;
+        page.sample({ { "kind", kind }, { "direction", "sent" } }, peers.kinds[n].sent.load())
+            .sample({ { "kind", kind }, { "direction", "received" } }, peers.kinds[n].received.load());
+    }
     page.family("galenabarrow_peer_frames_total", MetricsText::Kind::Counter, "Frames between instances.")
         .sample({ { "direction", "sent" } }, peers.framesSent.load())
         .sample({ { "direction", "received" } }, peers.framesReceived.load());
--- a/packages/wire/tests/peernetworktest.cpp
+++ b/packages/wire/tests/peernetworktest.cpp
@@ -74,6 +74,29 @@
     REQUIRE(inboxA.received().front().sender == InstanceId("b"));
 }
 
+// Guards against bytes that are counted under another message kind or not at all.
+TEST_CASE("bytes are counted by message kind", "[wire]")
+{
+    Inbox inbox;
+    PeerNetwork a = makeNetwork("a", 1);
+    PeerNetwork b = makeNetwork("b", 2);
+    REQUIRE(b.listen("127.0.0.1:0", inbox.handler()));
+    a.send(b.address(), MessageKind::ShareRequest, 0, std::vector<std::uint8_t>(100));
+    a.send(b.address(), MessageKind::GossipDigest, 0, {});
+    a.send(b.address(), static_cast<MessageKind>(9999), 0, {});
+    REQUIRE(inbox.waitFor(3));
+    std::uint64_t sum = 0;
+    for (std::size_t n = 0; n < MessageKindNames.size(); ++n) {
+        const MessageKind kind = MessageKindNames[n].kind;
+        const std::uint64_t received = b.counters().kinds[n].received;
+        REQUIRE((received > 0) == (kind == MessageKind::ShareRequest || kind == MessageKind::GossipDigest));
+        REQUIRE(a.counters().kinds[n].sent == received);
+        sum += received;
+    }
+    REQUIRE(sum > 0);
+    REQUIRE(sum < b.counters().bytesReceived); // the unknown kind is in the total only
+}
+
 // Guards against a link that stays dead after its peer restarted on the same address.
 TEST_CASE("a link recovers after its peer restarted", "[wire]")
 {
--- a/packages/wire/wire/envelope.h
+++ b/packages/wire/wire/envelope.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/id.h"
@@ -25,6 +27,25 @@
     GossipDigest = 202,
 };
 
+/// A message kind with its name in metrics.
+struct MessageKindName {
+    MessageKind kind;
+    std::string_view name;
+};
+
+inline constexpr std::array MessageKindNames {
+    MessageKindName { MessageKind::Raft, "raft" },
+    MessageKindName { MessageKind::FeedRequest, "feed_request" },
+    MessageKindName { MessageKind::FeedReply, "feed_reply" },
+    MessageKindName { MessageKind::ProposeRequest, "propose_request" },
+    MessageKindName { MessageKind::ProposeReply, "propose_reply" },
+    MessageKindName { MessageKind::ShareRequest, "share_request" },
+    MessageKindName { MessageKind::ShareReply, "share_reply" },
+    MessageKindName { MessageKind::GossipRecords, "gossip_records" },
+    MessageKindName { MessageKind::GossipAcknowledgement, "gossip_acknowledgement" },
+    MessageKindName { MessageKind::GossipDigest, "gossip_digest" },
+};
+
 /// One message between two instances, with a payload that its package encodes.
 struct Envelope {
     InstanceId sender;
--- a/packages/wire/wire/peernetwork.cpp
+++ b/packages/wire/wire/peernetwork.cpp
@@ -1,5 +1,6 @@
 #include "wire/peernetwork.h"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <condition_variable>
@@ -59,6 +60,13 @@
 
 }
 
+KindBytes *PeerCounters::bytesOf(MessageKind kind)
+{
+    const auto it =
+        std::find_if(MessageKindNames.begin(), MessageKindNames.end(), [kind](const MessageKindName &row) { return row.kind == kind; });
+    return it == MessageKindNames.end() ? nullptr : &kinds[static_cast<std::size_t>(it - MessageKindNames.begin())];
+}
+
 /// One outgoing connection with its queue and thread.
 class PeerNetwork::Link
 {
@@ -83,7 +91,7 @@
     Link(const Link &) = delete;
     Link &operator=(const Link &) = delete;
 
-    void push(std::vector<std::uint8_t> frame)
+    void push(MessageKind kind, std::vector<std::uint8_t> bytes)
     {
         {
             const std::lock_guard lock(m_mutex);
@@ -91,12 +99,17 @@
                 m_queue.pop_front();
                 ++m_counters.framesDropped;
             }
-            m_queue.push_back(std::move(frame));
+            m_queue.push_back(Frame { kind, std::move(bytes) });
         }
         m_wake.notify_one();
     }
 
 private:
+    struct Frame {
+        MessageKind kind;
+        std::vector<std::uint8_t> bytes;
+    };
+
     void run()
     {
         std::unique_lock lock(m_mutex);
@@ -105,7 +118,7 @@
             if (m_stopping) {
                 return;
             }
-            std::vector<std::uint8_t> frame = std::move(m_queue.front());
+            const Frame frame = std::move(m_queue.front());
             m_queue.pop_front();
             lock.unlock();
             const bool sent = deliver(frame);
@@ -117,13 +130,16 @@
         }
     }
 
-    bool deliver(const std::vector<std::uint8_t> &frame)
+    bool deliver(const Frame &frame)
     {
         try {
             connect();
-            sendAll(m_socket, frame);
+            sendAll(m_socket, frame.bytes);
             ++m_counters.framesSent;
-            m_counters.bytesSent += frame.size();
+            m_counters.bytesSent += frame.bytes.size();
+            if (KindBytes *kind = m_counters.bytesOf(frame.kind)) {
+                kind->sent += frame.bytes.size();
+            }
             return true;
         } catch (const Poco::Exception &) {
             m_socket.close();
@@ -159,7 +175,7 @@
     PeerCounters &m_counters;
     std::mutex m_mutex;
     std::condition_variable m_wake;
-    std::deque<std::vector<std::uint8_t>> m_queue;
+    std::deque<Frame> m_queue;
     bool m_stopping = false;
     bool m_connected = false;
     Poco::Net::StreamSocket m_socket;
@@ -231,7 +247,11 @@
             return reject();
         }
         ++m_counters.framesReceived;
-        m_counters.bytesReceived += header.size() + body.size();
+        const std::size_t size = header.size() + body.size();
+        m_counters.bytesReceived += size;
+        if (KindBytes *kind = m_counters.bytesOf(envelope->kind)) {
+            kind->received += size;
+        }
         m_handler(std::move(*envelope));
         return true;
     }
@@ -356,7 +376,7 @@
         ++m_counters.framesDropped;
         return;
     }
-    linkTo(address).push(m_codec.seal(body));
+    linkTo(address).push(kind, m_codec.seal(body));
 }
 
 const PeerCounters &PeerNetwork::counters() const
--- a/packages/wire/wire/peernetwork.h
+++ b/packages/wire/wire/peernetwork.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <atomic>
 #include <cstdint>
 #include <functional>
@@ -17,6 +18,12 @@
 namespace Galenabarrow::Wire
 {
 
+/// Bytes of the frames of one message kind.
+struct KindBytes {
+    std::atomic<std::uint64_t> sent { 0 };
+    std::atomic<std::uint64_t> received { 0 };
+};
+
 /// Counters of one process's frames.
 struct PeerCounters {
     std::atomic<std::uint64_t> framesSent { 0 };
@@ -25,6 +32,11 @@
     std::atomic<std::uint64_t> bytesReceived { 0 };
     std::atomic<std::uint64_t> framesDropped { 0 };
     std::atomic<std::uint64_t> badFrames { 0 };
+    /// In the order of MessageKindNames. Kinds of another version count only in the totals.
+    std::array<KindBytes, MessageKindNames.size()> kinds;
+
+    /// Null for a kind that is not in MessageKindNames.
+    KindBytes *bytesOf(MessageKind kind);
 };
 
 /// Sends and accepts one-way frames over TCP. Frames to one address arrive in order or are lost; a full queue drops its
--- a/scripts/cost.sh
+++ b/scripts/cost.sh
@@ -13,28 +13,45 @@
 
 cpu_ticks() { awk '{ print $14 + $15 }' "/proc/${pid_of[$1]}/stat"; }
 resident_kb() { awk '/^VmRSS/ { print $2 }' "/proc/${pid_of[$1]}/status"; }
-peer_bytes() { operate "$1" GET /metrics | awk '/^galenabarrow_peer_bytes_total/ { sum += $2 } END { printf "%d", sum }'; }
+# read_page <instance> <begin or end>: keeps the metrics page for the figures below.
+read_page() { operate "$1" GET /metrics > "$work/$1.$2.page"; }
+peer_bytes() { awk '/^galenabarrow_peer_bytes_total/ { sum += $2 } END { printf "%d", sum }' "$work/$1.$2.page"; }
 
-# measure <title>: mean and largest value over the instances of each role
+# print_kinds <title> <instance>: KB/s by message kind and direction, largest first
+print_kinds() {
+    echo "$1, $2, KB/s by message kind:"
+    awk -v ms="$((seconds * 1000))" -F'[" ]' '
+        !/^galenabarrow_peer_message_bytes_total/ { next }
+        FNR == NR { first[$2 $4] = $NF; next }
+        { rate = ($NF - first[$2 $4]) / ms; if (rate > 0) printf "  %.2f %s %s\n", rate, $2, $4 }
+    ' "$work/$2.begin.page" "$work/$2.end.page" | sort -rn
+}
+
+# measure <title>: mean and largest value over the instances of each role, and the bytes by kind of the control leader and
+# of one entry
 measure() {
-    declare -A cpu bytes
+    declare -A cpu
     local it begin=$(now_ms)
     for it in "${entries[@]}"; do
         cpu[$it]=$(cpu_ticks "$it")
-        bytes[$it]=$(peer_bytes "$it")
+        read_page "$it" begin
     done
     sleep "$seconds"
     for it in "${entries[@]}"; do
+        read_page "$it" end
         local elapsed=$(($(now_ms) - begin))
         local role=entry
         if [[ $it < i06 ]]; then role=entry+control; fi
-        echo "$role $(($(cpu_ticks "$it") - ${cpu[$it]})) $(resident_kb "$it") $(($(peer_bytes "$it") - ${bytes[$it]})) $elapsed"
+        echo "$role $(($(cpu_ticks "$it") - ${cpu[$it]})) $(resident_kb "$it") $(($(peer_bytes "$it" end) - $(peer_bytes "$it" begin))) $elapsed"
     done | awk -v hz="$ticks_per_second" -v title="$1" '
         { c = 100 * $2 / hz / ($5 / 1000); m = $3 / 1024; b = $4 / ($5 / 1000) / 1000; n[$1]++
           cs[$1] += c; ms[$1] += m; bs[$1] += b
           if (c > cm[$1]) cm[$1] = c; if (m > mm[$1]) mm[$1] = m; if (b > bm[$1]) bm[$1] = b }
         END { for (it in n) printf "%s, %d %s: CPU mean %.2f%% largest %.2f%% of a core (3.4%%); memory mean %.1f largest %.1f MB (128); bytes sent and received mean %.2f largest %.2f KB/s (5)\n",
               title, n[it], it, cs[it] / n[it], cm[it], ms[it] / n[it], mm[it], bs[it] / n[it], bm[it] }' | sort
+    local leader=$(operate i01 GET /v1/status | jq -r .control.leader)
+    print_kinds "$1" "$leader"
+    print_kinds "$1" i17
 }
 
 start_instances
