Ask for leased shares only when demand is high

Cause: an entry that had once had a call of a customer kept its lease with a request every 1 to 1.5 s.

A customer needs a lease while its calls in flight, rate or tokens used are above half of its baseline, and for 3 s after; without such a customer nothing is sent. When use has passed half of what is in force and has grown by half since the last request, a request goes out ahead of the interval, from the call itself; at most 4 at once and 1 per second, and only when the last one was answered. A customer without need loses its lease when a request leaves it out, before the request is made, so that no call under the lease is missing in the reports.

Two things had to follow at the leader, or bursts would have been refused more often than before: - The headroom of silent entries is kept for them, as when they reported a demand of 0. The leader now fills a bucket with the rate and burst that nobody holds, empty when it becomes leader and until older leases have ended, and moves tokens from it with a grant. Tokens at the leader and at the holders together never exceed the leased burst.

Conclusion: only a burst that is shorter than the time of a reply is refused more than before, by at most the leased share that an idle entry used to hold.

--- a/packages/daemon/daemon/enginelinks.cpp
+++ b/packages/daemon/daemon/enginelinks.cpp
@@ -1,14 +1,17 @@
 #include "daemon/enginelinks.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Galenabarrow::Daemon
 {
 
-EngineLinks::EngineLinks(ClusterNode &cluster, Limits::CustomerLimits &limits, Actions::ActionRegistry &registry)
+EngineLinks::EngineLinks(ClusterNode &cluster, Limits::CustomerLimits &limits, Actions::ActionRegistry &registry,
+                         std::function<void(Instant)> requestShares)
     : m_cluster(cluster)
     , m_limits(limits)
     , m_registry(registry)
+    , m_requestShares(std::move(requestShares))
 {
 }
 
@@ -26,7 +29,11 @@
 
 tl::expected<void, ResultCode> EngineLinks::admit(const CustomerId &customer, Instant now)
 {
-    return m_limits.admit(customer, now);
+    const tl::expected<void, ResultCode> admitted = m_limits.admit(customer, now);
+    if (m_limits.isRequestDue()) {
+        m_requestShares(now); // before the next tick, because a burst may use the share up within it
+    }
+    return admitted;
 }
 
 void EngineLinks::release(const CustomerId &customer, Instant now)
--- a/packages/daemon/daemon/enginelinks.h
+++ b/packages/daemon/daemon/enginelinks.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <functional>
+
 #include "actions/actionregistry.h"
 #include "daemon/clusternode.h"
 #include "entry/engineinterfaces.h"
@@ -14,7 +16,9 @@
 class EngineLinks final : public Entry::ContractView, public Entry::AdmissionControl, public Entry::ActionKeys, public Entry::FreshnessView
 {
 public:
-    EngineLinks(ClusterNode &cluster, Limits::CustomerLimits &limits, Actions::ActionRegistry &registry);
+    /// \p requestShares is called, with the lock held, when a call has made a share request due.
+    EngineLinks(ClusterNode &cluster, Limits::CustomerLimits &limits, Actions::ActionRegistry &registry,
+                std::function<void(Instant)> requestShares);
 
     tl::expected<Entry::CallTerms, ResultCode> terms(const CustomerId &customer, const ServiceId &service) const override;
     tl::expected<void, ResultCode> admit(const CustomerId &customer, Instant now) override;
@@ -30,6 +34,7 @@
     ClusterNode &m_cluster;
     Limits::CustomerLimits &m_limits;
     Actions::ActionRegistry &m_registry;
+    std::function<void(Instant)> m_requestShares;
 };
 
 /// What the engine needs of the record of a server.
--- a/packages/daemon/daemon/entrynode.cpp
+++ b/packages/daemon/daemon/entrynode.cpp
@@ -17,9 +17,6 @@
 
 constexpr Duration RegistrationTimeout = std::chrono::seconds(3);
 constexpr Duration RegistrationPause = std::chrono::milliseconds(500);
-constexpr Duration ShareInterval = std::chrono::seconds(1);
-// An entry without calls keeps its lease of 3 s with fewer requests; all of them go to the one control leader.
-constexpr Duration IdleShareInterval = std::chrono::milliseconds(1500);
 // After this time without a reply, the request goes to all control instances, to find the leader.
 constexpr Duration ShareReplyTime = std::chrono::milliseconds(2000);
 constexpr Duration SyncInterval = std::chrono::milliseconds(10);
@@ -62,7 +59,7 @@
     , m_registry(cluster.identity().instance, cluster.identity().incarnation, registryLimits(cluster.random()), clock.now())
     , m_limits(cluster.identity().instance, cluster.identity().incarnation, Limits::LimitTimes { settings.timings.freshnessLimit },
                clock.now())
-    , m_links(cluster, m_limits, m_registry)
+    , m_links(cluster, m_limits, m_registry, [this](Instant now) { requestShares(now); })
     , m_engine(engineConfig(settings), m_links, m_links, m_links, m_links, cluster.random())
     , m_upstream(clock)
     , m_runner(
@@ -483,16 +480,11 @@
 
 void EntryNode::requestShares(Instant now)
 {
-    if (now < m_nextShareRequest) {
+    const std::optional<Limits::ShareRequest> request = m_limits.takeRequest(now);
+    if (!request) {
         return;
     }
-    const Limits::ShareRequest request = m_limits.makeRequest(now);
-    const bool isIdle = std::all_of(request.demands.begin(), request.demands.end(), [](const auto &it) { return it.rate == 0; });
-    m_nextShareRequest = now + (isIdle ? IdleShareInterval : ShareInterval);
-    if (request.demands.empty()) {
-        return;
-    }
-    const std::vector<std::uint8_t> payload = Limits::encode(request);
+    const std::vector<std::uint8_t> payload = Limits::encode(*request);
     if (!m_shareAddress.empty() && now - m_lastShareReply < ShareReplyTime) {
         m_network.send(m_shareAddress, Wire::MessageKind::ShareRequest, 0, payload);
         return;
--- a/packages/daemon/daemon/entrynode.h
+++ b/packages/daemon/daemon/entrynode.h
@@ -112,7 +112,6 @@
     Duration m_freshnessLimit;
     std::optional<Instant> m_registeredAt;
     bool m_hasLimits = false;
-    Instant m_nextShareRequest {};
     Instant m_lastShareReply {};
     std::string m_shareAddress;
     Instant m_nextSync {};
--- a/packages/limits/limits/customerlimits.cpp
+++ b/packages/limits/limits/customerlimits.cpp
@@ -12,6 +12,20 @@
 
 constexpr std::uint64_t MilliPerCall = 1000;
 constexpr std::uint64_t MicrosPerSecond = 1'000'000;
+/// Demand above this part of what is in force is high. Half leaves the rest for the calls that arrive until the reply.
+constexpr std::uint64_t HighDemandDivisor = 2;
+/// Use that has grown by less than this part since the last request is no reason to ask ahead of the interval.
+constexpr std::uint32_t RiseDivisor = 2;
+
+bool isHigh(std::uint64_t demand, std::uint64_t limit)
+{
+    return demand > limit / HighDemandDivisor;
+}
+
+bool areTokensLow(const TokenBucket &bucket, std::uint32_t burst)
+{
+    return bucket.level() <= burst / HighDemandDivisor;
+}
 
 bool isLowered(const Contract &from, const Contract &to)
 {
@@ -23,8 +37,11 @@
 CustomerLimits::CustomerLimits(InstanceId self, Incarnation incarnation, const LimitTimes &times, Instant now)
     : m_self(self)
     , m_incarnation(incarnation)
+    , m_times(times)
     , m_baselines(std::move(self), times.freshnessLimit, now)
     , m_requestedAt(now)
+    , m_intervalStart(now)
+    , m_earlyRequests(now)
 {
 }
 
@@ -78,15 +95,19 @@
     Row &row = it->second;
     settle(row, now);
     ++row.asked;
-    if (row.inFlight >= shareOf(row, now).concurrency) {
+    const Share share = shareOf(row, now);
+    const bool isFull = row.inFlight >= share.concurrency;
+    const bool isAdmitted = !isFull && row.bucket.take();
+    if (isAdmitted) {
+        ++row.inFlight;
+        row.peakInFlight = std::max(row.peakInFlight, row.inFlight);
+    } else if (isFull) {
         ++row.refusedConcurrency;
-        return tl::make_unexpected(ResultCode::ConcurrencyLimited);
     }
-    if (!row.bucket.take()) {
-        return tl::make_unexpected(ResultCode::RateLimited);
+    noteDemand(row, share, now);
+    if (!isAdmitted) {
+        return tl::make_unexpected(isFull ? ResultCode::ConcurrencyLimited : ResultCode::RateLimited);
     }
-    ++row.inFlight;
-    row.peakInFlight = std::max(row.peakInFlight, row.inFlight);
     return {};
 }
 
@@ -101,14 +122,56 @@
     }
 }
 
+std::optional<ShareRequest> CustomerLimits::takeRequest(Instant now)
+{
+    const bool isIntervalOver = now - m_intervalStart >= m_times.requestInterval;
+    if (!isIntervalOver && !mayRequestEarly(now)) {
+        return std::nullopt;
+    }
+    bool isNeeded = m_isReportDue;
+    for (auto &[customer, row] : m_rows) {
+        settle(row, now);
+        if (isDemandHigh(row, now)) {
+            row.neededUntil = now + m_times.leaseNeed;
+        }
+        isNeeded = isNeeded || now < row.neededUntil;
+    }
+    std::optional<ShareRequest> request;
+    if (isNeeded) {
+        request = makeRequest(now);
+    }
+    noteReported(request.has_value(), now);
+    if (isIntervalOver) {
+        startInterval(now);
+    }
+    return request;
+}
+
+bool CustomerLimits::isRequestDue() const
+{
+    return m_isDemandRisen;
+}
+
+void CustomerLimits::reportToNewLeader()
+{
+    m_isReportDue = true;
+}
+
 ShareRequest CustomerLimits::makeRequest(Instant now)
 {
     ShareRequest request { m_self, m_incarnation, ++m_number, m_installed, {} };
     for (auto &[customer, row] : m_rows) {
         settle(row, now);
-        if (std::optional<ShareDemand> demand = takeDemand(customer, row, now)) {
-            request.demands.push_back(std::move(*demand));
+        if (now >= row.neededUntil && !isDemandHigh(row, now)) {
+            // The reply would end this lease too. It has to end before the request, because calls admitted under it from
+            // here on would be in no report.
+            row.lease.reset();
+            settle(row, now);
+            if (heldConcurrency(row, now) == 0) {
+                continue;
+            }
         }
+        request.demands.push_back(demandOf(customer, row, now));
     }
     m_requestedAt = now;
     return request;
@@ -117,6 +180,9 @@
 bool CustomerLimits::applyGrant(const ShareReply &reply, Instant now)
 {
     const Instant expiry = m_requestedAt + reply.lease;
+    if (reply.number == m_number) {
+        m_isReportDue = false;
+    }
     if (reply.number != m_number || reply.number == m_installed || now >= expiry) {
         return false;
     }
@@ -130,6 +196,7 @@
         const auto found = m_rows.find(it.customer);
         if (found != m_rows.end() && found->second.contract && it.contractVersion >= found->second.contract->version) {
             found->second.lease = Lease { it.share, expiry };
+            found->second.bucket.add(it.tokens);
         }
     }
     for (auto &[customer, row] : m_rows) {
@@ -190,19 +257,84 @@
     return std::max(leased, row.inFlight - std::min(row.inFlight, baseline));
 }
 
-std::optional<ShareDemand> CustomerLimits::takeDemand(const CustomerId &customer, Row &row, Instant now)
+// Compares the demand with all that is in force: a lease that is nearly used up has to grow.
+void CustomerLimits::noteDemand(Row &row, const Share &share, Instant now)
 {
-    const auto span = static_cast<std::uint64_t>(std::max<Duration::rep>((now - m_requestedAt).count(), 1));
-    const std::uint32_t refused = row.contract ? std::min(row.refusedConcurrency, row.contract->concurrency) : 0;
-    ShareDemand demand { customer, row.asked * MilliPerCall * MicrosPerSecond / span, row.peakInFlight + refused,
-                         heldConcurrency(row, now) };
-    row.asked = 0;
-    row.refusedConcurrency = 0;
-    row.peakInFlight = row.inFlight;
-    if (demand.rate == 0 && demand.concurrency == 0 && demand.heldConcurrency == 0) {
-        return std::nullopt;
+    const std::uint32_t use = row.inFlight + row.refusedConcurrency;
+    const bool isUseRisen = isHigh(use, share.concurrency) && use > row.reportedUse + row.reportedUse / RiseDivisor;
+    const bool areTokensFalling = !row.wereTokensLow && areTokensLow(row.bucket, share.burst);
+    if (isUseRisen || areTokensFalling) {
+        row.neededUntil = now + m_times.leaseNeed;
+        m_isDemandRisen = true;
     }
+}
+
+bool CustomerLimits::isDemandHigh(const Row &row, Instant now) const
+{
+    const std::uint32_t use = row.peakInFlight + row.refusedConcurrency;
+    if (!row.contract || (row.asked == 0 && use == 0)) {
+        return use > 0;
+    }
+    const Share baseline = m_baselines.shareOf(*row.contract, now);
+    return isHigh(use, baseline.concurrency) || isHigh(intervalDemand(row, now).rate, baseline.rate)
+        || (row.asked > 0 && areTokensLow(row.bucket, baseline.burst));
+}
+
+bool CustomerLimits::mayRequestEarly(Instant now)
+{
+    // Only the reply to the latest request is accepted, so one more request would end the wait for the reply on its way.
+    const bool isAnswered = m_installed == m_number;
+    if (!m_isDemandRisen || !isAnswered) {
+        return false;
+    }
+    m_earlyRequests.settle(MilliRate { m_times.earlyRequestRate } * MilliPerCall, m_times.earlyRequestBurst, now);
+    return m_earlyRequests.take();
+}
+
+ShareDemand CustomerLimits::demandOf(const CustomerId &customer, const Row &row, Instant now) const
+{
+    ShareDemand demand = intervalDemand(row, now);
+    if (now - m_intervalStart < m_times.requestInterval) {
+        // Less than an interval shows only a part of the demand.
+        demand.rate = std::max(demand.rate, row.earlierRate);
+        demand.concurrency = std::max(demand.concurrency, row.earlierConcurrency);
+    }
+    demand.customer = customer;
+    demand.heldConcurrency = heldConcurrency(row, now);
     return demand;
 }
 
+ShareDemand CustomerLimits::intervalDemand(const Row &row, Instant now) const
+{
+    // Over a shorter time, a few calls would count as a large rate, and the first entry of several would get all of the rest.
+    const auto span = static_cast<std::uint64_t>(std::max(now - m_intervalStart, m_times.requestInterval).count());
+    const std::uint32_t refused = row.contract ? std::min(row.refusedConcurrency, row.contract->concurrency) : 0;
+    ShareDemand demand;
+    demand.rate = row.asked * MilliPerCall * MicrosPerSecond / span;
+    demand.concurrency = row.peakInFlight + refused;
+    return demand;
+}
+
+void CustomerLimits::noteReported(bool isSent, Instant now)
+{
+    for (auto &[customer, row] : m_rows) {
+        row.reportedUse = isSent ? row.peakInFlight + row.refusedConcurrency : 0;
+        row.wereTokensLow = isSent && row.contract && row.asked > 0 && areTokensLow(row.bucket, shareOf(row, now).burst);
+    }
+    m_isDemandRisen = false;
+}
+
+void CustomerLimits::startInterval(Instant now)
+{
+    for (auto &[customer, row] : m_rows) {
+        const ShareDemand demand = intervalDemand(row, now);
+        row.earlierRate = demand.rate;
+        row.earlierConcurrency = demand.concurrency;
+        row.asked = 0;
+        row.refusedConcurrency = 0;
+        row.peakInFlight = row.inFlight;
+    }
+    m_intervalStart = now;
+}
+
 }
--- a/packages/limits/limits/customerlimits.h
+++ b/packages/limits/limits/customerlimits.h
@@ -20,6 +20,13 @@
 struct LimitTimes {
     /// Age of the contract table at which an entry is fenced. Every unfenced entry knows all older changes.
     Duration freshnessLimit = std::chrono::seconds(5);
+    /// Time between two share requests while a customer needs a lease.
+    Duration requestInterval = std::chrono::seconds(1);
+    /// A customer needs a lease until its demand has been low for this long; hysteresis against a lease that comes and goes.
+    Duration leaseNeed = std::chrono::seconds(3);
+    /// Requests ahead of the interval per second, and how many of them may follow each other at once.
+    std::uint32_t earlyRequestRate = 1;
+    std::uint32_t earlyRequestBurst = 4;
 };
 
 /// The limits of all customers at one entry. A limit is the entry's baseline, half of the contract divided over the
@@ -40,8 +47,16 @@
     tl::expected<void, ResultCode> admit(const CustomerId &customer, Instant now);
     void release(const CustomerId &customer, Instant now);
 
-    /// The demand of the active customers since the last request; send it about once a second. It replaces the requests
-    /// before: only the reply to the latest request is accepted.
+    /// The request to send now, if any; call it every few milliseconds and when isRequestDue() turns true. Asks for nothing
+    /// while the demand of every customer is low compared with its baseline, which is valid without a lease.
+    std::optional<ShareRequest> takeRequest(Instant now);
+    /// True when demand has risen so far that a request ahead of the interval is useful.
+    bool isRequestDue() const;
+    /// Sends the next request even without demand, until a leader has answered it: a new leader grants concurrency earlier
+    /// when every registered entry has reported what it holds.
+    void reportToNewLeader();
+    /// The demand of the customers that need a lease or still use one. It replaces the requests before: only the reply to the
+    /// latest request is accepted. Ends the leases of all other customers. takeRequest() says when to send it.
     ShareRequest makeRequest(Instant now);
     /// Puts a leased share in force. False when the reply was ignored: not to the latest request, or too late.
     bool applyGrant(const ShareReply &reply, Instant now);
@@ -63,24 +78,43 @@
         TokenBucket bucket;
         std::optional<Lease> lease;
         std::uint32_t inFlight = 0;
-        // since the last request
+        /// The customer needs a lease before this time.
+        Instant neededUntil {};
+        // in this interval
         std::uint32_t asked = 0;
         std::uint32_t refusedConcurrency = 0;
         std::uint32_t peakInFlight = 0;
+        // in the interval before
+        MilliRate earlierRate = 0;
+        std::uint32_t earlierConcurrency = 0;
+        // at the last request; none after an interval without one
+        std::uint32_t reportedUse = 0;
+        bool wereTokensLow = false;
     };
 
     void settle(Row &row, Instant now);
     Share shareOf(const Row &row, Instant now) const;
     std::uint32_t heldConcurrency(const Row &row, Instant now) const;
-    std::optional<ShareDemand> takeDemand(const CustomerId &customer, Row &row, Instant now);
+    void noteDemand(Row &row, const Share &share, Instant now);
+    bool isDemandHigh(const Row &row, Instant now) const;
+    bool mayRequestEarly(Instant now);
+    ShareDemand demandOf(const CustomerId &customer, const Row &row, Instant now) const;
+    ShareDemand intervalDemand(const Row &row, Instant now) const;
+    void noteReported(bool isSent, Instant now);
+    void startInterval(Instant now);
 
     InstanceId m_self;
     Incarnation m_incarnation;
+    LimitTimes m_times;
     BaselineShares m_baselines;
     std::unordered_map<CustomerId, Row> m_rows;
     std::uint64_t m_number = 0;
     std::uint64_t m_installed = 0;
     Instant m_requestedAt;
+    Instant m_intervalStart;
+    TokenBucket m_earlyRequests;
+    bool m_isDemandRisen = false;
+    bool m_isReportDue = false;
 };
 
 }
--- a/packages/limits/limits/shareallocator.cpp
+++ b/packages/limits/limits/shareallocator.cpp
@@ -1,7 +1,6 @@
 #include "limits/shareallocator.h"
 
 #include <algorithm>
-#include <numeric>
 
 #include "limits/baseline.h"
 
@@ -27,34 +26,46 @@
 struct Demands {
     std::vector<std::uint64_t> wanted;
     std::uint64_t baseline = 0;
+    /// Registered entries that want nothing.
+    std::uint64_t silent = 0;
+};
+
+struct Division {
+    std::vector<std::uint64_t> parts;
+    /// What could not be divided.
+    std::uint64_t rest = 0;
 };
 
 /// The part of each holder in \p total, rounded down: its excess over the baseline, and an equal part of what remains as
 /// headroom. When the excess of all is more than the total, the total in proportion to it. Headroom in proportion to
-/// demand left an idle entry without any, so that the first calls of a burst were refused until the next grant.
-std::vector<std::uint64_t> divide(std::uint64_t total, const Demands &demands)
+/// demand left an idle entry without any, so that the first calls of a burst were refused until the next grant. For the
+/// same reason the headroom of silent entries is kept for them: the first entry of a burst would get it, and the others
+/// nothing before its next request.
+Division divide(std::uint64_t total, const Demands &demands)
 {
     std::uint64_t allExcess = 0;
     for (const std::uint64_t it : demands.wanted) {
         allExcess += excess(it, demands.baseline);
     }
-    std::vector<std::uint64_t> parts;
+    const bool isShort = allExcess >= total;
+    const std::uint64_t headroom = isShort ? 0 : (total - allExcess) / (demands.wanted.size() + demands.silent);
+    Division division { {}, total - headroom * demands.silent };
     for (const std::uint64_t it : demands.wanted) {
         const std::uint64_t own = excess(it, demands.baseline);
-        const bool isShort = allExcess >= total;
-        parts.push_back(isShort ? proportion(total, own, allExcess) : own + (total - allExcess) / demands.wanted.size());
+        division.parts.push_back(isShort ? proportion(total, own, allExcess) : own + headroom);
+        division.rest -= division.parts.back();
     }
-    return parts;
+    return division;
 }
 
 /// The whole calls of holder \p place. Those that cannot be divided go to each holder in turn, or one holder would keep
 /// them for ever.
 std::uint32_t divideWhole(std::uint32_t total, const Demands &demands, std::size_t place, std::uint64_t round)
 {
-    const std::vector<std::uint64_t> parts = divide(total, demands);
-    const std::uint64_t divided = std::accumulate(parts.begin(), parts.end(), std::uint64_t { 0 });
-    const std::uint64_t turn = (place + round) % parts.size();
-    return static_cast<std::uint32_t>(parts[place] + (turn < total - divided ? 1 : 0));
+    const Division division = divide(total, demands);
+    const std::uint64_t holders = division.parts.size();
+    const std::uint64_t turn = (place + round) % holders;
+    return static_cast<std::uint32_t>(division.parts[place] + division.rest / holders + (turn < division.rest % holders ? 1 : 0));
 }
 
 template<typename Number>
@@ -76,13 +87,18 @@
     m_requests.clear();
     for (auto &[customer, row] : m_customers) {
         row.holders.clear();
+        row.unheld = TokenBucket(now + m_times.lease); // until then the leases of earlier leaders have the rate
     }
     m_unheard = std::set<InstanceId>(m_registered.begin(), m_registered.end());
 }
 
 void ShareAllocator::setContract(const Contract &contract)
 {
-    CustomerRow &row = m_customers[contract.customer];
+    const auto [it, isNew] = m_customers.try_emplace(contract.customer);
+    CustomerRow &row = it->second;
+    if (isNew) {
+        row.unheld = TokenBucket(m_leaderSince + m_times.lease);
+    }
     row.contract = contract;
     row.deadline = std::max(row.deadline, longestDeadline(contract));
 }
@@ -111,7 +127,7 @@
 {
     const HolderId id { request.entry, request.incarnation };
     ShareReply reply { request.number, Duration::zero(), {} };
-    if (!acceptRequest(id, request)) {
+    if (!acceptRequest(id, request, now)) {
         return reply;
     }
     for (const ShareDemand &it : request.demands) {
@@ -131,12 +147,18 @@
     return reply;
 }
 
-bool ShareAllocator::acceptRequest(const HolderId &id, const ShareRequest &request)
+bool ShareAllocator::acceptRequest(const HolderId &id, const ShareRequest &request, Instant now)
 {
     LastRequest &last = m_requests[id];
     if (request.number <= last.number) {
         return false;
     }
+    // Up to now the grants of the last request count.
+    for (auto &[customer, row] : m_customers) {
+        if (row.holders.contains(id)) {
+            settleUnheld(row, now);
+        }
+    }
     last = { request.number, request.installed };
     m_unheard.erase(id.entry);
     return true;
@@ -163,9 +185,42 @@
     const Share free = available(row, id, now);
     const Share share { std::min(wanted.rate, free.rate), std::min(wanted.burst, free.burst),
                         std::min(wanted.concurrency, free.concurrency) };
+    settleUnheld(row, now);
+    Holder &holder = row.holders[id];
+    const std::uint32_t tokens = row.unheld.takeUpTo(minus(share.burst, outstanding(id, holder, now).burst));
     const Instant expiry = now + m_times.lease;
-    row.holders[id].grants.push_back({ number, share, expiry, expiry + row.deadline });
-    return { row.contract.customer, row.contract.version, share };
+    holder.grants.push_back({ number, share, expiry, expiry + row.deadline });
+    settleUnheld(row, now);
+    return { row.contract.customer, row.contract.version, share, tokens };
+}
+
+// Step by step, because the part that nobody holds grows whenever a grant ends.
+void ShareAllocator::settleUnheld(CustomerRow &row, Instant now) const
+{
+    std::set<Instant> ends { now };
+    for (const auto &[id, holder] : row.holders) {
+        for (const Grant &it : holder.grants) {
+            if (it.expiry > row.unheld.settledAt() && it.expiry < now) {
+                ends.insert(it.expiry);
+            }
+        }
+    }
+    for (const Instant end : ends) {
+        const Share share = unheldShare(row, row.unheld.settledAt());
+        row.unheld.settle(share.rate, share.burst, end);
+    }
+    row.unheld.settle(0, unheldShare(row, now).burst, now);
+}
+
+Share ShareAllocator::unheldShare(const CustomerRow &row, Instant now) const
+{
+    Share share = leasedTotal(row.contract);
+    for (const auto &[id, holder] : row.holders) {
+        const Share held = outstanding(id, holder, now);
+        share.rate = minus(share.rate, held.rate);
+        share.burst = minus(share.burst, held.burst);
+    }
+    return share;
 }
 
 Share ShareAllocator::target(const CustomerRow &row, const HolderId &id, Instant now) const
@@ -176,18 +231,22 @@
     Demands rate { {}, baseline.rate / entries };
     Demands concurrency { {}, baseline.concurrency / entries };
     std::size_t place = 0;
+    std::set<InstanceId> silent(m_registered.begin(), m_registered.end());
     for (const auto &[other, holder] : row.holders) {
         if (now - holder.reportedAt >= m_times.demandLife) {
             continue;
         }
+        silent.erase(other.entry);
         if (other == id) {
             place = rate.wanted.size();
         }
         rate.wanted.push_back(holder.demand.rate);
         concurrency.wanted.push_back(holder.demand.concurrency);
     }
+    rate.silent = silent.size();
+    concurrency.silent = silent.size();
     const auto round = static_cast<std::uint64_t>(now.time_since_epoch() / m_times.lease);
-    return { divide(total.rate, rate)[place], divideWhole(total.burst, rate, place, round),
+    return { divide(total.rate, rate).parts[place], divideWhole(total.burst, rate, place, round),
              divideWhole(total.concurrency, concurrency, place, round) };
 }
 
--- a/packages/limits/limits/shareallocator.h
+++ b/packages/limits/limits/shareallocator.h
@@ -8,6 +8,7 @@
 
 #include "contract/contract.h"
 #include "limits/shares.h"
+#include "limits/tokenbucket.h"
 
 namespace Galenabarrow::Limits
 {
@@ -72,13 +73,18 @@
         Contract contract;
         /// The longest deadline of any version.
         Duration deadline {};
+        /// Tokens of the part of the leased rate and burst that nobody holds; empty at the start of a leader. Together with
+        /// the tokens at the holders they never exceed the leased burst, so handing them out adds no call.
+        TokenBucket unheld;
         std::map<HolderId, Holder> holders;
     };
 
-    bool acceptRequest(const HolderId &id, const ShareRequest &request);
+    bool acceptRequest(const HolderId &id, const ShareRequest &request, Instant now);
     void report(const HolderId &id, const ShareDemand &demand, Instant now);
     ShareGrant grant(CustomerRow &row, const HolderId &id, std::uint64_t number, Instant now);
     Share target(const CustomerRow &row, const HolderId &id, Instant now) const;
+    void settleUnheld(CustomerRow &row, Instant now) const;
+    Share unheldShare(const CustomerRow &row, Instant now) const;
     Share available(const CustomerRow &row, const HolderId &id, Instant now) const;
     Share outstanding(const HolderId &id, const Holder &holder, Instant now) const;
     bool mayGrantConcurrency(const CustomerRow &row, Instant now) const;
--- a/packages/limits/limits/sharecodec.cpp
+++ b/packages/limits/limits/sharecodec.cpp
@@ -55,7 +55,7 @@
     grants.reserve(reply.grants.size());
     for (const ShareGrant &it : reply.grants) {
         grants.push_back(Fb::CreateGrantDirect(builder, it.customer.value().c_str(), it.contractVersion.value(), it.share.rate,
-                                               it.share.burst, it.share.concurrency));
+                                               it.share.burst, it.share.concurrency, it.tokens));
     }
     builder.Finish(Fb::CreateReplyDirect(builder, reply.number, reply.lease.count(), &grants));
     return bytesOf(builder);
@@ -69,8 +69,10 @@
     }
     ShareReply reply { root->number(), Duration(root->lease()), {} };
     for (const Fb::Grant *it : *root->grants()) {
-        reply.grants.push_back(
-            { CustomerId(it->customer()->str()), Version(it->contract_version()), { it->rate(), it->burst(), it->concurrency() } });
+        reply.grants.push_back({ CustomerId(it->customer()->str()),
+                                 Version(it->contract_version()),
+                                 { it->rate(), it->burst(), it->concurrency() },
+                                 it->tokens() });
     }
     return reply;
 }
--- a/packages/limits/limits/shares.h
+++ b/packages/limits/limits/shares.h
@@ -55,6 +55,9 @@
     /// The contract that the share was divided from.
     Version contractVersion;
     Share share;
+    /// Calls of the leased burst that the entry may admit at once. A share that is only asked for when a burst has begun
+    /// would otherwise come with an empty bucket.
+    std::uint32_t tokens = 0;
 
     bool operator==(const ShareGrant &) const = default;
 };
--- a/packages/limits/limits/tokenbucket.cpp
+++ b/packages/limits/limits/tokenbucket.cpp
@@ -37,6 +37,23 @@
     return true;
 }
 
+std::uint32_t TokenBucket::takeUpTo(std::uint32_t calls)
+{
+    const std::uint32_t taken = std::min(calls, level());
+    m_level -= taken * OneCall;
+    return taken;
+}
+
+void TokenBucket::add(std::uint32_t calls)
+{
+    m_level += calls * OneCall;
+}
+
+std::uint32_t TokenBucket::level() const
+{
+    return static_cast<std::uint32_t>(m_level / OneCall);
+}
+
 Instant TokenBucket::settledAt() const
 {
     return m_settledAt;
--- a/packages/limits/limits/tokenbucket.h
+++ b/packages/limits/limits/tokenbucket.h
@@ -19,6 +19,12 @@
     void settle(MilliRate rate, std::uint32_t burst, Instant now);
     /// Takes the token of one call; false when there is none.
     bool take();
+    /// Moves up to \p calls tokens out of the bucket; returns how many.
+    std::uint32_t takeUpTo(std::uint32_t calls);
+    /// Adds tokens from another bucket; the next settle cuts them to the burst.
+    void add(std::uint32_t calls);
+    /// Whole calls that can be taken now.
+    std::uint32_t level() const;
     Instant settledAt() const;
 
 private:
--- a/packages/limits/tests/leasetest.cpp
+++ b/packages/limits/tests/leasetest.cpp
@@ -259,3 +259,68 @@
     REQUIRE(toBusy.concurrency == 25);
     REQUIRE(toIdle.concurrency == 25);
 }
+
+// Guards against tokens that are handed out twice, or by a new leader whose predecessor has handed them out.
+TEST_CASE("a grant brings the tokens of the part that nobody held", "[limits]")
+{
+    Pair pair;
+    const auto tokens = [&pair](CustomerLimits &entry, Instant now) {
+        ShareRequest request = entry.makeRequest(now);
+        request.demands = { { Customer, 0, 0, 0 } };
+        const ShareReply reply = pair.answer(request, now);
+        REQUIRE(entry.applyGrant(reply, now));
+        REQUIRE(Pair::granted(reply).burst == 50);
+        return reply.grants.front().tokens;
+    };
+    pair.a.takeRequest(Start + 6s); // the baseline has just come into force
+    REQUIRE(tokens(pair.a, Ready) == 50);
+    REQUIRE(Pair::admitAll(pair.a, Ready) == 100); // the baseline has as many
+    REQUIRE(tokens(pair.a, Ready + 1s) == 0);
+    REQUIRE(tokens(pair.b, Ready + 1s) == 50);
+    REQUIRE(tokens(pair.a, Ready + 20s) == 50);
+    pair.allocator.becomeLeader(Ready + 20s);
+    REQUIRE(tokens(pair.b, Ready + 23s) == 0);
+}
+
+// Guards against an entry that asks without demand, or asks too late or too often when demand rises.
+TEST_CASE("an entry asks for a lease when its demand is high", "[limits]")
+{
+    Pair pair;
+    const auto call = [&pair](int count, Instant now) {
+        for (int n = 0; n < count; ++n) {
+            pair.a.admit(Customer, now);
+        }
+    };
+    REQUIRE_FALSE(pair.a.takeRequest(Start + 6s)); // the baseline of 25 has just come into force
+    call(12, Ready);
+    REQUIRE_FALSE(pair.a.isRequestDue());
+    REQUIRE_FALSE(pair.a.takeRequest(Ready));
+    call(1, Ready);
+    REQUIRE(pair.a.isRequestDue());
+    const std::optional<ShareRequest> request = pair.a.takeRequest(Ready);
+    REQUIRE(request);
+    REQUIRE(request->demands.front().concurrency == 13);
+    call(10, Ready);
+    REQUIRE_FALSE(pair.a.takeRequest(Ready)); // waits for the reply
+    REQUIRE(pair.a.applyGrant(pair.answer(*request, Ready), Ready));
+    int sent = 1;
+    for (Instant now = Ready; now < Ready + 900ms; now += 1ms) {
+        call(10, now);
+        if (const auto next = pair.a.takeRequest(now)) {
+            ++sent;
+            pair.a.applyGrant(pair.answer(*next, now), now);
+        }
+    }
+    REQUIRE(sent >= 3);
+    REQUIRE(sent <= 5); // 4 at once and one per second
+    while (pair.a.inFlight(Customer) > 0) {
+        pair.a.release(Customer, Ready + 1s);
+    }
+    for (Instant now = Ready + 1s; now < Ready + 20s; now += 10ms) {
+        const auto next = pair.a.takeRequest(now);
+        REQUIRE((!next || now < Ready + 6s)); // demand was high until 2 s, and the need lasts 3 s
+        if (next) {
+            pair.a.applyGrant(pair.answer(*next, now), now);
+        }
+    }
+}
--- a/packages/limits/tests/limitstest.cpp
+++ b/packages/limits/tests/limitstest.cpp
@@ -71,8 +71,10 @@
 class Demand
 {
 public:
-    explicit Demand(World &world)
+    /// The other entries call in one of \p ticksPerCall ticks; with many ticks they need no lease most of the time.
+    Demand(World &world, std::uint64_t ticksPerCall)
         : m_world(world)
+        , m_ticksPerCall(ticksPerCall)
     {
     }
 
@@ -80,7 +82,7 @@
     {
         for (std::size_t n = 0; n < World::EntryCount; ++n) {
             const bool isHot = n == m_hot || n == m_before;
-            for (std::uint64_t calls = isHot ? 30 : m_world.random().below(2); calls > 0; --calls) {
+            for (std::uint64_t calls = isHot ? 30 : m_world.random().below(m_ticksPerCall) == 0 ? 1 : 0; calls > 0; --calls) {
                 m_world.call(n);
             }
         }
@@ -99,6 +101,7 @@
 
 private:
     World &m_world;
+    std::uint64_t m_ticksPerCall;
     std::size_t m_hot = 0;
     std::size_t m_before = 0;
 };
@@ -139,6 +142,53 @@
     return { static_cast<double>(world.admitted() - before) / 30 / 1000, inFlight / 200 };
 }
 
+struct BurstResult {
+    std::uint64_t refused = 0;
+    std::uint64_t calls = 0;
+    /// Share requests of all entries in the 10 idle seconds before the burst.
+    std::uint64_t idleRequests = 0;
+};
+
+/// Calls of 2 s that start at \p hot idle entries: 3 times what the baseline of each has in flight and in tokens, evenly over \p span.
+BurstResult measureBurst(std::size_t hot, Duration span)
+{
+    constexpr std::uint32_t Baseline = 100;
+    World world(makeContract(2 * Baseline * World::EntryCount, 2 * Baseline * World::EntryCount, 2 * Baseline * World::EntryCount), 44);
+    world.setTicksPerNews(20);
+    world.faults().setDelay(1ms, 1ms);
+    const auto run = [&world](Duration time, Duration callInterval) {
+        Instant nextCall = world.now();
+        for (const Instant end = world.now() + time; world.now() < end;) {
+            world.step();
+            for (std::size_t n = 0; n < World::EntryCount && world.now() >= nextCall; ++n) {
+                world.call(n);
+            }
+            nextCall = std::max(nextCall, world.now() + (world.now() >= nextCall ? callInterval : 0ms));
+        }
+    };
+    run(10s, 100ms);
+    run(10s, 1h);
+    BurstResult result;
+    const std::uint64_t before = world.requests();
+    run(10s, 1h);
+    result.idleRequests = world.requests() - before;
+    world.setTick(1ms);
+    world.setTicksPerNews(200);
+    std::uint64_t called = 0;
+    for (const Instant start = world.now(); called < 3 * Baseline;) {
+        world.step();
+        const auto due = std::min<Duration::rep>(3 * Baseline, 3 * Baseline * (world.now() - start) / std::max<Duration>(span, 1ms));
+        for (; called < static_cast<std::uint64_t>(due); ++called) {
+            for (std::size_t n = 0; n < hot; ++n) {
+                ++result.calls;
+                result.refused += world.call(n) ? 0 : 1;
+            }
+        }
+    }
+    REQUIRE(world.isKept());
+    return result;
+}
+
 }
 
 // Guards against more calls than the contract allows: rate x time + burst in every span, and calls in flight at every
@@ -153,7 +203,7 @@
         World world(contract, seed);
         world.setLongestCall(seed % 2 == 0 ? 20ms : 2s); // short calls are limited by the rate, long ones by the concurrency
         world.setTicksPerNews(seed % 4 < 3 ? 20 : 150);
-        Demand demand(world);
+        Demand demand(world, seed % 3 == 0 ? 200 : 2);
         for (int tick = 0; tick < 9000; ++tick) {
             if (tick % 600 == 0) {
                 heal(world);
@@ -185,6 +235,26 @@
     REQUIRE(usable.concurrency >= least);
 }
 
+// Guards against an idle entry that sends share requests, and against bursts from idle that are refused because the entry asks
+// for a lease too late. The bounds are what was refused while idle entries kept a lease; within the time of a reply (0 ms) more
+// is refused now.
+TEST_CASE("refused calls of a burst from idle", "[limits]")
+{
+    const auto [hot, span, mostRefused] = GENERATE(table<std::size_t, Duration, std::uint64_t>({ { 1, 0ms, 200 },
+                                                                                                 { 1, 20ms, 98 },
+                                                                                                 { 1, 100ms, 96 },
+                                                                                                 { 1, 500ms, 64 },
+                                                                                                 { 17, 0ms, 3400 },
+                                                                                                 { 17, 20ms, 1680 },
+                                                                                                 { 17, 100ms, 1597 },
+                                                                                                 { 17, 500ms, 1117 } }));
+    const BurstResult result = measureBurst(hot, span);
+    std::cout << "burst of 3 times the baseline within " << span / 1ms << " ms at " << hot << " of 17 idle entries: " << result.refused
+              << " of " << result.calls << " refused; " << result.idleRequests << " share requests in 10 idle s\n";
+    REQUIRE(result.refused <= mostRefused);
+    REQUIRE(result.idleRequests == 0);
+}
+
 // Guards against calls of a customer whose contract was withdrawn, and against a count that is lost on the way.
 TEST_CASE("a customer without a contract gets no service", "[limits]")
 {
@@ -220,7 +290,7 @@
     const ShareRequest request {
         InstanceId("e1"), Incarnation(9), 5, 4, { { CustomerId("north"), 1500, 7, 3 }, { CustomerId("south"), 0, 0, 1 } }
     };
-    const ShareReply reply { 5, 3s, { { CustomerId("north"), Version(8), { 1, 2, 3 } } } };
+    const ShareReply reply { 5, 3s, { { CustomerId("north"), Version(8), { 1, 2, 3 }, 4 } } };
     REQUIRE(*decodeShareRequest(encode(request)) == request);
     REQUIRE(*decodeShareReply(encode(reply)) == reply);
     std::cout << "share request and reply for one customer: "
--- a/packages/limits/tests/limitsworld.h
+++ b/packages/limits/tests/limitsworld.h
@@ -91,7 +91,7 @@
         entry.calls.clear();
         entry.limits = std::make_unique<CustomerLimits>(idOf(n), Incarnation(++m_lives), LimitTimes { FenceLimit }, m_now);
         entry.knownAt = m_now;
-        entry.nextRequest = m_now + anyTime(std::chrono::seconds(1));
+        entry.firstRequest = m_now + anyTime(std::chrono::seconds(1));
         learn(entry);
     }
 
@@ -133,7 +133,7 @@
 
     void step()
     {
-        m_now += Tick;
+        m_now += m_tick;
         deliver();
         for (std::size_t n = 0; n < EntryCount; ++n) {
             Entry &entry = m_entries[n];
@@ -143,12 +143,8 @@
                 learn(entry);
             }
             endCalls(entry);
-            if (m_now >= entry.nextRequest) {
-                entry.nextRequest = m_now + std::chrono::seconds(1);
-                // After an election some entries still ask the old leader.
-                const bool asksOld = m_now - m_confirmedAt < 2 * CheckQuorum && m_random.below(2) == 0;
-                const std::size_t control = asksOld ? 1 - m_leader : m_leader;
-                m_network.send(n, EntryCount + control, encode(entry.limits->makeRequest(m_now)), m_now);
+            if (m_now >= entry.firstRequest) {
+                requestShares(n);
             }
         }
         finishChange();
@@ -158,7 +154,14 @@
     bool call(std::size_t n)
     {
         Entry &entry = m_entries[n];
-        if (m_now - entry.knownAt >= FenceLimit || !entry.limits->admit(m_contract.customer, m_now)) {
+        if (m_now - entry.knownAt >= FenceLimit) {
+            return false;
+        }
+        const bool isAdmitted = entry.limits->admit(m_contract.customer, m_now).has_value();
+        if (entry.limits->isRequestDue()) {
+            requestShares(n);
+        }
+        if (!isAdmitted) {
             return false;
         }
         entry.calls.emplace(m_now + anyTime(m_longestCall), true);
@@ -189,6 +192,16 @@
         m_ticksPerNews = ticks;
     }
 
+    void setTick(Duration tick)
+    {
+        m_tick = tick;
+    }
+
+    std::uint64_t requests() const
+    {
+        return m_requests;
+    }
+
     void cutOff(std::size_t n, bool isCutOff)
     {
         m_entries[n].isCutOff = isCutOff;
@@ -225,7 +238,8 @@
         /// Every change before this is known.
         Instant knownAt {};
         bool isCutOff = false;
-        Instant nextRequest {};
+        /// The intervals of the entries differ.
+        Instant firstRequest {};
         /// The end of each call.
         std::multimap<Instant, bool> calls;
     };
@@ -246,6 +260,19 @@
         entry.limits->setRegisteredEntries(m_registered, m_now);
     }
 
+    void requestShares(std::size_t n)
+    {
+        const std::optional<ShareRequest> request = m_entries[n].limits->takeRequest(m_now);
+        if (!request) {
+            return;
+        }
+        // After an election some entries still ask the old leader.
+        const bool asksOld = m_now - m_confirmedAt < 2 * CheckQuorum && m_random.below(2) == 0;
+        const std::size_t control = asksOld ? 1 - m_leader : m_leader;
+        ++m_requests;
+        m_network.send(n, EntryCount + control, encode(*request), m_now);
+    }
+
     void endCalls(Entry &entry)
     {
         while (!entry.calls.empty() && entry.calls.begin()->first <= m_now) {
@@ -274,7 +301,7 @@
     // The new contract holds once every entry knows it or is fenced, and calls admitted before have ended.
     void finishChange()
     {
-        if (m_isChanging && m_now - m_changedAt >= FenceLimit + std::chrono::seconds(2) + Tick) {
+        if (m_isChanging && m_now - m_changedAt >= FenceLimit + std::chrono::seconds(2) + m_tick) {
             m_isChanging = false;
             m_allowed = m_contract;
             m_rate.reset(m_contract, m_now);
@@ -293,6 +320,8 @@
     std::uint64_t m_lives = 0;
     Duration m_longestCall = std::chrono::seconds(2);
     std::uint64_t m_ticksPerNews = 200;
+    Duration m_tick = Tick;
+    std::uint64_t m_requests = 0;
     RateCheck m_rate;
     /// What the entries may admit in all.
     Contract m_allowed;
