Wait for the reply to a share request before a call is refused

Cause: an entry that callers have just changed to has a small share of a customer's limit, and refused calls that the leader would have covered within milliseconds.

Ruled out: a wait for every refused call; only a request on its way for that customer makes a wait useful.

Change: CustomerLimits tells until when a reply is expected (20 ms after the request) and admits a waiting call without counting its demand twice. The entry admits waiting calls when a grant has come into force. A counter shows the waits.

Small contracts need a division that does not go below one call.

--- a/packages/daemon/daemon/callrunner.cpp
+++ b/packages/daemon/daemon/callrunner.cpp
@@ -109,6 +109,13 @@
     }
 }
 
+void CallRunner::shareArrived(Instant now)
+{
+    std::vector<Entry::Effect> effects;
+    m_engine.shareArrived(now, effects);
+    apply(effects);
+}
+
 void CallRunner::abandonDisconnectedCalls(Instant now)
 {
     std::vector<Entry::Effect> effects;
--- a/packages/daemon/daemon/callrunner.h
+++ b/packages/daemon/daemon/callrunner.h
@@ -42,6 +42,8 @@
     CallEnd run(const Entry::CallRequest &request, CallContent content, const Poco::Net::StreamSocket &caller);
     /// Runs the engine's tick and gives up attempts whose deadline has passed; called on every tick without the lock.
     void tick(Instant now);
+    /// Runs the calls that waited for a share of their customer's limit; with the lock held.
+    void shareArrived(Instant now);
     /// Abandons the calls whose callers have closed their connection; called a few times per second without the lock.
     void abandonDisconnectedCalls(Instant now);
     /// Calls that have not ended.
--- a/packages/daemon/daemon/enginelinks.cpp
+++ b/packages/daemon/daemon/enginelinks.cpp
@@ -36,6 +36,16 @@
     return admitted;
 }
 
+std::optional<Instant> EngineLinks::shareExpectedUntil(const CustomerId &customer, Instant now) const
+{
+    return m_limits.shareExpectedUntil(customer, now);
+}
+
+tl::expected<void, ResultCode> EngineLinks::admitWaiting(const CustomerId &customer, Instant now)
+{
+    return m_limits.admitWaiting(customer, now);
+}
+
 void EngineLinks::release(const CustomerId &customer, Instant now)
 {
     m_limits.release(customer, now);
--- a/packages/daemon/daemon/enginelinks.h
+++ b/packages/daemon/daemon/enginelinks.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 
 #include "actions/actionregistry.h"
 #include "daemon/clusternode.h"
@@ -22,6 +23,8 @@
 
     tl::expected<Entry::CallTerms, ResultCode> terms(const CustomerId &customer, const ServiceId &service) const override;
     tl::expected<void, ResultCode> admit(const CustomerId &customer, Instant now) override;
+    std::optional<Instant> shareExpectedUntil(const CustomerId &customer, Instant now) const override;
+    tl::expected<void, ResultCode> admitWaiting(const CustomerId &customer, Instant now) override;
     void release(const CustomerId &customer, Instant now) override;
     tl::expected<void, Entry::KeyRefusal> begin(const Actions::ActionKey &key, Instant now) override;
     void finish(const Actions::ActionKey &key, Outcome outcome, Instant now) override;
--- a/packages/daemon/daemon/entrynode.cpp
+++ b/packages/daemon/daemon/entrynode.cpp
@@ -105,6 +105,7 @@
     if (reply && m_limits.applyGrant(*reply, now)) {
         m_lastShareReply = now;
         m_shareAddress = envelope.senderAddress;
+        m_runner.shareArrived(now);
     }
 }
 
--- a/packages/daemon/daemon/metricspage.cpp
+++ b/packages/daemon/daemon/metricspage.cpp
@@ -62,6 +62,7 @@
     addCounter(page, "galenabarrow_retries_total", "Attempts after one that failed.", engine.retries);
     addCounter(page, "galenabarrow_placements_total", "Attempts after a documented refusal.", engine.placements);
     addCounter(page, "galenabarrow_hedges_total", "Hedged attempts.", engine.hedges);
+    addCounter(page, "galenabarrow_share_waits_total", "Calls that waited for a share of their customer's limit.", engine.shareWaits);
     addCounter(page, "galenabarrow_cancels_total", "Attempts given up.", engine.cancels);
     addGauge(page, "galenabarrow_calls_in_progress", "Calls that have not ended.", entry.engine().callCount());
     addGauge(page, "galenabarrow_calls_waiting", "Calls that wait for a server.", entry.engine().waitingCount());
--- a/packages/limits/limits/customerlimits.cpp
+++ b/packages/limits/limits/customerlimits.cpp
@@ -96,18 +96,42 @@
     settle(row, now);
     ++row.asked;
     const Share share = shareOf(row, now);
-    const bool isFull = row.inFlight >= share.concurrency;
-    const bool isAdmitted = !isFull && row.bucket.take();
-    if (isAdmitted) {
-        ++row.inFlight;
-        row.peakInFlight = std::max(row.peakInFlight, row.inFlight);
-    } else if (isFull) {
+    const tl::expected<void, ResultCode> taken = tryTake(row, share);
+    if (!taken && taken.error() == ResultCode::ConcurrencyLimited) {
         ++row.refusedConcurrency;
     }
     noteDemand(row, share, now);
-    if (!isAdmitted) {
-        return tl::make_unexpected(isFull ? ResultCode::ConcurrencyLimited : ResultCode::RateLimited);
+    return taken;
+}
+
+tl::expected<void, ResultCode> CustomerLimits::admitWaiting(const CustomerId &customer, Instant now)
+{
+    const auto it = m_rows.find(customer);
+    if (it == m_rows.end() || !it->second.contract) {
+        return tl::make_unexpected(ResultCode::NoContract);
+    }
+    settle(it->second, now);
+    return tryTake(it->second, shareOf(it->second, now));
+}
+
+std::optional<Instant> CustomerLimits::shareExpectedUntil(const CustomerId &customer, Instant now) const
+{
+    const Instant until = m_requestedAt + m_times.replyTime;
+    const auto it = m_rows.find(customer);
+    const bool isOnItsWay = it != m_rows.end() && it->second.isRequested && m_installed != m_number && now < until;
+    return isOnItsWay ? std::optional(until) : std::nullopt;
+}
+
+tl::expected<void, ResultCode> CustomerLimits::tryTake(Row &row, const Share &share)
+{
+    if (row.inFlight >= share.concurrency) {
+        return tl::make_unexpected(ResultCode::ConcurrencyLimited);
+    }
+    if (!row.bucket.take()) {
+        return tl::make_unexpected(ResultCode::RateLimited);
     }
+    ++row.inFlight;
+    row.peakInFlight = std::max(row.peakInFlight, row.inFlight);
     return {};
 }
 
@@ -162,6 +186,7 @@
     ShareRequest request { m_self, m_incarnation, ++m_number, m_installed, {} };
     for (auto &[customer, row] : m_rows) {
         settle(row, now);
+        row.isRequested = false;
         if (now >= row.neededUntil && !isDemandHigh(row, now)) {
             // The reply would end this lease too. It has to end before the request, because calls admitted under it from
             // here on would be in no report.
@@ -171,6 +196,7 @@
                 continue;
             }
         }
+        row.isRequested = true;
         request.demands.push_back(demandOf(customer, row, now));
     }
     m_requestedAt = now;
--- a/packages/limits/limits/customerlimits.h
+++ b/packages/limits/limits/customerlimits.h
@@ -27,6 +27,8 @@
     /// Requests ahead of the interval per second, and how many of them may follow each other at once.
     std::uint32_t earlyRequestRate = 1;
     std::uint32_t earlyRequestBurst = 4;
+    /// How long a call may wait for the reply to a share request. A reply between data centres takes a few milliseconds.
+    Duration replyTime = std::chrono::milliseconds(20);
 };
 
 /// The limits of all customers at one entry. A limit is the entry's baseline, half of the contract divided over the
@@ -46,6 +48,10 @@
     /// Admits one call, or fails with NoContract, RateLimited or ConcurrencyLimited. Each admitted call is released once.
     tl::expected<void, ResultCode> admit(const CustomerId &customer, Instant now);
     void release(const CustomerId &customer, Instant now);
+    /// As admit(), for a call that admit() has refused and counted as demand.
+    tl::expected<void, ResultCode> admitWaiting(const CustomerId &customer, Instant now);
+    /// Until when the reply to a share request of the customer is worth a wait; nothing when none is on its way.
+    std::optional<Instant> shareExpectedUntil(const CustomerId &customer, Instant now) const;
 
     /// The request to send now, if any; call it every few milliseconds and when isRequestDue() turns true. Asks for nothing
     /// while the demand of every customer is low compared with its baseline, which is valid without a lease.
@@ -78,6 +84,8 @@
         TokenBucket bucket;
         std::optional<Lease> lease;
         std::uint32_t inFlight = 0;
+        /// The last request asked for the customer.
+        bool isRequested = false;
         /// The customer needs a lease before this time.
         Instant neededUntil {};
         // in this interval
@@ -95,6 +103,8 @@
     void settle(Row &row, Instant now);
     Share shareOf(const Row &row, Instant now) const;
     std::uint32_t heldConcurrency(const Row &row, Instant now) const;
+    /// Takes a call into the row; the code of the limit that is used up otherwise.
+    static tl::expected<void, ResultCode> tryTake(Row &row, const Share &share);
     void noteDemand(Row &row, const Share &share, Instant now);
     bool isDemandHigh(const Row &row, Instant now) const;
     bool mayRequestEarly(Instant now);
--- a/packages/limits/tests/leasetest.cpp
+++ b/packages/limits/tests/leasetest.cpp
@@ -324,3 +324,28 @@
         }
     }
 }
+
+// Guards against a refusal while the reply that would admit the call is on its way, and against a wait for nothing: without
+// a request, after the reply, when the reply is late, and for a customer that was not asked for.
+TEST_CASE("a call is worth a wait while a share request is on its way", "[limits]")
+{
+    Pair pair;
+    pair.a.takeRequest(Start + 6s); // the baseline of 25 in flight has just come into force
+    for (int n = 0; n < 25; ++n) {
+        REQUIRE(pair.a.admit(Customer, Ready));
+    }
+    REQUIRE_FALSE(pair.a.admit(Customer, Ready));
+    REQUIRE_FALSE(pair.a.shareExpectedUntil(Customer, Ready));
+    const std::optional<ShareRequest> request = pair.a.takeRequest(Ready);
+    REQUIRE(request);
+    REQUIRE(pair.a.shareExpectedUntil(Customer, Ready + 5ms) == Ready + 20ms);
+    REQUIRE_FALSE(pair.a.shareExpectedUntil(CustomerId("other"), Ready + 5ms));
+    REQUIRE_FALSE(pair.a.shareExpectedUntil(Customer, Ready + 20ms));
+    REQUIRE_FALSE(pair.a.admitWaiting(Customer, Ready + 5ms));
+    REQUIRE(pair.a.applyGrant(pair.answer(*request, Ready + 5ms), Ready + 5ms));
+    REQUIRE(pair.a.admitWaiting(Customer, Ready + 5ms));
+    REQUIRE(pair.a.inFlight(Customer) == 26);
+    REQUIRE_FALSE(pair.a.shareExpectedUntil(Customer, Ready + 5ms));
+    pair.a.removeContract(Customer, Ready + 5ms);
+    REQUIRE(pair.a.admitWaiting(Customer, Ready + 5ms).error() == ResultCode::NoContract);
+}
