Add the scheduler of probes

Cause: MeasuringBudget and ProbeAssignment exist, and nothing decides which server is probed when (decision 12).

Ruled out: a fixed interval per server (a failing server that times out costs its whole deadline each time), and a scheduler without the shared result (a new prober would probe all of its servers again at once).

Change: ProbeScheduler takes the servers, the live and the registered entries at each tick and returns the probes to send. It reserves each deadline from the budget and settles it with the result. A server that answered or refused a call within 2 s is not probed; a healthy idle one is probed each 5 s, an unhealthy one after 1 s and then at intervals that double up to 8 s. A probe without budget is counted and tried again later. The budget tells its spent time by kind and the share in force.

--- a/packages/measuring/measuring/measuringbudget.cpp
+++ b/packages/measuring/measuring/measuringbudget.cpp
@@ -51,7 +51,7 @@
         return false;
     }
     credit -= micros(cost);
-    m_spent += cost;
+    m_spent[indexOf(kind)] += cost;
     return true;
 }
 
@@ -60,7 +60,7 @@
     refill(now);
     const Duration unspent = reserved - actual;
     m_credit[indexOf(kind)] += micros(unspent);
-    m_spent -= unspent;
+    m_spent[indexOf(kind)] -= unspent;
     m_overruns += unspent < Duration::zero() ? 1 : 0;
     refill(now);
 }
@@ -72,7 +72,12 @@
 
 Duration MeasuringBudget::spent() const
 {
-    return m_spent;
+    return std::accumulate(m_spent.begin(), m_spent.end(), Duration::zero());
+}
+
+Duration MeasuringBudget::spent(Spend kind) const
+{
+    return m_spent[indexOf(kind)];
 }
 
 std::uint64_t MeasuringBudget::overruns() const
--- a/packages/measuring/measuring/measuringbudget.h
+++ b/packages/measuring/measuring/measuringbudget.h
@@ -51,6 +51,9 @@
     double rate(Spend kind, Instant now) const;
     /// Server time spent or reserved since the start.
     Duration spent() const;
+    Duration spent(Spend kind) const;
+    /// Server time per second that this entry may cost, before the reserves are taken out, as a share of 1.
+    double shareInForce(Instant now) const;
     /// Spends that cost more than was reserved.
     std::uint64_t overruns() const;
 
@@ -60,7 +63,6 @@
         Instant replacedAt {};
     };
 
-    double shareInForce(Instant now) const;
     double kindShare(Spend kind) const;
     double reserveOf(Spend kind) const;
     void refill(Instant now);
@@ -72,7 +74,7 @@
     double m_share = 0;
     std::vector<Earlier> m_earlier;
     Instant m_refilledAt;
-    Duration m_spent {};
+    std::array<Duration, SpendKinds> m_spent {};
     std::uint64_t m_overruns = 0;
 };
 
--- /dev/null
+++ b/packages/measuring/measuring/probescheduler.cpp
@@ -0,0 +1,137 @@
+#include "measuring/probescheduler.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+#include <utility>
+
+namespace Galenabarrow::Measuring
+{
+
+namespace
+{
+
+BudgetSettings withProbeDeadline(BudgetSettings budget, Duration deadline)
+{
+    budget.largestSpend[static_cast<std::size_t>(Spend::Probe)] = deadline;
+    return budget;
+}
+
+}
+
+ProbeScheduler::ProbeScheduler(const ProbeSettings &settings, const BudgetSettings &budget, InstanceId self, Instant now)
+    : m_settings(settings)
+    , m_self(std::move(self))
+    , m_budget(withProbeDeadline(budget, settings.deadline), now)
+{
+}
+
+std::vector<Probe> ProbeScheduler::tick(const ProbeView &view, Instant now)
+{
+    forgetRemoved(view);
+    m_assignment.setEntries(view.liveEntries);
+    std::uint32_t slots = 0;
+    for (const ProbeTarget &it : view.servers) {
+        slots += it.isLeaving ? 0 : it.slots;
+    }
+    m_budget.setShare(slots, static_cast<std::uint32_t>(view.registeredEntries), now);
+    std::vector<std::pair<Instant, const ProbeTarget *>> due;
+    for (const ProbeTarget &it : view.servers) {
+        if (const auto at = dueAt(it, m_states[it.server], now); at && m_assignment.prober(it.server) == m_self) {
+            due.emplace_back(*at, &it);
+        }
+    }
+    std::vector<Probe> probes;
+    if (now < m_pausedUntil) {
+        return probes;
+    }
+    // The server that waits longest comes first, or a small budget would never reach the others.
+    std::sort(due.begin(), due.end(),
+              [](const auto &a, const auto &b) { return std::tie(a.first, a.second->server) < std::tie(b.first, b.second->server); });
+    for (std::size_t n = 0; n < due.size() && m_pending.size() < m_settings.maxPending; ++n) {
+        if (!m_budget.reserve(Spend::Probe, m_settings.deadline, now)) {
+            m_counters.suppressed += due.size() - n;
+            m_pausedUntil = now + m_settings.suppressedPause;
+            break;
+        }
+        send(*due[n].second, probes);
+    }
+    return probes;
+}
+
+void ProbeScheduler::finish(const ProbeResult &result, Instant now)
+{
+    const auto it = m_pending.find(result.number);
+    if (it == m_pending.end()) {
+        return;
+    }
+    m_budget.settle(Spend::Probe, m_settings.deadline, result.used, now);
+    m_counters.spent += result.used;
+    m_counters.failed += result.isHealthy ? 0 : 1;
+    m_counters.timedOut += result.isTimedOut ? 1 : 0;
+    if (const auto state = m_states.find(it->second); state != m_states.end()) {
+        state->second.last = ProbeSign { now, result.isHealthy };
+        state->second.isPending = false;
+    }
+    m_pending.erase(it);
+}
+
+const ProbeCounters &ProbeScheduler::counters() const
+{
+    return m_counters;
+}
+
+const MeasuringBudget &ProbeScheduler::budget() const
+{
+    return m_budget;
+}
+
+void ProbeScheduler::forgetRemoved(const ProbeView &view)
+{
+    std::set<ServerId> known;
+    for (const ProbeTarget &it : view.servers) {
+        known.insert(it.server);
+    }
+    std::erase_if(m_states, [&known](const auto &it) { return !known.contains(it.first); });
+}
+
+// Since when the server waits for a probe; nothing when it needs none now.
+std::optional<Instant> ProbeScheduler::dueAt(const ProbeTarget &target, State &state, Instant now) const
+{
+    std::optional<ProbeSign> last = state.last;
+    if (target.shared && (!last || target.shared->at > last->at)) {
+        last = target.shared;
+    }
+    // Also while calls are avoided after a healthy probe: the calls fail although the probes do not, and a probe that
+    // succeeds each second would send a call to the server each second.
+    const bool isUnhealthy = target.isAvoided || (last && !last->isHealthy);
+    if (!isUnhealthy) {
+        state.unhealthyInterval = Duration::zero();
+    } else if (state.unhealthyInterval == Duration::zero()) {
+        state.unhealthyInterval = m_settings.firstUnhealthyInterval;
+    }
+    if (target.isLeaving || state.isPending) {
+        return std::nullopt;
+    }
+    Instant due = Instant::min();
+    if (last) {
+        due = last->at + (isUnhealthy ? state.unhealthyInterval : m_settings.idleInterval);
+    }
+    if (target.heardAt != Instant::min()) {
+        due = std::max(due, target.heardAt + m_settings.passiveTime);
+    }
+    return due <= now ? std::optional(due) : std::nullopt;
+}
+
+void ProbeScheduler::send(const ProbeTarget &target, std::vector<Probe> &probes)
+{
+    State &state = m_states[target.server];
+    state.isPending = true;
+    state.unhealthyInterval = std::min(2 * state.unhealthyInterval, m_settings.longestUnhealthyInterval);
+    ++m_counters.sent;
+    ++m_lastNumber;
+    m_pending.emplace(m_lastNumber, target.server);
+    probes.push_back(Probe { m_lastNumber, target.server, m_settings.deadline });
+}
+
+}
--- /dev/null
+++ b/packages/measuring/tests/probeschedulertest.cpp
@@ -0,0 +1,330 @@
+#include <array>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "base/random.h"
+#include "ledger.h"
+#include "measuring/probescheduler.h"
+
+using namespace Galenabarrow;
+using namespace Galenabarrow::Measuring;
+using namespace Galenabarrow::Measuring::Test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr Duration Tick = 20ms;
+constexpr Duration ProbeCost = 6ms;
+
+/// 17 entries that probe the same servers, each with its own view of entries and servers.
+class World
+{
+public:
+    World(const Deployment &deployment, std::uint64_t seed)
+        : m_deployment(deployment)
+        , m_random(seed)
+        , m_ledger(deployment.servers * deployment.slotsPerServer * std::chrono::duration<double>(Window).count())
+        , m_isHealthy(deployment.servers, true)
+    {
+        for (std::size_t n = 0; n < EntryCount; ++n) {
+            start(n, EntryCount, 0);
+        }
+    }
+
+    /// A new process that sees \p visible entries, itself too, and not the last \p unseen servers.
+    void start(std::size_t n, std::size_t visible, std::uint32_t unseen)
+    {
+        BudgetSettings budget;
+        budget.budgetPermille = m_deployment.budgetPermille;
+        m_entries[n] = Entry { std::make_unique<ProbeScheduler>(ProbeSettings {}, budget, entryId(n), m_now), {}, {} };
+        see(n, visible, unseen);
+    }
+
+    /// With \p isShared, results of other entries reach this one.
+    void see(std::size_t n, std::size_t visible, std::uint32_t unseen, bool isShared = true)
+    {
+        Entry &entry = m_entries[n];
+        entry.isShared = isShared;
+        entry.view = { {}, {}, EntryCount };
+        for (std::size_t other = 0; other < visible; ++other) {
+            entry.view.liveEntries.push_back(entryId((n + other) % EntryCount));
+        }
+        for (std::size_t it = 0; it + unseen < m_deployment.servers; ++it) {
+            entry.view.servers.push_back({ serverId(it), m_deployment.slotsPerServer, Instant::min(), false, false, {} });
+        }
+    }
+
+    void stop(std::size_t n)
+    {
+        m_entries[n].scheduler.reset();
+        for (Entry &it : m_entries) {
+            std::erase(it.view.liveEntries, entryId(n));
+        }
+    }
+
+    void setHealthy(std::size_t server, bool isHealthy)
+    {
+        m_isHealthy[server] = isHealthy;
+    }
+
+    /// Runs while each entry gets an answer from every healthy server with this chance, in 1,000, at each tick.
+    void run(Duration time, std::uint32_t answersPermille)
+    {
+        for (const Instant end = m_now + time; m_now < end;) {
+            m_now += Tick;
+            for (std::size_t n = 0; n < EntryCount; ++n) {
+                if (m_entries[n].scheduler) {
+                    step(n, answersPermille);
+                }
+            }
+        }
+    }
+
+    Ledger &ledger()
+    {
+        return m_ledger;
+    }
+
+    RandomSource &random()
+    {
+        return m_random;
+    }
+
+    /// Servers that were probed by more than one entry.
+    std::size_t doublyProbed() const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(m_probers.begin(), m_probers.end(), [](const auto &it) { return it.second.size() > 1; }));
+    }
+
+    /// Servers that at least one entry sees.
+    std::size_t seenServers() const
+    {
+        std::size_t most = 0;
+        for (const Entry &it : m_entries) {
+            most = std::max(most, it.view.servers.size());
+        }
+        return most;
+    }
+
+    std::size_t recentlyProbed() const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(m_shared.begin(), m_shared.end(), [this](const auto &it) { return m_now - it.second.at < 12s; }));
+    }
+
+    ProbeCounters total() const
+    {
+        ProbeCounters sum;
+        for (const Entry &it : m_entries) {
+            if (it.scheduler) {
+                sum.sent += it.scheduler->counters().sent;
+                sum.failed += it.scheduler->counters().failed;
+                sum.suppressed += it.scheduler->counters().suppressed;
+            }
+        }
+        return sum;
+    }
+
+private:
+    struct Entry {
+        std::unique_ptr<ProbeScheduler> scheduler;
+        ProbeView view;
+        /// Results on their way, by the time at which they arrive.
+        std::multimap<Instant, std::pair<std::size_t, ProbeResult>> pending;
+        bool isShared = true;
+    };
+
+    void step(std::size_t n, std::uint32_t answersPermille)
+    {
+        Entry &entry = m_entries[n];
+        while (!entry.pending.empty() && entry.pending.begin()->first <= m_now) {
+            const auto [server, result] = entry.pending.begin()->second;
+            entry.scheduler->finish(result, m_now);
+            m_shared[server] = { m_now, result.isHealthy };
+            entry.pending.erase(entry.pending.begin());
+        }
+        for (std::size_t it = 0; it < entry.view.servers.size(); ++it) {
+            ProbeTarget &target = entry.view.servers[it];
+            if (m_isHealthy[it] && answersPermille > 0 && m_random.below(1000) < answersPermille) {
+                target.heardAt = m_now;
+            }
+            const auto sign = m_shared.find(it);
+            target.shared = entry.isShared && sign != m_shared.end() ? std::optional(sign->second) : std::nullopt;
+            target.isAvoided = !m_isHealthy[it] && answersPermille > 0;
+        }
+        for (const Probe &it : entry.scheduler->tick(entry.view, m_now)) {
+            const std::size_t server = std::stoul(it.server.value().substr(7));
+            // One probe in 20 meets a straggler and is ended at its deadline, as each one of an unhealthy server is.
+            const bool isSlow = !m_isHealthy[server] || m_random.below(20) == 0;
+            const Duration cost = isSlow ? it.deadline : ProbeCost;
+            m_ledger.spend(cost, m_now);
+            m_probers[server].insert(n);
+            entry.pending.emplace(m_now + cost, std::pair(server, ProbeResult { it.number, cost, !isSlow, isSlow }));
+        }
+    }
+
+    Deployment m_deployment;
+    SeededRandom m_random;
+    Ledger m_ledger;
+    Instant m_now = Instant(1h);
+    std::vector<bool> m_isHealthy;
+    std::array<Entry, EntryCount> m_entries;
+    std::map<std::size_t, ProbeSign> m_shared;
+    std::map<std::size_t, std::set<std::size_t>> m_probers;
+};
+
+/// One entry and one server with 99 slots.
+struct OneEntry {
+    Instant now = Instant(1h);
+    ProbeScheduler scheduler { {}, {}, entryId(0), now };
+    ProbeView view { { { serverId(0), 99, Instant::min(), false, false, {} } }, { entryId(0) }, 1 };
+
+    /// Runs until a probe is sent; nothing within a minute.
+    std::optional<Probe> next()
+    {
+        for (const Instant end = now + 60s; now < end; now += Tick) {
+            if (const auto probes = scheduler.tick(view, now); !probes.empty()) {
+                return probes.front();
+            }
+        }
+        return std::nullopt;
+    }
+
+    void finish(const Probe &probe, bool isHealthy)
+    {
+        scheduler.finish({ probe.number, 6ms, isHealthy, false }, now);
+    }
+};
+
+}
+
+// Guards against probes that cost more than the budget, summed over entries that see different things.
+TEST_CASE("scheduled probes stay within the budget in every window", "[measuring]")
+{
+    const Deployment deployment = GENERATE(Abyssinia, ODalaigh);
+    World world(deployment, 61);
+    const auto phase = [&](const char *name, Duration time, std::uint32_t answersPermille) {
+        world.run(time, answersPermille);
+        std::cout << deployment.name << ", probes " << name << ": at most " << world.ledger().highest() << " permille of "
+                  << deployment.budgetPermille << ", " << world.recentlyProbed() << " of " << deployment.servers
+                  << " servers probed in the last 12 s\n";
+        REQUIRE(world.ledger().highest() <= deployment.budgetPermille);
+        world.ledger().restart();
+    };
+    phase("idle", 60s, 0);
+    REQUIRE(world.recentlyProbed() == deployment.servers);
+    phase("under load", 60s, 10);
+    const std::uint64_t before = world.total().sent;
+    phase("in a 100-fold burst", 5s, 1000);
+    REQUIRE(world.total().sent == before); // each server answered within the last 2 s
+    for (std::size_t server = 0; server < deployment.servers; server += 2) {
+        world.setHealthy(server, false);
+    }
+    phase("in a burst with half of the servers failing", 60s, 1000);
+    for (std::size_t server = 0; server < deployment.servers; ++server) {
+        world.setHealthy(server, true);
+    }
+    for (std::size_t n = 0; n < EntryCount; ++n) {
+        const auto visible = 1 + world.random().below(EntryCount);
+        world.see(n, visible, static_cast<std::uint32_t>(world.random().below(8)), false);
+    }
+    phase("with views that differ and no shared results", 60s, 0);
+    // Each restarted entry believes that it is alone and that it has to probe every server.
+    for (int round = 0; round < 20; ++round) {
+        for (std::size_t n = 0; n < EntryCount; ++n) {
+            world.start(n, 1, static_cast<std::uint32_t>(world.random().below(8)));
+        }
+        world.run(round < 15 ? 500ms : 13s, 0);
+    }
+    phase("after mass restarts", 60s, 0);
+    REQUIRE(world.recentlyProbed() == world.seenServers());
+}
+
+// Guards against servers that nobody probes any more after their prober has ended.
+TEST_CASE("another entry takes over the servers of a prober that ended", "[measuring]")
+{
+    const Deployment deployment = GENERATE(Abyssinia, ODalaigh);
+    World world(deployment, 62);
+    world.run(30s, 0);
+    for (const std::size_t n : { 3, 8, 15 }) {
+        world.stop(n);
+    }
+    world.run(30s, 0);
+    REQUIRE(world.recentlyProbed() == deployment.servers);
+    REQUIRE(world.ledger().highest() <= deployment.budgetPermille);
+}
+
+// Guards against two entries that both believe they are the prober and together exceed the budget.
+TEST_CASE("two entries that probe the same server keep the budget", "[measuring]")
+{
+    const Deployment deployment = GENERATE(Abyssinia, ODalaigh);
+    World world(deployment, 63);
+    for (std::size_t n = 0; n < EntryCount; ++n) {
+        world.see(n, n == 4 ? 1 : EntryCount, 0, false); // entry 4 sees no other one and so probes everything
+    }
+    world.run(80s, 0);
+    REQUIRE(world.doublyProbed() > deployment.servers / 2);
+    REQUIRE(world.ledger().highest() <= deployment.budgetPermille);
+}
+
+// Guards against probes that add nothing to passive signs, and against a failing server that is probed ever more often.
+TEST_CASE("passive signs replace probes, and intervals rise while a server is unhealthy", "[measuring]")
+{
+    OneEntry entry;
+    std::optional<Probe> probe = entry.next();
+    REQUIRE(probe);
+    std::vector<Instant> sent;
+    for (int n = 0; n < 6; ++n) {
+        entry.finish(*probe, false);
+        sent.push_back(entry.now);
+        probe = entry.next();
+        REQUIRE(probe);
+        const Duration pause = entry.now - sent.back();
+        const Duration expected = std::min<Duration>(1s * (1 << n), 8s);
+        REQUIRE((pause >= expected && pause <= expected + Tick));
+    }
+    REQUIRE(entry.scheduler.counters().failed == 6);
+    entry.finish(*probe, true);
+    const Instant healthy = entry.now;
+    probe = entry.next();
+    REQUIRE(entry.now - healthy == 5s);
+    entry.finish(*probe, true);
+    for (int n = 0; n < 1000; ++n) { // an answer at each tick
+        entry.now += Tick;
+        entry.view.servers[0].heardAt = entry.now;
+        REQUIRE(entry.scheduler.tick(entry.view, entry.now).empty());
+    }
+    REQUIRE(entry.next());
+    REQUIRE(entry.now - entry.view.servers[0].heardAt == 2s);
+}
+
+// Guards against probes without budget, for a leaving server, or of a server that another entry probes.
+TEST_CASE("no probe is sent without budget or to a server that is leaving", "[measuring]")
+{
+    OneEntry entry;
+    entry.view.registeredEntries = 0;
+    REQUIRE_FALSE(entry.next());
+    REQUIRE(entry.scheduler.counters().suppressed > 0);
+    entry.view.registeredEntries = 1;
+    entry.view.servers[0].isLeaving = true;
+    REQUIRE_FALSE(entry.next());
+    entry.view.servers[0].isLeaving = false;
+    entry.view.liveEntries = { entryId(1) };
+    REQUIRE_FALSE(entry.next());
+    REQUIRE(entry.scheduler.counters().sent == 0);
+    entry.view.liveEntries = { entryId(0) };
+    const std::optional<Probe> probe = entry.next();
+    REQUIRE(probe);
+    REQUIRE(entry.scheduler.budget().spent(Spend::Probe) == probe->deadline);
+    entry.scheduler.finish({ probe->number, 50ms, false, true }, entry.now);
+    REQUIRE(entry.scheduler.budget().overruns() == 1);
+    REQUIRE(entry.scheduler.budget().spent(Spend::Probe) == Duration(50ms));
+    REQUIRE(entry.scheduler.counters().timedOut == 1);
+}
