Let results of probes start and end the avoidance of a server

Cause: a server that is avoided after failures comes back only with the call of a caller, and a failure that one entry finds is unknown to the others.

Ruled out: a mark that only the next healthy probe removes (a prober that ends after a wrong result would leave the server out for good), and resetting the count of failures with a healthy probe (a server whose calls fail while its probes succeed would be tried at the pace of the first failure).

Change: CallEngine::noteProbe and ServerTable::noteProbe. A failed probe makes the server avoided for 15 s; a healthy one that is later than the last failure ends that. Older results and results older than an answer change nothing. Draining and held servers no longer count when the table decides whether most servers are avoided, so that the last server that takes work keeps its calls; nextAvailable() follows the same rule.

Conclusion: the engine takes results of probes from any entry.

--- a/packages/entry/entry/callengine.cpp
+++ b/packages/entry/entry/callengine.cpp
@@ -91,6 +91,11 @@
     m_servers.remove(server);
 }
 
+bool CallEngine::noteProbe(const ServerId &server, bool isHealthy, Instant at)
+{
+    return m_servers.noteProbe(server, isHealthy, at);
+}
+
 void CallEngine::stopAccepting()
 {
     m_isStopping = true;
--- a/packages/entry/entry/callengine.h
+++ b/packages/entry/entry/callengine.h
@@ -65,6 +65,8 @@
     void upsertServer(const ServerRecord &record, Instant now);
     /// Removes a server; its attempts in flight go on.
     void removeServer(const ServerId &server);
+    /// Takes the result of a probe that ended at \p at; see ServerTable::noteProbe().
+    bool noteProbe(const ServerId &server, bool isHealthy, Instant at);
 
     /// Takes a call. FinishCall may be among the effects at once.
     CallId submit(const CallRequest &request, Instant now, std::vector<Effect> &effects);
--- a/packages/entry/entry/servertable.cpp
+++ b/packages/entry/entry/servertable.cpp
@@ -20,6 +20,9 @@
 /// four times as much, so that a server that fails within 0.1 ms attracts nothing.
 constexpr Duration FirstPenalty = 20ms;
 constexpr Duration MaxPenalty = 5s;
+/// How long a failed probe makes a server avoided. Longer than the longest pause between probes of an unhealthy server,
+/// and short enough that a wrong result whose prober has ended heals by itself.
+constexpr Duration ProbePenalty = 15s;
 constexpr int PenaltyGrowthShift = 2;
 constexpr std::uint32_t MaxPenaltySteps = 5;
 
@@ -203,17 +206,13 @@
 {
     rows.clear();
     const std::vector<RowIndex> &all = rowsOf(service);
-    std::size_t penalized = 0;
     for (const RowIndex it : all) {
         const ServerRow &row = m_rows[it];
-        const bool isPenalized = row.penaltyUntil > now;
-        penalized += isPenalized ? 1 : 0;
-        if (!isPenalized && it != excluded && takesWork(row) && openFrom(row) <= now) {
+        if (row.penaltyUntil <= now && it != excluded && takesWork(row) && openFrom(row) <= now) {
             rows.push_back(it);
         }
     }
-    // When most servers fail, the fault is behind them, and concentrating the load on the rest would make it worse.
-    if (penalized * 2 <= all.size()) {
+    if (!isMostlyAvoided(all, now)) {
         return;
     }
     for (const RowIndex it : all) {
@@ -223,15 +222,31 @@
     }
 }
 
+// When most servers fail, the fault is behind them, and concentrating the load on the rest would make it worse. Servers
+// that are draining or held until a stated time do not count, or a probe could take the last one that takes work out of
+// service.
+bool ServerTable::isMostlyAvoided(const std::vector<RowIndex> &rows, Instant now) const
+{
+    std::size_t avoided = 0;
+    std::size_t staying = 0;
+    for (const RowIndex it : rows) {
+        const bool isStaying = !m_rows[it].record.draining && m_rows[it].resetUntil <= now;
+        staying += isStaying ? 1 : 0;
+        avoided += isStaying && m_rows[it].penaltyUntil > now ? 1 : 0;
+    }
+    return avoided * 2 > staying;
+}
+
 std::optional<Instant> ServerTable::nextAvailable(const ServiceId &service, Instant now) const
 {
     std::optional<Instant> next;
+    const bool isMostly = isMostlyAvoided(rowsOf(service), now);
     for (const RowIndex it : rowsOf(service)) {
         const ServerRow &row = m_rows[it];
         if (!takesWork(row)) {
             continue;
         }
-        const Instant open = std::max(openFrom(row), row.penaltyUntil);
+        const Instant open = isMostly ? openFrom(row) : std::max(openFrom(row), row.penaltyUntil);
         if (open > now && (!next || open < *next)) {
             next = open;
         }
@@ -256,6 +271,7 @@
     --row.inFlight;
     ServiceAverages &averages = m_services[row.record.service].averages;
     if (report.end == AttemptEnd::RefusedByServer) {
+        row.heardAt = now;
         noteRefusal(row, averages, refusal, now);
     } else if (isFailure(report)) {
         noteFailure(row, now);
@@ -275,6 +291,7 @@
 
 void ServerTable::noteAnswer(ServerRow &row, ServiceAverages &averages, const AttemptReport &report, Instant now)
 {
+    row.heardAt = now;
     row.consecutiveFailures = 0;
     row.penaltyUntil = Instant::min();
     // The answer has just freed a slot.
@@ -340,7 +357,9 @@
 {
     const std::uint32_t steps = std::min(row.consecutiveFailures, MaxPenaltySteps);
     const Duration penalty = std::min(MaxPenalty, FirstPenalty * (1U << (steps * PenaltyGrowthShift)));
-    row.penaltyUntil = now + penalty;
+    row.failedAt = now;
+    // A failed probe has a longer time than the first failures.
+    row.penaltyUntil = std::max(row.penaltyUntil, now + penalty);
     ++row.consecutiveFailures;
 }
 
@@ -349,6 +368,38 @@
     m_rows[index].resetUntil = std::max(m_rows[index].resetUntil, resetAt);
 }
 
+bool ServerTable::noteProbe(const ServerId &server, bool isHealthy, Instant at)
+{
+    const auto it = m_byServer.find(server);
+    if (it == m_byServer.end()) {
+        return false;
+    }
+    ServerRow &row = m_rows[it->second];
+    if (at <= row.probedAt) {
+        return true;
+    }
+    row.probedAt = at;
+    if (!isHealthy && at > row.heardAt) {
+        row.penaltyUntil = std::max(row.penaltyUntil, at + ProbePenalty);
+    } else if (isHealthy && at > row.failedAt) {
+        // The count of failures stays, so that a server whose calls still fail is avoided for long after the next one.
+        row.penaltyUntil = Instant::min();
+    }
+    return true;
+}
+
+const ServerRow *ServerTable::find(const ServerId &server) const
+{
+    const auto it = m_byServer.find(server);
+    return it == m_byServer.end() ? nullptr : &m_rows[it->second];
+}
+
+std::size_t ServerTable::avoidedCount(Instant now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_byServer.begin(), m_byServer.end(), [&](const auto &it) { return m_rows[it.second].penaltyUntil > now; }));
+}
+
 void ServerTable::tick(Instant now)
 {
     if (now < m_nextStragglerCheck) {
--- a/packages/entry/entry/servertable.h
+++ b/packages/entry/entry/servertable.h
@@ -41,6 +41,11 @@
     bool isStraggler = false;
 
     std::uint32_t consecutiveFailures = 0;
+    Instant failedAt = Instant::min();
+    /// The last answer without a server error, or refusal.
+    Instant heardAt = Instant::min();
+    /// The last probe of the server, by any entry.
+    Instant probedAt = Instant::min();
     Instant penaltyUntil = Instant::min();
     std::uint32_t consecutiveRefusals = 0;
     Instant refusedUntil = Instant::min();
@@ -95,6 +100,13 @@
     void attemptEnded(RowIndex index, const AttemptReport &report, const RefusalContext &refusal, Instant now);
     /// Holds the server back until \p resetAt.
     void hold(RowIndex index, Instant resetAt);
+    /// Takes the result of a probe that ended at \p at. A failed one makes the server avoided as after failures, for a
+    /// limited time; a healthy one that is later than the last failure ends that. False when the server is not known.
+    bool noteProbe(const ServerId &server, bool isHealthy, Instant at);
+    /// The row of a server; nothing when it is not known.
+    const ServerRow *find(const ServerId &server) const;
+    /// Servers that are avoided after failures or a failed probe.
+    std::size_t avoidedCount(Instant now) const;
 
     /// The systems over all rows.
     void tick(Instant now);
@@ -114,6 +126,7 @@
     void noteFailure(ServerRow &row, Instant now);
     void noteLatency(ServerRow &row, ServiceAverages &averages, Duration elapsed);
     void noteWarmth(ServerRow &row, Duration elapsed);
+    bool isMostlyAvoided(const std::vector<RowIndex> &rows, Instant now) const;
     void detectStragglers(ServiceRows &service, Instant now);
     void release(RowIndex index);
 
--- a/packages/entry/tests/servertabletest.cpp
+++ b/packages/entry/tests/servertabletest.cpp
@@ -196,3 +196,65 @@
         REQUIRE(hits > 0);
     }
 }
+
+// Guards against a failed probe that other entries ignore, a wrong one that never heals, and a recovered server that waits
+// for the call of a caller.
+TEST_CASE("a probe starts and ends the avoidance of a server", "[servertable]")
+{
+    TableFixture fixture;
+    REQUIRE(fixture.table.noteProbe(ServerId("a"), false, fixture.now));
+    REQUIRE_FALSE(fixture.isAvailable(0));
+    REQUIRE(fixture.table.avoidedCount(fixture.now) == 1);
+    fixture.now += 1s;
+    REQUIRE(fixture.table.noteProbe(ServerId("a"), true, fixture.now));
+    REQUIRE(fixture.isAvailable(0));
+    fixture.table.noteProbe(ServerId("a"), false, fixture.now - 500ms); // an older result that arrives late
+    REQUIRE(fixture.isAvailable(0));
+    fixture.now += 1s;
+    fixture.table.noteProbe(ServerId("a"), false, fixture.now);
+    fixture.now += 14s;
+    REQUIRE_FALSE(fixture.isAvailable(0));
+    fixture.now += 2s;
+    REQUIRE(fixture.isAvailable(0));
+    REQUIRE_FALSE(fixture.table.noteProbe(ServerId("unknown"), false, fixture.now));
+}
+
+// Guards against results that are older than what a call has shown.
+TEST_CASE("a call that ended after a probe counts more than the probe", "[servertable]")
+{
+    TableFixture fixture;
+    const Instant before = fixture.now;
+    for (int n = 0; n < 3; ++n) {
+        fixture.end(0, AttemptEnd::Answered, 1ms, 500);
+    }
+    fixture.table.noteProbe(ServerId("a"), true, before);
+    REQUIRE_FALSE(fixture.isAvailable(0));
+    fixture.table.noteProbe(ServerId("a"), true, fixture.now + 1ms);
+    REQUIRE(fixture.isAvailable(0));
+    fixture.end(1, AttemptEnd::Answered, 1ms);
+    fixture.table.noteProbe(ServerId("b"), false, fixture.now - 1ms);
+    REQUIRE(fixture.isAvailable(1));
+    REQUIRE(fixture.table.row(1).heardAt == fixture.now);
+}
+
+// Guards against probes that take the last server of a service out of service.
+TEST_CASE("calls are placed when every server that takes work has failed its probe", "[servertable]")
+{
+    TableFixture fixture(3);
+    for (const char *name : { "a", "b", "c" }) {
+        fixture.table.noteProbe(ServerId(name), false, fixture.now);
+    }
+    REQUIRE((fixture.isAvailable(0) && fixture.isAvailable(1) && fixture.isAvailable(2)));
+    TableFixture others(3);
+    ServerRecord draining = stubServer("b", 3);
+    draining.draining = true;
+    others.table.upsert(draining, others.now);
+    others.table.hold(2, others.now + 1h);
+    others.table.noteProbe(ServerId("a"), false, others.now);
+    REQUIRE(others.isAvailable(0));
+    TableFixture last(1);
+    last.end(0, AttemptEnd::RefusedByServer, 1ms);
+    last.table.noteProbe(ServerId("a"), false, last.now + 1ms);
+    const auto open = last.table.nextAvailable(Service, last.now + 1ms);
+    REQUIRE((open && *open < last.now + 1s)); // waiting calls wake up when the refusal ends, not when the probe's time does
+}
