Answer probes in the stand-in server

Cause: the stand-in takes a probe for a call, which needs a slot and counts as an execution.

Ruled out: applying a set behaviour to probes always; existing tests set behaviours for calls only.

Change: GET /galenabarrow/probe holds no slot, ends by its deadline header, and is counted with its time in "probes" and "probeUs" of the counts.

Conclusion: the cost of probes can be read at the server.

--- a/packages/teststand/teststand/standinmain.cpp
+++ b/packages/teststand/teststand/standinmain.cpp
@@ -16,6 +16,7 @@
 DEFINE_string(entries, "", "addresses of entries to announce to, separated by commas");
 DEFINE_uint32(slots, 3, "calls that run at once");
 DEFINE_uint64(service_time_us, 2000, "mean time of a call");
+DEFINE_uint64(probe_time_us, 0, "time of a probe");
 DEFINE_string(distribution, "exponential", "fixed or exponential");
 DEFINE_uint64(cold_start_ms, 0, "time after the start in which calls take longer");
 DEFINE_uint32(announce_interval_ms, 1000, "time between announcements");
@@ -44,6 +45,7 @@
     config.dataCentre = FLAGS_dc;
     config.slots = FLAGS_slots;
     config.serviceTimeUs = FLAGS_service_time_us;
+    config.probeTimeUs = FLAGS_probe_time_us;
     config.distribution =
         FLAGS_distribution == "fixed" ? Galenabarrow::Teststand::ServiceTime::Fixed : Galenabarrow::Teststand::ServiceTime::Exponential;
     config.coldStartMs = FLAGS_cold_start_ms;
--- a/packages/teststand/teststand/standinserver.cpp
+++ b/packages/teststand/teststand/standinserver.cpp
@@ -168,6 +168,8 @@
         sendJson(response, counts());
     } else if (uri.compare(0, CancelPath.size(), CancelPath) == 0) {
         handleCancel(uri.substr(CancelPath.size()), response);
+    } else if (uri == "/galenabarrow/probe") {
+        handleProbe(request, response);
     } else {
         std::unique_lock lock(m_mutex);
         ++m_open;
@@ -211,6 +213,37 @@
     answer(plan, request, response, isReused);
 }
 
+void StandinServer::handleProbe(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response)
+{
+    const std::int64_t start = nowUs();
+    Plan plan;
+    {
+        const std::lock_guard lock(m_mutex);
+        ++m_probes;
+        if (m_appliesToProbes && m_random.below(Permille) < m_planPermille) {
+            plan = m_plan;
+        }
+    }
+    auto time = std::chrono::microseconds(m_config.probeTimeUs);
+    if (plan.behaviour == Behaviour::Slow) {
+        time += std::chrono::milliseconds(plan.milliseconds);
+    }
+    const std::string deadline = request.get("Galenabarrow-Deadline-Ms", "");
+    if (!deadline.empty()) {
+        time = std::min<std::chrono::microseconds>(time, std::chrono::milliseconds(std::strtoll(deadline.c_str(), nullptr, 10)));
+    }
+    std::this_thread::sleep_for(time);
+    if (plan.behaviour == Behaviour::Failing) {
+        response.setStatusAndReason(Poco::Net::HTTPResponse::HTTP_INTERNAL_SERVER_ERROR);
+    }
+    {
+        const std::lock_guard lock(m_mutex);
+        m_probeUs += nowUs() - start;
+    }
+    response.set("Galenabarrow-Load", load());
+    response.sendBuffer("", 0);
+}
+
 bool StandinServer::takeSlot(Poco::Net::HTTPServerResponse &response)
 {
     std::unique_lock lock(m_mutex);
@@ -308,6 +341,7 @@
     m_plan.behaviour = behaviourNamed(object->optValue<std::string>("behaviour", "normal"));
     m_plan.milliseconds = object->optValue<std::uint64_t>("milliseconds", 0);
     m_planPermille = object->optValue<std::uint32_t>("permille", Permille);
+    m_appliesToProbes = object->optValue<bool>("probes", false);
     sendJson(response, toText(*object));
 }
 
@@ -325,6 +359,8 @@
     object.set("cancelled", m_cancelled);
     object.set("inFlight", m_inFlight);
     object.set("mostInFlight", m_mostInFlight);
+    object.set("probes", m_probes);
+    object.set("probeUs", m_probeUs);
     return toText(object);
 }
 
--- a/packages/teststand/teststand/standinserver.h
+++ b/packages/teststand/teststand/standinserver.h
@@ -30,6 +30,8 @@
     std::string dataCentre;
     std::uint32_t slots = 3;
     std::uint64_t serviceTimeUs = 2000;
+    /// Time that a probe takes.
+    std::uint64_t probeTimeUs = 0;
     ServiceTime distribution = ServiceTime::Exponential;
     /// For this time after the start the server says that it is cold, and calls take three times as long.
     std::uint64_t coldStartMs = 0;
@@ -58,7 +60,8 @@
 };
 
 /// A server with slots that misbehaves when told to. Paths: /standin/control (POST {"behaviour", "permille",
-/// "milliseconds"}), /standin/counts, /galenabarrow/cancel/<attempt>; all others are calls.
+/// "milliseconds", "probes"}), /standin/counts, /galenabarrow/cancel/<attempt>, /galenabarrow/probe; all others are calls.
+/// With "probes" set, the behaviours slow and failing apply to probes too.
 class StandinServer
 {
 public:
@@ -86,6 +89,8 @@
     void handleCall(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response);
     void handleControl(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response);
     void handleCancel(const std::string &attempt, Poco::Net::HTTPServerResponse &response);
+    /// Answers a probe; it holds no slot and ends by the deadline that it carries.
+    void handleProbe(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response);
     bool takeSlot(Poco::Net::HTTPServerResponse &response);
     void refuse(Poco::Net::HTTPServerResponse &response, const char *why);
     Plan planFor(const Poco::Net::HTTPServerRequest &request);
@@ -103,6 +108,7 @@
     SeededRandom m_random;
     Plan m_plan;
     std::uint32_t m_planPermille = 0;
+    bool m_appliesToProbes = false;
     std::uint32_t m_inFlight = 0;
     std::uint32_t m_mostInFlight = 0;
     /// Requests whose response is not written yet.
@@ -112,6 +118,8 @@
     std::uint64_t m_total = 0;
     std::uint64_t m_refused = 0;
     std::uint64_t m_cancelled = 0;
+    std::uint64_t m_probes = 0;
+    std::int64_t m_probeUs = 0;
     std::set<std::string> m_running;
     std::set<std::string> m_cancelRequests;
     std::unique_ptr<Poco::Net::HTTPServer> m_http;
