Add the setting for the deadline of a probe

Cause: the deadline of a probe is what is reserved from the budget, and it depends on the servers.

Ruled out: a deadline below 2 ms, of which nothing is left after the margin for closing the connection.

Conclusion: the daemon can read it.

--- a/packages/settings/settings/daemonsettings.h
+++ b/packages/settings/settings/daemonsettings.h
@@ -84,6 +84,8 @@
 struct MeasuringSettings {
     /// Share of the servers' slot time, per 1,000, that probes, reports and samples may use.
     double budgetPermille = 5.0;
+    /// Longest time that a probe may take; reserved from the budget before each probe.
+    Duration probeDeadline = std::chrono::milliseconds(20);
 };
 
 struct ContractSettings {
--- a/packages/settings/tests/settingstest.cpp
+++ b/packages/settings/tests/settingstest.cpp
@@ -108,6 +108,7 @@
 queue_size = 11
 [measuring]
 budget_permille = 2.5
+probe_deadline_ms = 15
 [contracts]
 serve_when_stale = true
 [routing]
@@ -137,6 +138,7 @@
     REQUIRE(settings->limits.connections == 9);
     REQUIRE(settings->limits.queueSize == 11);
     REQUIRE(settings->measuring.budgetPermille == 2.5);
+    REQUIRE(settings->measuring.probeDeadline == 15ms);
     REQUIRE(settings->contracts.serveWhenStale);
     REQUIRE(settings->routing.strategy == "round-robin");
     REQUIRE(settings->log.threshold == "warn");
@@ -156,6 +158,8 @@
         { Good + "[limits]\nqueue_size = 1979-05-27\n",
           "s:21: limits.queue_size: expected integer, 1 to 65536, found a value of type date" },
         { Good + "[measuring]\nbudget_permille = nan\n", "s:21: measuring.budget_permille: expected number, 0 to 100, found nan" },
+        { Good + "[measuring]\nprobe_deadline_ms = 1\n", "s:21: measuring.probe_deadline_ms: expected integer, 2 to 1000, found 1" },
+        { Good + "[measuring]\nprobe_deadline_ms = 1001\n", "s:21: measuring.probe_deadline_ms: expected integer, 2 to 1000, found 1001" },
         { Good + "[contracts]\nserve_when_stale = 1\n", "s:21: contracts.serve_when_stale: expected true or false, found 1" },
         { Good + "[log]\nthreshold = \"loud\"\n", "s:21: log.threshold: expected one of debug, info, warn, error, found \"loud\"" },
         { Good + "[timings]\nheartbeat_ms = 501\n", "s: timings.heartbeat_ms: has to be at most a third of timings.election_timeout_ms" },
