Probe servers from the entry and take the results of all entries

Cause: probes and the measuring budget are cores that the daemon does not use; the recovery of a server is found only with a caller's call.

Ruled out: probes over the pool of connections of the calls (a probe that timed out must not touch them), probes on the tick thread (it blocks up to the deadline), and counting a documented refusal of a probe as a failure (a full server is not a failed one).

Change: ProbeNode. The result is published with GossipCore::publishProbe under the lock, and every entry hands probe records to its engine. A fenced or stopping entry sends no probe, and an unregistered one has no budget. The cluster of the process tests takes extra settings.

--- a/packages/daemon/daemon/entrynode.cpp
+++ b/packages/daemon/daemon/entrynode.cpp
@@ -68,6 +68,7 @@
     , m_runner(
           m_engine, m_links, lock, m_upstream, [this](const ServerId &server) { return serverAddress(server); },
           cluster.identity().instance.value() + "." + std::to_string(cluster.identity().incarnation.value()), clock)
+    , m_probes(settings.measuring, cluster, m_engine, lock, clock)
     , m_info(std::get<Membership::InstanceInfo>(cluster.gossip().self().body))
     , m_freshnessLimit(settings.timings.freshnessLimit)
 {
@@ -120,6 +121,7 @@
         syncAll(now);
     }
     m_runner.tick(now);
+    m_probes.closeOverdue(now);
     if (now >= m_nextHousekeeping) {
         m_nextHousekeeping = now + HousekeepingInterval;
         m_runner.abandonDisconnectedCalls(now);
@@ -136,6 +138,7 @@
     updateSelf(now);
     registerSelf(now);
     requestShares(now);
+    m_probes.sync(!m_isStopping && !m_cluster.isFenced(now), isRegistered(), now);
 }
 
 void EntryNode::beginStop()
@@ -193,6 +196,11 @@
     return m_registry;
 }
 
+const ProbeNode &EntryNode::probes() const
+{
+    return m_probes;
+}
+
 HttpReply EntryNode::handleLookup(const HttpRequest &request)
 {
     if (request.head.getMethod() != "GET") {
--- a/packages/daemon/daemon/entrynode.h
+++ b/packages/daemon/daemon/entrynode.h
@@ -14,6 +14,7 @@
 #include "daemon/callrunner.h"
 #include "daemon/clusternode.h"
 #include "daemon/enginelinks.h"
+#include "daemon/probenode.h"
 #include "daemon/upstreamclient.h"
 #include "entry/callengine.h"
 #include "limits/customerlimits.h"
@@ -65,6 +66,7 @@
     const Entry::CallEngine &engine() const;
     const Actions::ActionRegistry &registry() const;
     const Report::CallStatistics &statistics() const;
+    const ProbeNode &probes() const;
 
 private:
     HttpReply handleLookup(const HttpRequest &request);
@@ -101,6 +103,7 @@
     Entry::CallEngine m_engine;
     UpstreamClient m_upstream;
     CallRunner m_runner;
+    ProbeNode m_probes;
 
     std::uint64_t m_seenFeedChanges = 0;
     std::uint64_t m_seenMemberChanges = 0;
--- /dev/null
+++ b/packages/daemon/daemon/probenode.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+#include "base/clock.h"
+#include "daemon/clusternode.h"
+#include "daemon/upstreamclient.h"
+#include "entry/callengine.h"
+#include "measuring/probescheduler.h"
+#include "settings/daemonsettings.h"
+
+namespace Galenabarrow::Daemon
+{
+
+/// Probes the servers that are assigned to this entry on a thread of its own, shares the results, and hands the results of
+/// all entries to the call engine.
+class ProbeNode
+{
+public:
+    /// \p lock guards the cluster and the engine.
+    ProbeNode(const Settings::MeasuringSettings &settings, ClusterNode &cluster, Entry::CallEngine &engine, std::mutex &lock,
+              const Clock &clock);
+    ~ProbeNode();
+    ProbeNode(const ProbeNode &) = delete;
+    ProbeNode &operator=(const ProbeNode &) = delete;
+
+    /// Takes new results and queues the probes that are due; with the lock held. An entry that is fenced or stopping may
+    /// not probe, and one that is not registered has no part of the budget.
+    void sync(bool mayProbe, bool isRegistered, Instant now);
+    /// Closes the connection of a probe that has reached its end; without the lock, every few milliseconds.
+    void closeOverdue(Instant now);
+
+    /// With the lock held.
+    const Measuring::ProbeScheduler &scheduler() const;
+
+private:
+    struct Job {
+        Measuring::Probe probe;
+        std::string address;
+    };
+
+    void takeResults();
+    Measuring::ProbeView view(bool isRegistered, Instant now) const;
+    void schedule(bool isRegistered, Instant now);
+    void work();
+    void run(const Job &job);
+    void publish(const Measuring::Probe &probe, const Measuring::ProbeResult &result, Instant now);
+
+    ClusterNode &m_cluster;
+    Entry::CallEngine &m_engine;
+    std::mutex &m_lock;
+    const Clock &m_clock;
+
+    // Guarded by m_lock.
+    Measuring::ProbeScheduler m_scheduler;
+    Instant m_nextSync {};
+    std::uint64_t m_seenChanges = 0;
+    /// The last result of each server that the engine has taken.
+    std::map<ServerId, SequenceNumber> m_taken;
+
+    UpstreamClient m_upstream;
+    std::mutex m_queueMutex;
+    std::condition_variable m_wake;
+    // Guarded by m_queueMutex.
+    std::deque<Job> m_queue;
+    std::shared_ptr<ExchangeHandle> m_current;
+    Instant m_currentEnd {};
+    bool m_isEnding = false;
+
+    std::thread m_worker;
+};
+
+}
--- a/packages/daemon/tests/processfixture.cpp
+++ b/packages/daemon/tests/processfixture.cpp
@@ -163,8 +163,9 @@
     return Poco::Process::isRunning(*m_handle);
 }
 
-Cluster::Cluster(std::size_t entryCount)
-    : m_controlAddress(freeAddress())
+Cluster::Cluster(std::size_t entryCount, std::string extraSettings)
+    : m_extraSettings(std::move(extraSettings))
+    , m_controlAddress(freeAddress())
 {
     m_folder.createDirectories();
     writeFile(m_folder.path() + "/key", "key-of-the-process-tests");
@@ -186,7 +187,7 @@
 {
     const std::string name = "e" + std::to_string(number);
     const std::string path = m_folder.path() + "/" + name + ".toml";
-    writeFile(path, settingsText(name, number == 0, m_controlAddress));
+    writeFile(path, settingsText(name, number == 0, m_controlAddress) + m_extraSettings);
     Entry entry;
     entry.process = std::make_unique<Child>("galenabarrowd", std::vector<std::string> { "--settings", path });
     entry.callers = entry.process->value("callers");
--- a/packages/daemon/tests/processfixture.h
+++ b/packages/daemon/tests/processfixture.h
@@ -67,7 +67,8 @@
 class Cluster
 {
 public:
-    explicit Cluster(std::size_t entryCount);
+    /// \p extraSettings are added to the settings file of each entry.
+    explicit Cluster(std::size_t entryCount, std::string extraSettings = {});
 
     Entry &entry(std::size_t number);
     std::vector<std::string> callerAddresses() const;
@@ -95,6 +96,7 @@
     std::vector<std::string> counts() const;
 
     Poco::TemporaryFile m_folder;
+    std::string m_extraSettings;
     std::string m_controlAddress;
     std::vector<Entry> m_entries;
     std::vector<std::unique_ptr<Child>> m_servers;
