Probe idle servers less often when their budget is small

Cause: with one interval for all deployments, idle probes cost O Dalaigh 0.537 permille of the slots' time and Abyssinia 0.410 (scripts/probecost.sh, 17 daemons on a machine with load near 18); O Dalaigh asks for half of Abyssinia's cost.

Ruled out: a setting for the interval (one more number that has to fit the budget).

--- a/packages/measuring/measuring/probescheduler.cpp
+++ b/packages/measuring/measuring/probescheduler.cpp
@@ -11,6 +11,9 @@
 namespace
 {
 
+// Slots times budget, per 1,000, of a server with 3 slots and a budget of 5 permille.
+constexpr double ReferenceBudget = 15;
+
 BudgetSettings withProbeDeadline(BudgetSettings budget, Duration deadline)
 {
     budget.largestSpend[static_cast<std::size_t>(Spend::Probe)] = deadline;
@@ -22,6 +25,7 @@
 ProbeScheduler::ProbeScheduler(const ProbeSettings &settings, const BudgetSettings &budget, InstanceId self, Instant now)
     : m_settings(settings)
     , m_self(std::move(self))
+    , m_budgetPermille(budget.budgetPermille)
     , m_budget(withProbeDeadline(budget, settings.deadline), now)
 {
 }
@@ -31,9 +35,12 @@
     forgetRemoved(view);
     m_assignment.setEntries(view.liveEntries);
     std::uint32_t slots = 0;
+    std::size_t staying = 0;
     for (const ProbeTarget &it : view.servers) {
         slots += it.isLeaving ? 0 : it.slots;
+        staying += it.isLeaving ? 0 : 1;
     }
+    setIdleInterval(slots, staying);
     m_budget.setShare(slots, static_cast<std::uint32_t>(view.registeredEntries), now);
     std::vector<std::pair<Instant, const ProbeTarget *>> due;
     for (const ProbeTarget &it : view.servers) {
@@ -115,7 +122,7 @@
     }
     Instant due = Instant::min();
     if (last) {
-        due = last->at + (isUnhealthy ? state.unhealthyInterval : m_settings.idleInterval);
+        due = last->at + (isUnhealthy ? state.unhealthyInterval : m_idleInterval);
     }
     if (target.heardAt != Instant::min()) {
         due = std::max(due, target.heardAt + m_settings.passiveTime);
@@ -123,6 +130,14 @@
     return due <= now ? std::optional(due) : std::nullopt;
 }
 
+void ProbeScheduler::setIdleInterval(std::uint32_t slots, std::size_t servers)
+{
+    const double budget = servers == 0 ? 0 : m_budgetPermille * slots / static_cast<double>(servers);
+    const double longest = std::chrono::duration<double>(m_settings.longestIdleInterval) / m_settings.idleInterval;
+    const double factor = budget * longest <= ReferenceBudget ? longest : std::max(1.0, ReferenceBudget / budget);
+    m_idleInterval = std::chrono::duration_cast<Duration>(m_settings.idleInterval * factor);
+}
+
 void ProbeScheduler::send(const ProbeTarget &target, std::vector<Probe> &probes)
 {
     State &state = m_states[target.server];
--- a/packages/measuring/measuring/probescheduler.h
+++ b/packages/measuring/measuring/probescheduler.h
@@ -20,8 +20,11 @@
     Duration deadline = std::chrono::milliseconds(20);
     /// A server that answered or refused a call within this time is not probed.
     Duration passiveTime = std::chrono::seconds(2);
-    /// A healthy server without calls is probed at this interval. Shorter than the lease of the shared result.
+    /// A healthy server without calls is probed at this interval ...
     Duration idleInterval = std::chrono::seconds(5);
+    /// ... or at a longer one, up to this, when slots times budget of a server is below that of a server with 3 slots and a
+    /// budget of 5 permille; probes of idle servers so cost everywhere the same part of the budget.
+    Duration longestIdleInterval = std::chrono::seconds(60);
     /// An unhealthy server is probed after this time; the interval doubles with each further probe ...
     Duration firstUnhealthyInterval = std::chrono::seconds(1);
     /// ... up to this. Shorter than the time for which a failed probe makes a server avoided.
@@ -107,10 +110,13 @@
 
     void forgetRemoved(const ProbeView &view);
     std::optional<Instant> dueAt(const ProbeTarget &target, State &state, Instant now) const;
+    void setIdleInterval(std::uint32_t slots, std::size_t servers);
     void send(const ProbeTarget &target, std::vector<Probe> &probes);
 
     ProbeSettings m_settings;
     InstanceId m_self;
+    double m_budgetPermille;
+    Duration m_idleInterval {};
     MeasuringBudget m_budget;
     ProbeAssignment m_assignment;
     std::map<ServerId, State> m_states;
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -77,6 +77,7 @@
             echo "bootstrap = true"
         fi
         cat "$work/replicas"
+        printf '%s' "${extra_settings:-}"
     } > "$work/$1.toml"
 }
 
