--- a/packages/daemon/daemon/probenode.cpp
+++ b/packages/daemon/daemon/probenode.cpp
@@ -174,7 +174,9 @@
     const auto handle = std::make_shared<ExchangeHandle>();
     const Instant start = m_clock.now();
     const Duration time = job.probe.deadline - job.probe.deadline / CloseMargin;
-    UpstreamRequest request { job.address, "GET", ProbePath, {}, {}, start + time, false };
+    // Like an action, a probe only goes over a connection that was idle for a short time: a server that closes an idle one
+    // just as the probe is sent would be avoided by every entry.
+    UpstreamRequest request { job.address, "GET", ProbePath, {}, {}, start + time, true };
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
     request.headers.emplace_back(DeadlineHeader, std::to_string(std::max<std::int64_t>(left, 1)));
     {
