--- a/packages/daemon/daemon/entrynode.cpp
+++ b/packages/daemon/daemon/entrynode.cpp
@@ -63,6 +63,7 @@
     , m_actions(
           cluster, m_registry, m_upstream, m_counters, lock, clock,
           [this](HttpRequest &request, const CallerInput &input, Instant deadline) { return runOwn(request, input, false, deadline); })
+    , m_probes(settings.measuring, cluster, m_engine, lock, clock)
     , m_info(std::get<Membership::InstanceInfo>(cluster.gossip().self().body))
     , m_freshnessLimit(settings.timings.freshnessLimit)
 {
@@ -116,6 +117,7 @@
         syncAll(now);
     }
     m_runner.tick(now);
+    m_probes.closeOverdue(now);
     if (now >= m_nextHousekeeping) {
         m_nextHousekeeping = now + HousekeepingInterval;
         m_runner.abandonDisconnectedCalls(now);
@@ -132,6 +134,7 @@
     updateSelf(now);
     registerSelf(now);
     requestShares(now);
+    m_probes.sync(!m_isStopping && !m_cluster.isFenced(now), isRegistered(), now);
 }
 
 void EntryNode::beginStop()
@@ -189,6 +192,11 @@
     return m_registry;
 }
 
+const ProbeNode &EntryNode::probes() const
+{
+    return m_probes;
+}
+
 HttpReply EntryNode::handleLookup(const HttpRequest &request)
 {
     if (request.head.getMethod() != "GET") {
--- a/packages/daemon/daemon/entrynode.h
+++ b/packages/daemon/daemon/entrynode.h
@@ -15,6 +15,7 @@
 #include "daemon/callrunner.h"
 #include "daemon/clusternode.h"
 #include "daemon/enginelinks.h"
+#include "daemon/probenode.h"
 #include "daemon/upstreamclient.h"
 #include "entry/callengine.h"
 #include "limits/customerlimits.h"
@@ -58,6 +59,7 @@
     const Entry::CallEngine &engine() const;
     const Actions::ActionRegistry &registry() const;
     const Report::CallStatistics &statistics() const;
+    const ProbeNode &probes() const;
 
 private:
     HttpReply handleLookup(const HttpRequest &request);
@@ -90,6 +92,7 @@
     UpstreamClient m_upstream;
     CallRunner m_runner;
     ActionDispatcher m_actions;
+    ProbeNode m_probes;
 
     std::uint64_t m_seenFeedChanges = 0;
     std::uint64_t m_seenMemberChanges = 0;
--- a/packages/daemon/tests/processfixture.h
+++ b/packages/daemon/tests/processfixture.h
@@ -67,8 +67,9 @@
 class Cluster
 {
 public:
-    /// \p freshnessLimitMs is the age of the contracts at which an entry is fenced.
-    explicit Cluster(std::size_t entryCount, int freshnessLimitMs = 1000);
+    /// \p freshnessLimitMs is the age of the contracts at which an entry is fenced. \p extraSettings are added to the settings
+    /// file of each entry.
+    explicit Cluster(std::size_t entryCount, int freshnessLimitMs = 1000, std::string extraSettings = {});
 
     Entry &entry(std::size_t number);
     std::vector<std::string> callerAddresses() const;
@@ -96,6 +97,7 @@
     std::vector<std::string> counts() const;
 
     Poco::TemporaryFile m_folder;
+    std::string m_extraSettings;
     std::string m_controlAddress;
     int m_freshnessLimitMs;
     std::vector<Entry> m_entries;
