--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -162,3 +162,24 @@
     contract_json "$4" > "$work/contract-$3.json"
     operate "$1" PUT /v1/contracts/abyssinia -H "If-Match: $2" -H "Galenabarrow-Change-Id: $3" --data-binary "@$work/contract-$3.json"
 }
+
+# CPU time of a process so far, user and kernel, in clock ticks.
+cpu_ticks() { awk '{ print $14 + $15 }' "/proc/${pid_of[$1]}/stat"; }
+
+# Runs the same light load through entries and directly to servers at the same time. Leaves the reports in
+# $work/light.json and $work/direct.json, and the actions in $work/light.actions.
+run_light_load() { # <seed>
+    local direct="" it direct_pid
+    for it in desk-1 desk-2 desk-3; do direct+="${direct:+,}${address_of[$it]}"; done
+    local shape=(--threads=4 --rate=200 --calls=2000 --seconds=30)
+    "$bin/galenabarrow-load" --direct="$direct" --services=order-desk "${shape[@]}" --seed="$1" > "$work/direct.json" &
+    direct_pid=$!
+    "$bin/galenabarrow-load" --entries="$(entry_addresses)" --dc=dc1 --customer=abyssinia --services=order-desk,dispatch \
+        --actions_file="$work/light.actions" "${shape[@]}" --seed="$(($1 + 1))" > "$work/light.json"
+    wait "$direct_pid"
+}
+
+# The difference between the two loads in microseconds.
+added_latency() { # <p50 or p99>
+    echo $(($(jq ".latencyUs.$1" "$work/light.json") - $(jq ".latencyUs.$1" "$work/direct.json")))
+}
--- a/scripts/cost.sh
+++ b/scripts/cost.sh
@@ -11,7 +11,6 @@
 source scripts/cluster.sh
 ticks_per_second=$(getconf CLK_TCK)
 
-cpu_ticks() { awk '{ print $14 + $15 }' "/proc/${pid_of[$1]}/stat"; }
 resident_kb() { awk '/^VmRSS/ { print $2 }' "/proc/${pid_of[$1]}/status"; }
 peer_bytes() { operate "$1" GET /metrics | awk '/^galenabarrow_peer_bytes_total/ { sum += $2 } END { printf "%d", sum }'; }
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -35,12 +35,7 @@
 done
 
 echo "added latency: the same light load through entries and directly to servers, at the same time"
-direct=""
-for n in 1 2 3; do direct+="${direct:+,}${address_of[desk-$n]}"; done
-"$bin/galenabarrow-load" --direct="$direct" --services=order-desk --threads=4 --rate=200 --calls=2000 --seconds=30 --seed=2 > "$work/direct.json" &
-direct_pid=$!
-load "$work/light.json" "$work/light.actions" --threads=4 --rate=200 --calls=2000 --seconds=30 --seed=3
-wait "$direct_pid"
+run_light_load 2
 
 echo "main load: lookups and actions; meanwhile a server drains, the contract changes and an entry stops gracefully"
 load "$work/main.json" "$work/main.actions" --threads=12 --rate=800 --calls=24000 --seconds=60 --action_permille=300 --seed=4 &
@@ -98,10 +93,9 @@
 for it in light main kill; do echo "  $it: $(jq -c '{calls, outcomes, codes, wrongBodies}' "$work/$it.json")"; done
 echo "actions (outcome, executions, keys):"
 sed 's/^/  /' "$work/table"
-added() { echo $(($(jq ".latencyUs.$1" "$work/light.json") - $(jq ".latencyUs.$1" "$work/direct.json"))); }
 echo "latency, light load: direct p50 $(jq .latencyUs.p50 "$work/direct.json") us, p99 $(jq .latencyUs.p99 "$work/direct.json") us;" \
     "through entries p50 $(jq .latencyUs.p50 "$work/light.json") us, p99 $(jq .latencyUs.p99 "$work/light.json") us"
-echo "added by the entry: p50 $(added p50) us, p99 $(added p99) us (target: 340 us for 99 in 100 calls)"
+echo "added by the entry: p50 $(added_latency p50) us, p99 $(added_latency p99) us (target: 340 us for 99 in 100 calls)"
 echo "contract change: $(head -1 "$work/change.out"), in force at the last of 17 entries $change_time ms after acceptance (bound 7,000 ms)"
 echo "drain by an operator: executions $after_bound after 2 s, $after_pause after 4 s"
 echo "drain answer: $(cat "$work/drain.json")"
