Count every byte of a request that was handed over

Cause: on a blocking socket, Poco::Net::StreamSocket::sendBytes repeats a partial send itself. When a later part fails or times out, it throws and the bytes of the earlier parts are not counted.

Change: writeAll calls send(2) and counts each part.

--- a/packages/daemon/daemon/wholemessage.h
+++ b/packages/daemon/daemon/wholemessage.h
@@ -1,9 +1,13 @@
 #pragma once
 
+#include <cerrno>
 #include <cstddef>
 #include <string>
 #include <utility>
 
+#include <sys/socket.h>
+
+#include <Poco/Exception.h>
 #include <Poco/Net/HTTPSession.h>
 #include <Poco/Net/NetException.h>
 
@@ -82,12 +86,7 @@
     {
         std::size_t sent = 0;
         while (sent < bytes.size()) {
-            const int n = this->socket().sendBytes(bytes.data() + sent, static_cast<int>(bytes.size() - sent));
-            if (n <= 0) {
-                throw Poco::Net::ConnectionAbortedException("send failed");
-            }
-            sent += static_cast<std::size_t>(n);
-            m_handedOver += static_cast<std::size_t>(n);
+            sent += send(bytes, sent);
         }
     }
 
@@ -109,6 +108,24 @@
     }
 
 private:
+    /// StreamSocket::sendBytes is not used: it repeats a partial send on its own, and when the rest fails, its exception
+    /// hides that a part was handed over. The request would then count as not run.
+    std::size_t send(const std::string &bytes, std::size_t sent)
+    {
+        ssize_t n = 0;
+        do {
+            n = ::send(this->socket().impl()->sockfd(), bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+        } while (n < 0 && errno == EINTR);
+        if (n < 0 && errno == EAGAIN) {
+            throw Poco::TimeoutException("send timed out");
+        }
+        if (n < 0) {
+            throw Poco::Net::ConnectionAbortedException("send failed", errno);
+        }
+        m_handedOver += static_cast<std::size_t>(n);
+        return static_cast<std::size_t>(n);
+    }
+
     std::size_t m_handedOver = 0;
 };
 
--- a/packages/daemon/tests/upstreamtest.cpp
+++ b/packages/daemon/tests/upstreamtest.cpp
@@ -185,6 +185,21 @@
     REQUIRE(client.counters().connectionsAbandoned == 1);
 }
 
+// Guards against a send without a timeout, which would block its thread for as long as the server does not read, and
+// against part of a request that counts as not sent.
+TEST_CASE("a request that the server does not read ends at the deadline", "[daemon][upstream]")
+{
+    const SteadyClock clock;
+    const Poco::Net::ServerSocket silent(Poco::Net::SocketAddress("127.0.0.1:0"));
+    UpstreamClient client(clock);
+    UpstreamRequest request { silent.address().toString(), "POST", "/orders", {}, std::string(std::size_t { 64 } << 20U, 'x'), {}, true };
+    request.deadline = clock.now() + std::chrono::milliseconds(50);
+    ExchangeHandle handle;
+    const UpstreamResponse response = client.exchange(request, handle);
+    REQUIRE(response.end == AttemptEnd::TimedOut);
+    REQUIRE(client.counters().connectionsAbandoned == 1);
+}
+
 // Guards against a cancelled attempt that blocks its thread until the deadline, and against one that was never sent and
 // counts as sent.
 TEST_CASE("an exchange ends when it is cancelled", "[daemon][upstream]")
