Let the tick thread sleep until the next timer

Cause: the tick thread woke every 5 ms, and every 1 ms while it saw calls in progress, and took the lock twice each time. In an entry with 56 to 65 calls/s it woke 223 to 273 times per second and used 6 to 7 ms of CPU per second.

Ruled out: a wake-up for each new call whose hedge timer is earlier than the current sleep.

Change: the thread sleeps until the next cluster tick, sync, housekeeping or timer of the engine. A call whose timer is more than 5 ms earlier than the end of the sleep wakes it, without the lock. So a hedge or a deadline may be up to 5 ms late, as with the idle tick of 5 ms before. Timers of ended calls are dropped when they come first. While calls wait in the queue, the tick stays at 1 ms. The sync interval rises from 10 to 20 ms, the interval of the cluster tick, so that an idle entry wakes 50 times per second. Attempts with a slow trickle of a response are given up within 20 ms more than before.

--- a/packages/daemon/daemon/callrunner.cpp
+++ b/packages/daemon/daemon/callrunner.cpp
@@ -18,6 +18,9 @@
 constexpr std::size_t WorkerCount = 8;
 // Receive timeouts end an attempt in time; this is for responses that arrive in small pieces.
 constexpr Duration ExpiryGrace = std::chrono::milliseconds(20);
+// The engine's nextWakeUp() leaves out a server in its penalty time that is used because most servers fail, so calls that
+// wait are looked at this often.
+constexpr Duration WaitingTick = std::chrono::milliseconds(1);
 constexpr Duration CancellationTime = std::chrono::milliseconds(200);
 // Servers do not depend on cancellations; above this many waiting ones the rest is dropped.
 constexpr std::size_t MaxWaitingJobs = 256;
@@ -42,13 +45,14 @@
 }
 
 CallRunner::CallRunner(Entry::CallEngine &engine, const Entry::FreshnessView &freshness, std::mutex &lock, UpstreamClient &client,
-                       AddressOf addressOf, std::string scope, const Clock &clock)
+                       AddressOf addressOf, std::string scope, WakeUpTimer &wakeUp, const Clock &clock)
     : m_engine(engine)
     , m_freshness(freshness)
     , m_lock(lock)
     , m_client(client)
     , m_addressOf(std::move(addressOf))
     , m_scope(std::move(scope))
+    , m_wakeUp(wakeUp)
     , m_clock(clock)
 {
     for (std::size_t n = 0; n < WorkerCount; ++n) {
@@ -68,9 +72,15 @@
     call->caller = caller;
     std::vector<Entry::Effect> effects;
     std::unique_lock lock(m_lock);
-    const CallId id = m_engine.submit(request, m_clock.now(), effects);
+    const Instant now = m_clock.now();
+    const CallId id = m_engine.submit(request, now, effects);
     m_calls[id] = call;
     apply(effects);
+    const Instant next = nextEngineTick(now);
+    // Without the lock, which the woken thread takes at once.
+    lock.unlock();
+    m_wakeUp.wakeBy(next);
+    lock.lock();
     for (;;) {
         call->wake.wait(lock, [&call] { return call->finish || !call->pending.empty(); });
         if (call->pending.empty()) {
@@ -109,6 +119,22 @@
     }
 }
 
+Instant CallRunner::nextTick(Instant now)
+{
+    const std::lock_guard lock(m_lock);
+    return nextEngineTick(now);
+}
+
+Instant CallRunner::nextEngineTick(Instant now)
+{
+    m_engine.dropEndedTimers();
+    Instant next = m_engine.nextWakeUp(now).value_or(Instant::max());
+    if (m_engine.waitingCount() > 0) {
+        next = std::min(next, now + WaitingTick);
+    }
+    return next;
+}
+
 void CallRunner::abandonDisconnectedCalls(Instant now)
 {
     std::vector<Entry::Effect> effects;
@@ -250,7 +276,7 @@
         }
     }
     std::vector<Entry::Effect> effects;
-    const std::lock_guard lock(m_lock);
+    std::unique_lock lock(m_lock);
     const auto it = m_attempts.find(id);
     const std::shared_ptr<Call> call = it->second.call;
     m_attempts.erase(it);
@@ -261,6 +287,9 @@
     }
     m_engine.report(report, now, effects);
     apply(effects);
+    const Instant next = nextEngineTick(now);
+    lock.unlock();
+    m_wakeUp.wakeBy(next);
 }
 
 void CallRunner::sendCancellation(const Attempt &attempt)
--- a/packages/daemon/daemon/callrunner.h
+++ b/packages/daemon/daemon/callrunner.h
@@ -16,6 +16,7 @@
 #include "base/clock.h"
 #include "daemon/callcontent.h"
 #include "daemon/upstreamclient.h"
+#include "daemon/wakeuptimer.h"
 #include "entry/callengine.h"
 
 namespace Galenabarrow::Daemon
@@ -31,9 +32,10 @@
 
     /// \p lock guards \p engine and everything that it refers to.
     /// \p freshness is asked again right before each dispatch, because the process may have been frozen since the engine
-    /// asked it. \p scope begins the attempt ids that servers see and is unique to this process.
+    /// asked it. \p scope begins the attempt ids that servers see and is unique to this process. \p wakeUp is told when a
+    /// call sets a timer, so that the thread that calls tick() may sleep until nextTick().
     CallRunner(Entry::CallEngine &engine, const Entry::FreshnessView &freshness, std::mutex &lock, UpstreamClient &client,
-               AddressOf addressOf, std::string scope, const Clock &clock);
+               AddressOf addressOf, std::string scope, WakeUpTimer &wakeUp, const Clock &clock);
     ~CallRunner();
     CallRunner(const CallRunner &) = delete;
     CallRunner &operator=(const CallRunner &) = delete;
@@ -42,6 +44,8 @@
     CallEnd run(const Entry::CallRequest &request, CallContent content, const Poco::Net::StreamSocket &caller);
     /// Runs the engine's tick and gives up attempts whose deadline has passed; called on every tick without the lock.
     void tick(Instant now);
+    /// When tick() has to be called again at the latest; without the lock.
+    Instant nextTick(Instant now);
     /// Abandons the calls whose callers have closed their connection; called a few times per second without the lock.
     void abandonDisconnectedCalls(Instant now);
     /// Calls that have not ended.
@@ -69,6 +73,8 @@
         std::string address;
     };
 
+    /// With the lock held.
+    Instant nextEngineTick(Instant now);
     void apply(std::vector<Entry::Effect> &effects);
     void applyOne(const Entry::DispatchAttempt &dispatch);
     void applyOne(const Entry::CancelAttempt &cancel);
@@ -86,6 +92,7 @@
     UpstreamClient &m_client;
     AddressOf m_addressOf;
     std::string m_scope;
+    WakeUpTimer &m_wakeUp;
     const Clock &m_clock;
     std::unordered_map<CallId, std::shared_ptr<Call>> m_calls;
     std::unordered_map<AttemptId, Attempt> m_attempts;
--- a/packages/daemon/daemon/daemon.cpp
+++ b/packages/daemon/daemon/daemon.cpp
@@ -1,5 +1,6 @@
 #include "daemon/daemon.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -12,8 +13,9 @@
 namespace
 {
 
-constexpr auto BusyTick = std::chrono::milliseconds(1);
-constexpr auto IdleTick = std::chrono::milliseconds(5);
+// A hedge or a deadline may be this late, so that most calls set their timers without waking the tick thread.
+constexpr Duration WakeUpTolerance = std::chrono::milliseconds(5);
+constexpr auto DrainPoll = std::chrono::milliseconds(1);
 constexpr Duration ClusterTick = std::chrono::milliseconds(20);
 // Requests that callers sent just before the end of max-age still arrive.
 constexpr Duration Linger = std::chrono::seconds(1);
@@ -37,6 +39,7 @@
 
 Daemon::Daemon(Settings::DaemonSettings settings)
     : m_settings(std::move(settings))
+    , m_wakeUp(m_clock, WakeUpTolerance)
     , m_incarnation(makeIncarnation())
     , m_callers(httpLimits(m_settings.limits), m_clock)
     , m_announcements(httpLimits(m_settings.limits), m_clock)
@@ -87,7 +90,7 @@
         m_control->start();
     }
     if (m_settings.instance.isEntry) {
-        m_entry = std::make_unique<EntryNode>(m_settings, *m_cluster, *m_network, m_lock, m_clock);
+        m_entry = std::make_unique<EntryNode>(m_settings, *m_cluster, *m_network, m_lock, m_wakeUp, m_clock);
     }
     startServers();
     m_ready = true;
@@ -222,8 +225,9 @@
 void Daemon::runTicks()
 {
     while (!m_stopping) {
-        tick(m_clock.now());
-        std::this_thread::sleep_for(m_entry && m_entry->callsInProgress() > 0 ? BusyTick : IdleTick);
+        const Instant now = m_clock.now();
+        tick(now);
+        m_wakeUp.sleepUntil(m_entry ? std::min(m_nextClusterTick, m_entry->nextTick(now)) : m_nextClusterTick);
     }
 }
 
@@ -251,7 +255,7 @@
             m_log.warn("calls cut off at the end of the drain time", { { "calls", std::to_string(m_callers.requestsInProgress()) } });
             return;
         }
-        std::this_thread::sleep_for(BusyTick);
+        std::this_thread::sleep_for(DrainPoll);
     }
 }
 
--- a/packages/daemon/daemon/daemon.h
+++ b/packages/daemon/daemon/daemon.h
@@ -51,6 +51,7 @@
     SteadyClock m_clock;
     Log m_log { "daemon" };
     std::mutex m_lock;
+    WakeUpTimer m_wakeUp;
     std::string m_token;
     Incarnation m_incarnation;
     std::unique_ptr<Wire::PeerNetwork> m_network;
--- a/packages/daemon/daemon/entrynode.cpp
+++ b/packages/daemon/daemon/entrynode.cpp
@@ -22,7 +22,8 @@
 constexpr Duration IdleShareInterval = std::chrono::milliseconds(1500);
 // After this time without a reply, the request goes to all control instances, to find the leader.
 constexpr Duration ShareReplyTime = std::chrono::milliseconds(2000);
-constexpr Duration SyncInterval = std::chrono::milliseconds(10);
+// The same as the cluster tick, so that an idle entry wakes once for both.
+constexpr Duration SyncInterval = std::chrono::milliseconds(20);
 // A contract with a long deadline keeps the baseline of a new entry back for that long; the entry then serves with leased
 // shares only.
 constexpr Duration LongestUnlisted = std::chrono::seconds(30);
@@ -53,7 +54,7 @@
 }
 
 EntryNode::EntryNode(const Settings::DaemonSettings &settings, ClusterNode &cluster, Wire::PeerNetwork &network, std::mutex &lock,
-                     const Clock &clock)
+                     WakeUpTimer &wakeUp, const Clock &clock)
     : m_cluster(cluster)
     , m_network(network)
     , m_lock(lock)
@@ -67,7 +68,7 @@
     , m_upstream(clock)
     , m_runner(
           m_engine, m_links, lock, m_upstream, [this](const ServerId &server) { return serverAddress(server); },
-          cluster.identity().instance.value() + "." + std::to_string(cluster.identity().incarnation.value()), clock)
+          cluster.identity().instance.value() + "." + std::to_string(cluster.identity().incarnation.value()), wakeUp, clock)
     , m_info(std::get<Membership::InstanceInfo>(cluster.gossip().self().body))
     , m_freshnessLimit(settings.timings.freshnessLimit)
 {
@@ -127,6 +128,11 @@
     }
 }
 
+Instant EntryNode::nextTick(Instant now)
+{
+    return std::min({ m_nextSync, m_nextHousekeeping, m_runner.nextTick(now) });
+}
+
 void EntryNode::syncAll(Instant now)
 {
     const std::lock_guard lock(m_lock);
--- a/packages/daemon/daemon/entrynode.h
+++ b/packages/daemon/daemon/entrynode.h
@@ -37,7 +37,7 @@
 {
 public:
     EntryNode(const Settings::DaemonSettings &settings, ClusterNode &cluster, Wire::PeerNetwork &network, std::mutex &lock,
-              const Clock &clock);
+              WakeUpTimer &wakeUp, const Clock &clock);
     ~EntryNode();
     EntryNode(const EntryNode &) = delete;
     EntryNode &operator=(const EntryNode &) = delete;
@@ -48,8 +48,10 @@
     HttpReply handleAnnouncement(const HttpRequest &request);
     /// Takes a ShareReply; with the lock held.
     void receive(const Wire::Envelope &envelope, Instant now);
-    /// Call it every millisecond while there are calls, and every few milliseconds otherwise; without the lock.
+    /// Call it at nextTick() at the latest; without the lock.
     void tick(Instant now);
+    /// When tick() has something to do; a call can move it forward, which the WakeUpTimer is told.
+    Instant nextTick(Instant now);
 
     /// Leaves the directory and goes on serving.
     void beginStop();
--- /dev/null
+++ b/packages/daemon/daemon/wakeuptimer.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <condition_variable>
+#include <mutex>
+
+#include "base/clock.h"
+
+namespace Galenabarrow::Daemon
+{
+
+/// Lets one thread sleep until its next timer, while other threads may ask for an earlier time.
+class WakeUpTimer
+{
+public:
+    /// A sleep that is already due within \p tolerance after a requested time is not interrupted, which saves a wake-up.
+    WakeUpTimer(const Clock &clock, Duration tolerance);
+
+    /// Blocks until \p until or the earliest time that was asked for since the last return. The caller derives \p until from
+    /// its own timers each time; requests for later times are not kept.
+    void sleepUntil(Instant until);
+    /// Ends the sleep at \p at, or up to the tolerance later; also counts for the next sleep when the thread is awake.
+    void wakeBy(Instant at);
+
+private:
+    const Clock &m_clock;
+    Duration m_tolerance;
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    Instant m_wakeUp = Instant::max();
+};
+
+}
--- a/packages/entry/entry/callengine.cpp
+++ b/packages/entry/entry/callengine.cpp
@@ -464,6 +464,13 @@
     }
 }
 
+void CallEngine::dropEndedTimers()
+{
+    while (!m_timers.empty() && !m_calls.contains(m_timers.top().call)) {
+        m_timers.pop();
+    }
+}
+
 std::optional<Instant> CallEngine::nextWakeUp(Instant now) const
 {
     std::optional<Instant> wake;
--- a/packages/entry/entry/callengine.h
+++ b/packages/entry/entry/callengine.h
@@ -77,6 +77,8 @@
     void tick(Instant now, std::vector<Effect> &effects);
     /// When tick() has something to do; nothing when only an event from outside can change that.
     std::optional<Instant> nextWakeUp(Instant now) const;
+    /// Removes timers of ended calls until the first timer belongs to a call, so that nextWakeUp() names no time for them.
+    void dropEndedTimers();
 
     /// From now on every submitted call is refused with EntryStopping; accepted calls go on.
     void stopAccepting();
--- a/packages/entry/tests/callenginetest.cpp
+++ b/packages/entry/tests/callenginetest.cpp
@@ -329,6 +329,25 @@
     REQUIRE(attempts <= Calls * 11 / 10 + 1);
 }
 
+// Guards against a shell that is woken twice for each call that has ended: for its hedge and for its deadline.
+TEST_CASE("the timers of ended calls can be dropped", "[callengine]")
+{
+    EngineFixture fixture;
+    fixture.submit(EngineFixture::lookup());
+    const AttemptId ended = fixture.dispatched().attempt;
+    fixture.clock.advance(1ms);
+    fixture.submit(EngineFixture::action());
+    const DispatchAttempt running = fixture.dispatched();
+    fixture.engine->dropEndedTimers();
+    REQUIRE(fixture.engine->nextWakeUp(fixture.clock.now()) < running.deadline);
+    fixture.report(ended, AttemptEnd::Answered, 200);
+    fixture.engine->dropEndedTimers();
+    REQUIRE(fixture.engine->nextWakeUp(fixture.clock.now()) == running.deadline);
+    fixture.report(running.attempt, AttemptEnd::Answered, 200);
+    fixture.engine->dropEndedTimers();
+    REQUIRE(!fixture.engine->nextWakeUp(fixture.clock.now()));
+}
+
 // Guards against a caller that waits for ever for a silent server, a false "not run", and a late answer that counts.
 TEST_CASE("an attempt in flight at the deadline is cancelled and unknown", "[callengine]")
 {
