Set one socket timeout per exchange instead of four

Cause: an exchange set the send and the receive timeout before the request and both again before the response: 4 of the 10 system calls of a call above the idle cost.

Ruled out: keeping the timeouts of a pooled connection, because each call has its own deadline; and polling before the receive instead of a receive timeout, which is a system call too.

Change: the request is sent without waiting. The send timeout is set only for the rest of a request that does not fit into the send buffer. The receive timeout is set once, before the response.

strace -c of one entry, 4 s at 50 calls/s: 798 setsockopt for 202 calls before, 204 for 201 after; system calls per call above idle 10.3 before, 8.1 after. CPU time of the connection's thread per call, from /proc over 3 s, 169 and 170 calls: 199 us before, 208 us after, so no gain in CPU time is shown.

test-daemon [upstream]: 85 assertions in 9 cases passed, with the request that the server does not read.

--- a/packages/daemon/daemon/upstreamclient.cpp
+++ b/packages/daemon/daemon/upstreamclient.cpp
@@ -150,8 +150,13 @@
     UpstreamResponse response;
     session.resetHandedOver();
     try {
-        session.setSocketTimeouts(request.deadline - m_clock.now());
-        session.writeAll(format(request));
+        const std::string bytes = format(request);
+        // Most requests fit into the send buffer and need no send timeout, which is a system call.
+        const std::size_t sent = session.writeSome(bytes);
+        if (sent < bytes.size()) {
+            session.setSendTimeout(request.deadline - m_clock.now());
+            session.writeAll(bytes, sent);
+        }
         receive(request, session, response);
     } catch (const Poco::TimeoutException &) {
         setFailure(response, Entry::AttemptEnd::TimedOut, ResultCode::AttemptTimedOut);
@@ -174,7 +179,7 @@
 void UpstreamClient::receive(const UpstreamRequest &request, UpstreamSession &session, UpstreamResponse &response)
 {
     Poco::Net::HTTPResponse head;
-    session.setSocketTimeouts(request.deadline - m_clock.now());
+    session.setReceiveTimeout(request.deadline - m_clock.now());
     const ResponseEnd end = session.receiveWhole(request.method, head, response.body);
     if (end != ResponseEnd::Whole) {
         response.body.clear();
--- a/packages/daemon/daemon/upstreamsession.cpp
+++ b/packages/daemon/daemon/upstreamsession.cpp
@@ -54,11 +54,14 @@
     return !connected() || hasLeftover() || Wire::waitReadable(socket(), Duration::zero());
 }
 
-void UpstreamSession::setSocketTimeouts(Duration timeout)
+void UpstreamSession::setSendTimeout(Duration timeout)
 {
-    const Poco::Timespan span(std::max(timeout, MinSocketTimeout).count());
-    socket().setSendTimeout(span);
-    socket().setReceiveTimeout(span);
+    socket().setSendTimeout(Poco::Timespan(std::max(timeout, MinSocketTimeout).count()));
+}
+
+void UpstreamSession::setReceiveTimeout(Duration timeout)
+{
+    socket().setReceiveTimeout(Poco::Timespan(std::max(timeout, MinSocketTimeout).count()));
 }
 
 ResponseEnd UpstreamSession::receiveWhole(const std::string &method, Poco::Net::HTTPResponse &head, std::string &body)
--- a/packages/daemon/daemon/upstreamsession.h
+++ b/packages/daemon/daemon/upstreamsession.h
@@ -32,8 +32,10 @@
     void open(Duration timeout);
     /// True when the server has closed the connection or sent something that nobody asked for.
     bool isStale();
-    /// Bounds each send and receive from now on by \p timeout.
-    void setSocketTimeouts(Duration timeout);
+    /// Bounds each send from now on by \p timeout.
+    void setSendTimeout(Duration timeout);
+    /// Bounds each receive from now on by \p timeout.
+    void setReceiveTimeout(Duration timeout);
     /// Reads a response to \p method whole. Throws Poco exceptions when the connection fails. A body whose length is not
     /// stated counts as cut short, because its end cannot be told from a lost connection.
     ResponseEnd receiveWhole(const std::string &method, Poco::Net::HTTPResponse &head, std::string &body);
--- a/packages/daemon/daemon/wholemessage.h
+++ b/packages/daemon/daemon/wholemessage.h
@@ -80,17 +80,22 @@
         return true;
     }
 
-    /// Hands \p bytes to the connection. Never reconnects: HTTPClientSession::write connects again and resends when its
-    /// first write on a kept connection fails, which could run an action twice.
-    void writeAll(const std::string &bytes)
+    /// Hands \p bytes from \p sent on to the connection. Never reconnects: HTTPClientSession::write connects again and
+    /// resends when its first write on a kept connection fails, which could run an action twice.
+    void writeAll(const std::string &bytes, std::size_t sent = 0)
     {
-        std::size_t sent = 0;
         while (sent < bytes.size()) {
-            sent += send(bytes, sent);
+            sent += send(bytes, sent, 0);
         }
     }
 
-    /// Bytes that writeAll has handed to the connection since the last reset.
+    /// Hands over as many of \p bytes as the connection takes without waiting, and returns their number.
+    std::size_t writeSome(const std::string &bytes)
+    {
+        return send(bytes, 0, MSG_DONTWAIT);
+    }
+
+    /// Bytes that writeAll and writeSome have handed to the connection since the last reset.
     std::size_t handedOver() const
     {
         return m_handedOver;
@@ -110,20 +115,21 @@
 private:
     /// StreamSocket::sendBytes is not used: it repeats a partial send on its own, and when the rest fails, its exception
     /// hides that a part was handed over. The request would then count as not run.
-    std::size_t send(const std::string &bytes, std::size_t sent)
+    std::size_t send(const std::string &bytes, std::size_t sent, int flags)
     {
         ssize_t n = 0;
         do {
-            n = ::send(this->socket().impl()->sockfd(), bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+            n = ::send(this->socket().impl()->sockfd(), bytes.data() + sent, bytes.size() - sent, flags | MSG_NOSIGNAL);
         } while (n < 0 && errno == EINTR);
-        if (n < 0 && errno == EAGAIN) {
-            throw Poco::TimeoutException("send timed out");
-        }
-        if (n < 0) {
+        if (n < 0 && errno != EAGAIN) {
             throw Poco::Net::ConnectionAbortedException("send failed", errno);
         }
-        m_handedOver += static_cast<std::size_t>(n);
-        return static_cast<std::size_t>(n);
+        if (n < 0 && (flags & MSG_DONTWAIT) == 0) {
+            throw Poco::TimeoutException("send timed out");
+        }
+        const std::size_t handedOver = n < 0 ? 0 : static_cast<std::size_t>(n);
+        m_handedOver += handedOver;
+        return handedOver;
     }
 
     std::size_t m_handedOver = 0;
