Keep decoded line breaks out of forwarded headers

Cause: Poco decodes encoded words of RFC 2047 when it reads a head and writes the decoded text as it is. A header value "=?UTF-8?B?DQpFdmlsOiAx?=" of a caller passed the check of the header lines and was forwarded as a line break and a further header line.

Ruled out: switching the decoding off; this version of Poco has no such option.

Change: line breaks and null characters in a header value are written as spaces, as RFC 9110 (section 5.5) asks.

--- a/packages/daemon/daemon/httpmessage.cpp
+++ b/packages/daemon/daemon/httpmessage.cpp
@@ -9,6 +9,16 @@
 namespace Galenabarrow::Daemon
 {
 
+namespace
+{
+
+bool isLineEnd(char ch)
+{
+    return ch == '\r' || ch == '\n' || ch == '\0';
+}
+
+}
+
 std::string_view HttpRequest::path() const
 {
     const std::string_view uri = head.getURI();
@@ -24,7 +34,11 @@
 
 void appendHeader(std::string &head, std::string_view name, std::string_view value)
 {
-    head.append(name).append(": ").append(value).append("\r\n");
+    head.append(name).append(": ");
+    const auto begin = static_cast<std::ptrdiff_t>(head.size());
+    head.append(value);
+    std::replace_if(head.begin() + begin, head.end(), isLineEnd, ' ');
+    head.append("\r\n");
 }
 
 std::string_view outcomeName(Outcome outcome)
