--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # make demo: set up, build, run the main job.   make check: set up, build, run every test.
 BUILD ?= build
 
-.PHONY: demo check setup build test format format-check tidy sanitize generate measure cost faults
+.PHONY: demo check setup build test format format-check tidy sanitize generate measure cost latency faults
 
 demo: setup build
 	scripts/demo.sh $(BUILD)
@@ -27,6 +27,10 @@
 	scripts/cost.sh $(BUILD)
 	scripts/propagation.sh $(BUILD)
 
+# Latency and CPU time that entries add to a call.
+latency: build
+	scripts/latency.sh $(BUILD)
+
 # Unit tests only: the process tests start other programs and run in the plain build.
 sanitize:
 	cmake -S . -B $(BUILD)-sanitize -G Ninja -DGALENABARROW_SANITIZE=ON
