--- a/packages/daemon/daemon/entrynode.cpp
+++ b/packages/daemon/daemon/entrynode.cpp
@@ -19,7 +19,8 @@
 constexpr Duration RegistrationPause = std::chrono::milliseconds(500);
 // After this time without a reply, the request goes to all control instances, to find the leader.
 constexpr Duration ShareReplyTime = std::chrono::milliseconds(2000);
-constexpr Duration SyncInterval = std::chrono::milliseconds(10);
+// The same as the cluster tick, so that an idle entry wakes once for both.
+constexpr Duration SyncInterval = std::chrono::milliseconds(20);
 // A contract with a long deadline keeps the baseline of a new entry back for that long; the entry then serves with leased
 // shares only.
 constexpr Duration LongestUnlisted = std::chrono::seconds(30);
@@ -45,7 +46,7 @@
 }
 
 EntryNode::EntryNode(const Settings::DaemonSettings &settings, ClusterNode &cluster, Wire::PeerNetwork &network, std::mutex &lock,
-                     const Clock &clock)
+                     WakeUpTimer &wakeUp, const Clock &clock)
     : m_cluster(cluster)
     , m_network(network)
     , m_lock(lock)
@@ -59,11 +60,11 @@
     , m_upstream(clock)
     , m_runner(
           m_engine, m_links, lock, m_upstream, [this](const ServerId &server) { return serverAddress(server); },
-          cluster.identity().instance.value() + "." + std::to_string(cluster.identity().incarnation.value()), clock)
+          cluster.identity().instance.value() + "." + std::to_string(cluster.identity().incarnation.value()), wakeUp, clock)
     , m_actions(
           cluster, m_registry, m_upstream, m_counters, lock, clock,
           [this](HttpRequest &request, const CallerInput &input, Instant deadline) { return runOwn(request, input, false, deadline); })
-    , m_probes(settings.measuring, cluster, m_engine, lock, clock)
+    , m_probes(settings.measuring, cluster, m_engine, lock, wakeUp, clock)
     , m_info(std::get<Membership::InstanceInfo>(cluster.gossip().self().body))
     , m_freshnessLimit(settings.timings.freshnessLimit)
 {
@@ -125,6 +126,11 @@
     }
 }
 
+Instant EntryNode::nextTick(Instant now)
+{
+    return std::min({ m_nextSync, m_nextHousekeeping, m_runner.nextTick(now), m_probes.nextClose() });
+}
+
 void EntryNode::syncAll(Instant now)
 {
     const std::lock_guard lock(m_lock);
--- a/packages/daemon/daemon/entrynode.h
+++ b/packages/daemon/daemon/entrynode.h
@@ -29,7 +29,7 @@
 {
 public:
     EntryNode(const Settings::DaemonSettings &settings, ClusterNode &cluster, Wire::PeerNetwork &network, std::mutex &lock,
-              const Clock &clock);
+              WakeUpTimer &wakeUp, const Clock &clock);
     ~EntryNode();
     EntryNode(const EntryNode &) = delete;
     EntryNode &operator=(const EntryNode &) = delete;
@@ -42,8 +42,10 @@
     void receive(const Wire::Envelope &envelope, Instant now);
     /// Takes changed records of servers into the call engine, so that calls see what the status page shows; with the lock held.
     void syncServers(Instant now);
-    /// Call it every millisecond while there are calls, and every few milliseconds otherwise; without the lock.
+    /// Call it at nextTick() at the latest; without the lock.
     void tick(Instant now);
+    /// When tick() has something to do; a call can move it forward, which the WakeUpTimer is told.
+    Instant nextTick(Instant now);
 
     /// Leaves the directory and goes on serving.
     void beginStop();
--- a/packages/daemon/daemon/probenode.cpp
+++ b/packages/daemon/daemon/probenode.cpp
@@ -40,10 +40,11 @@
 }
 
 ProbeNode::ProbeNode(const Settings::MeasuringSettings &settings, ClusterNode &cluster, Entry::CallEngine &engine, std::mutex &lock,
-                     const Clock &clock)
+                     WakeUpTimer &wakeUp, const Clock &clock)
     : m_cluster(cluster)
     , m_engine(engine)
     , m_lock(lock)
+    , m_wakeUp(wakeUp)
     , m_clock(clock)
     , m_scheduler(probeSettings(settings), budgetSettings(settings), cluster.identity().instance, clock.now())
     , m_upstream(clock)
@@ -82,9 +83,16 @@
     const std::lock_guard lock(m_queueMutex);
     if (m_current && now >= m_currentEnd) {
         m_current->expire();
+        m_currentEnd = Instant::max(); // once is enough, and the tick thread must not wait for it any more
     }
 }
 
+Instant ProbeNode::nextClose()
+{
+    const std::lock_guard lock(m_queueMutex);
+    return m_current ? m_currentEnd : Instant::max();
+}
+
 const Measuring::ProbeScheduler &ProbeNode::scheduler() const
 {
     return m_scheduler;
@@ -187,6 +195,7 @@
         m_current = handle;
         m_currentEnd = request.deadline;
     }
+    m_wakeUp.wakeBy(request.deadline);
     const UpstreamResponse response = m_upstream.exchange(request, *handle);
     {
         const std::lock_guard lock(m_queueMutex);
--- a/packages/daemon/daemon/probenode.h
+++ b/packages/daemon/daemon/probenode.h
@@ -12,6 +12,7 @@
 #include "base/clock.h"
 #include "daemon/clusternode.h"
 #include "daemon/upstreamclient.h"
+#include "daemon/wakeuptimer.h"
 #include "entry/callengine.h"
 #include "measuring/probescheduler.h"
 #include "settings/daemonsettings.h"
@@ -26,7 +27,7 @@
 public:
     /// \p lock guards the cluster and the engine.
     ProbeNode(const Settings::MeasuringSettings &settings, ClusterNode &cluster, Entry::CallEngine &engine, std::mutex &lock,
-              const Clock &clock);
+              WakeUpTimer &wakeUp, const Clock &clock);
     ~ProbeNode();
     ProbeNode(const ProbeNode &) = delete;
     ProbeNode &operator=(const ProbeNode &) = delete;
@@ -36,6 +37,8 @@
     void sync(bool mayProbe, bool isRegistered, Instant now);
     /// Closes the connection of a probe that has reached its end; without the lock, every few milliseconds.
     void closeOverdue(Instant now);
+    /// When closeOverdue() may have something to do. The WakeUpTimer is told of an earlier time.
+    Instant nextClose();
 
     /// With the lock held.
     const Measuring::ProbeScheduler &scheduler() const;
@@ -56,6 +59,7 @@
     ClusterNode &m_cluster;
     Entry::CallEngine &m_engine;
     std::mutex &m_lock;
+    WakeUpTimer &m_wakeUp;
     const Clock &m_clock;
 
     // Guarded by m_lock.
--- a/packages/daemon/daemon/upstreamsession.cpp
+++ b/packages/daemon/daemon/upstreamsession.cpp
@@ -7,6 +7,8 @@
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Timespan.h>
 
+#include "wire/socketwait.h"
+
 namespace Galenabarrow::Daemon
 {
 
@@ -49,14 +51,17 @@
 
 bool UpstreamSession::isStale()
 {
-    return !connected() || hasLeftover() || socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
+    return !connected() || hasLeftover() || Wire::waitReadable(socket(), Duration::zero());
 }
 
-void UpstreamSession::setSocketTimeouts(Duration timeout)
+void UpstreamSession::setSendTimeout(Duration timeout)
 {
-    const Poco::Timespan span(std::max(timeout, MinSocketTimeout).count());
-    socket().setSendTimeout(span);
-    socket().setReceiveTimeout(span);
+    socket().setSendTimeout(Poco::Timespan(std::max(timeout, MinSocketTimeout).count()));
+}
+
+void UpstreamSession::setReceiveTimeout(Duration timeout)
+{
+    socket().setReceiveTimeout(Poco::Timespan(std::max(timeout, MinSocketTimeout).count()));
 }
 
 ResponseEnd UpstreamSession::receiveWhole(const std::string &method, Poco::Net::HTTPResponse &head, std::string &body)
--- a/packages/daemon/tests/callrunnertest.cpp
+++ b/packages/daemon/tests/callrunnertest.cpp
@@ -54,6 +54,7 @@
     Entry::CallEngine engine { {}, parts, parts, parts, parts, random };
     std::mutex lock;
     UpstreamClient client { clock };
+    WakeUpTimer wakeUp { clock, Duration::zero() };
     std::function<void()> beforeSend = [] {};
     CallRunner runner;
     Poco::Net::ServerSocket listener { Poco::Net::SocketAddress("127.0.0.1:0") };
@@ -62,7 +63,7 @@
     RunnerFixture()
         : server({ { Whole, Then::Keep }, { Whole, Then::Keep } })
         , runner(
-              engine, parts, lock, client, [this](const ServerId &) { return address(); }, "scope", clock)
+              engine, parts, lock, client, [this](const ServerId &) { return address(); }, "scope", wakeUp, clock)
     {
         Entry::ServerRecord record;
         record.server = ServerId("a");
--- a/packages/entry/entry/callengine.cpp
+++ b/packages/entry/entry/callengine.cpp
@@ -542,6 +542,13 @@
     }
 }
 
+void CallEngine::dropEndedTimers()
+{
+    while (!m_timers.empty() && !m_calls.contains(m_timers.top().call)) {
+        m_timers.pop();
+    }
+}
+
 std::optional<Instant> CallEngine::nextWakeUp(Instant now) const
 {
     std::optional<Instant> wake;
--- a/scripts/cost.sh
+++ b/scripts/cost.sh
@@ -11,7 +11,6 @@
 source scripts/cluster.sh
 ticks_per_second=$(getconf CLK_TCK)
 
-cpu_ticks() { awk '{ print $14 + $15 }' "/proc/${pid_of[$1]}/stat"; }
 resident_kb() { awk '/^VmRSS/ { print $2 }' "/proc/${pid_of[$1]}/status"; }
 # read_page <instance> <begin or end>: keeps the metrics page for the figures below.
 read_page() { operate "$1" GET /metrics > "$work/$1.$2.page"; }
