Break links between real processes in tests of P5 and P7

Cuts were only injected into the cores; processes were only killed, frozen and stopped. Relay (teststand) forwards loopback connections and holds back one direction or both, or cuts them. It stands in front of the last entry of a Cluster, through advertise.peers, and in front of control for that entry, through its replica address.

Three tests, each with four faults (replies to the entry, its requests, or both held back; both cut): - after a withdrawal the entry is fenced, answers nothing more, and after the return of the link, when late replies arrive, knows of the withdrawal before it serves; - a draining server gets no work while the link is broken; - the same after the link has returned. The fence is lifted by a fresh contract table, but a leaving record is repeated for 2 s only, so the entry may hear of the drain up to about 1 s later, by a digest. Late delivery by the relay is ruled out, since a cut drops what it holds.

The port for control is now picked after the relays hold theirs, which excludes one possible cause.

No product code changed.

--- /dev/null
+++ b/packages/daemon/tests/linkprocesstest.cpp
@@ -0,0 +1,150 @@
+#include <chrono>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "processfixture.h"
+
+using namespace Galenabarrow::Daemon::Test;
+using Galenabarrow::Teststand::Relay;
+
+namespace
+{
+
+const std::vector<std::string> FastServer { "--service_time_us=500", "--distribution=fixed" };
+constexpr int EntryFenced = 107;
+constexpr int NoContract = 100;
+
+/// The faults that stop the refresh of the contract table of the last entry, each in another way.
+struct LinkFault {
+    const char *name;
+    Relay::Fault toLast;
+    Relay::Fault toControl;
+};
+
+const std::vector<LinkFault> LinkFaults {
+    { "replies of control are held back", Relay::Fault::StallForward, Relay::Fault::None },
+    { "requests to control are held back", Relay::Fault::None, Relay::Fault::StallForward },
+    { "both are held back", Relay::Fault::StallBoth, Relay::Fault::StallBoth },
+    { "connections of both are cut", Relay::Fault::Cut, Relay::Fault::Cut },
+};
+
+void setFaults(Cluster &cluster, const LinkFault &fault)
+{
+    cluster.toLast().setFault(fault.toLast);
+    cluster.toControl().setFault(fault.toControl);
+}
+
+}
+
+// Guards against an entry that goes on to serve by a withdrawn contract while its link is down, or again when replies that
+// were held back arrive late (P7).
+TEST_CASE("an entry with a broken link to control is fenced and never serves by a withdrawn contract", "[daemon][process][links]")
+{
+    const LinkFault fault = GENERATE(from_range(LinkFaults));
+    CAPTURE(fault.name);
+    Cluster cluster(2, true);
+    cluster.startServer(FastServer);
+    // On a busy machine, the table of a new entry can be older than the short limit of these clusters for a moment.
+    REQUIRE(waitUntil([&] { return cluster.call(1, "GET", "/stock").outcome == "answered"; }));
+    setFaults(cluster, fault);
+    REQUIRE(
+        cluster.operate(0, "DELETE", "/v1/contracts/abyssinia", { { "If-Match", "1" }, { "Galenabarrow-Change-Id", "withdraw" } }).status
+        == 200);
+    HttpAnswer answer;
+    REQUIRE(waitUntil([&] {
+        answer = cluster.call(1, "GET", "/stock");
+        return answer.outcome != "answered";
+    }));
+    REQUIRE(answer.outcome == "not-run");
+    REQUIRE(answer.code == EntryFenced);
+    const std::uint64_t executions = cluster.totalExecutions();
+    for (int n = 0; n < 50; ++n) {
+        REQUIRE(cluster.call(1, "GET", "/stock").code == EntryFenced);
+    }
+    setFaults(cluster, { "none", Relay::Fault::None, Relay::Fault::None });
+    // Until the table is fresh the entry stays fenced; then it knows of the withdrawal.
+    REQUIRE(waitUntil([&] {
+        answer = cluster.call(1, "GET", "/stock");
+        return answer.code != EntryFenced;
+    }));
+    REQUIRE(answer.code == NoContract);
+    REQUIRE(cluster.totalExecutions() == executions);
+}
+
+namespace
+{
+
+/// Three entries and two servers. Each entry has used the first server, which answers 40 times as fast as the second, so an
+/// entry that does not know of its drain prefers it.
+struct DrainWorld {
+    Cluster cluster { 3, true };
+    const Child &draining = cluster.startServer(FastServer);
+
+    DrainWorld()
+    {
+        for (std::size_t entry = 0; entry < 3; ++entry) {
+            REQUIRE(waitUntil([&] { return cluster.call(entry, "GET", "/stock").outcome == "answered"; }));
+        }
+        cluster.startServer({ "--service_time_us=20000", "--distribution=fixed", "--slots=64" });
+    }
+
+    /// The part of the server's counts that tells how many requests it ran.
+    std::string drainingTotal() const
+    {
+        const std::string counts = send(draining.value("address"), "GET", "/standin/counts", {}).body;
+        return counts.substr(counts.find("\"total\""));
+    }
+
+    /// Calls all entries in turn; returns how many calls were answered.
+    int callAll(int rounds)
+    {
+        int answered = 0;
+        for (int n = 0; n < rounds; ++n) {
+            for (std::size_t entry = 0; entry < 3; ++entry) {
+                answered += cluster.call(entry, "GET", "/stock").outcome == "answered" ? 1 : 0;
+            }
+        }
+        return answered;
+    }
+
+    /// Drains the server while the last entry cannot hear of it, and waits for longer than the bound of P5 and the time for
+    /// which a leaving record is repeated.
+    void drainBehind(const LinkFault &fault)
+    {
+        setFaults(cluster, fault);
+        REQUIRE(cluster.operate(0, "POST", "/v1/servers/s0/drain").status == 200);
+        std::this_thread::sleep_for(std::chrono::seconds(3));
+    }
+};
+
+}
+
+// Guards against new work for a draining server, more than 2 s after the drain, from an entry that cannot hear of it (P5).
+TEST_CASE("a draining server gets no new work while the link of an entry is broken", "[daemon][process][links]")
+{
+    const LinkFault fault = GENERATE(from_range(LinkFaults));
+    CAPTURE(fault.name);
+    DrainWorld world;
+    world.drainBehind(fault);
+    const std::string before = world.drainingTotal();
+    REQUIRE(world.callAll(50) >= 100);
+    REQUIRE(world.drainingTotal() == before);
+}
+
+// Guards against new work for a draining server from an entry that has a fresh contract table again after its link has
+// returned, and has not yet heard of the drain (P5).
+TEST_CASE("a draining server gets no new work after the link of an entry has returned", "[daemon][process][links]")
+{
+    const LinkFault fault = GENERATE(from_range(LinkFaults));
+    CAPTURE(fault.name);
+    DrainWorld world;
+    world.drainBehind(fault);
+    const std::string before = world.drainingTotal();
+    setFaults(world.cluster, { "none", Relay::Fault::None, Relay::Fault::None });
+    REQUIRE(waitUntil([&] { return world.cluster.call(2, "GET", "/stock").outcome == "answered"; }));
+    REQUIRE(world.callAll(50) >= 100);
+    REQUIRE(world.drainingTotal() == before);
+}
--- a/packages/daemon/tests/processfixture.cpp
+++ b/packages/daemon/tests/processfixture.cpp
@@ -41,11 +41,14 @@
     std::ofstream(path) << text;
 }
 
-std::string settingsText(const std::string &name, bool isControl, const std::string &controlAddress)
+/// \p listen is where the instance accepts peers, \p advertised what it tells them when that is another address.
+std::string settingsText(const std::string &name, bool isControl, const std::string &controlAddress, const std::string &listen,
+                         const std::string &advertised)
 {
     std::string text = "[instance]\nid = \"" + name + "\"\ndata_centre = \"dc1\"\nroles = [\"entry\"" + (isControl ? ", \"control\"" : "")
         + "]\n[cluster]\nid = \"test\"\nkey_file = \"key\"\n[listen]\ncallers = \"127.0.0.1:0\"\noperators = \"127.0.0.1:0\"\npeers = \""
-        + (isControl ? controlAddress : "127.0.0.1:0") + "\"\n[operators]\ntoken_file = \"token\"\n[log]\nthreshold = \"error\"\n"
+        + listen + "\"\n" + (advertised.empty() ? "" : "[advertise]\npeers = \"" + advertised + "\"\n")
+        + "[operators]\ntoken_file = \"token\"\n[log]\nthreshold = \"error\"\n"
         + "[timings]\nelection_timeout_ms = 300\nheartbeat_ms = 100\nfreshness_limit_ms = 1000\ndirectory_max_age_s = 1\ndrain_s = 60\n"
         + "server_lease_ms = 5000\n[limits]\nheader_bytes = 4096\nbody_bytes = 65536\nconnections = 64\n[control]\n";
     if (isControl) {
@@ -163,20 +166,32 @@
     return Poco::Process::isRunning(*m_handle);
 }
 
-Cluster::Cluster(std::size_t entryCount)
-    : m_controlAddress(freeAddress())
+Cluster::Cluster(std::size_t entryCount, bool isRelayed)
+    : m_entryCount(entryCount)
 {
+    if (isRelayed) {
+        m_toLast = std::make_unique<Teststand::Relay>();
+        m_toControl = std::make_unique<Teststand::Relay>();
+    }
+    // After the relays, whose listening sockets must not get the port that was picked for control.
+    m_controlAddress = freeAddress();
+    if (isRelayed) {
+        m_toControl->setTarget(m_controlAddress);
+    }
     m_folder.createDirectories();
     writeFile(m_folder.path() + "/key", "key-of-the-process-tests");
     writeFile(m_folder.path() + "/token", Token);
     for (std::size_t n = 0; n < entryCount; ++n) {
         startEntry(n);
     }
-    REQUIRE(waitUntil([this] {
-        return operate(0, "PUT", "/v1/contracts/abyssinia", { { "If-Match", "0" }, { "Galenabarrow-Change-Id", "first" } }, ContractText)
-                   .status
-            == 200;
-    }));
+    HttpAnswer accepted;
+    const bool isAccepted = waitUntil([&] {
+        accepted =
+            operate(0, "PUT", "/v1/contracts/abyssinia", { { "If-Match", "0" }, { "Galenabarrow-Change-Id", "first" } }, ContractText);
+        return accepted.status == 200;
+    });
+    INFO("last answer: " << accepted.status << " " << accepted.code << " " << accepted.body);
+    REQUIRE(isAccepted);
     for (std::size_t n = 0; n < entryCount; ++n) {
         REQUIRE(waitUntil([this, n] { return isServing(n); }));
     }
@@ -186,7 +201,13 @@
 {
     const std::string name = "e" + std::to_string(number);
     const std::string path = m_folder.path() + "/" + name + ".toml";
-    writeFile(path, settingsText(name, number == 0, m_controlAddress));
+    if (m_toLast && number + 1 == m_entryCount) {
+        const std::string listen = freeAddress();
+        m_toLast->setTarget(listen);
+        writeFile(path, settingsText(name, false, m_toControl->address(), listen, m_toLast->address()));
+    } else {
+        writeFile(path, settingsText(name, number == 0, m_controlAddress, number == 0 ? m_controlAddress : "127.0.0.1:0", {}));
+    }
     Entry entry;
     entry.process = std::make_unique<Child>("galenabarrowd", std::vector<std::string> { "--settings", path });
     entry.callers = entry.process->value("callers");
@@ -199,6 +220,16 @@
     return m_entries.at(number);
 }
 
+Teststand::Relay &Cluster::toLast()
+{
+    return *m_toLast;
+}
+
+Teststand::Relay &Cluster::toControl()
+{
+    return *m_toControl;
+}
+
 std::vector<std::string> Cluster::callerAddresses() const
 {
     std::vector<std::string> addresses;
--- a/packages/daemon/tests/processfixture.h
+++ b/packages/daemon/tests/processfixture.h
@@ -11,6 +11,8 @@
 #include <Poco/Process.h>
 #include <Poco/TemporaryFile.h>
 
+#include "teststand/relay.h"
+
 namespace Galenabarrow::Daemon::Test
 {
 
@@ -67,9 +69,13 @@
 class Cluster
 {
 public:
-    explicit Cluster(std::size_t entryCount);
+    /// With \p isRelayed, all traffic between the last entry and its peers passes toLast(), and its requests to control
+    /// pass toControl().
+    explicit Cluster(std::size_t entryCount, bool isRelayed = false);
 
     Entry &entry(std::size_t number);
+    Teststand::Relay &toLast();
+    Teststand::Relay &toControl();
     std::vector<std::string> callerAddresses() const;
     /// Starts a stand-in server that announces itself to the first entry, and waits until all entries know it.
     Child &startServer(const std::vector<std::string> &arguments = {});
@@ -96,6 +102,9 @@
 
     Poco::TemporaryFile m_folder;
     std::string m_controlAddress;
+    std::size_t m_entryCount;
+    std::unique_ptr<Teststand::Relay> m_toLast;
+    std::unique_ptr<Teststand::Relay> m_toControl;
     std::vector<Entry> m_entries;
     std::vector<std::unique_ptr<Child>> m_servers;
 };
