--- a/packages/daemon/tests/entryprocesstest.cpp
+++ b/packages/daemon/tests/entryprocesstest.cpp
@@ -62,7 +62,7 @@
 TEST_CASE("an entry that was frozen dispatches nothing before it has caught up", "[daemon][process]")
 {
     constexpr int FreshnessLimitMs = 1000;
-    Cluster cluster(2, FreshnessLimitMs);
+    Cluster cluster(2, { .freshnessLimitMs = FreshnessLimitMs });
     cluster.startServer(FastServer);
     REQUIRE(cluster.call(1, "GET", "/stock").outcome == "answered");
     const std::string key = cluster.keyScope(1) + ":frozen";
@@ -86,7 +86,7 @@
 {
     // Longer than the freeze, so that the deadline alone has to prevent the dispatch.
     constexpr int FreshnessLimitMs = 5000;
-    Cluster cluster(1, FreshnessLimitMs);
+    Cluster cluster(1, { .freshnessLimitMs = FreshnessLimitMs });
     cluster.startServer({ "--service_time_us=400000", "--distribution=fixed", "--slots=1" });
     const std::string scope = cluster.keyScope(0);
     auto first = std::async(std::launch::async, [&] { return cluster.action(0, scope + ":first"); });
--- a/packages/daemon/tests/probeprocesstest.cpp
+++ b/packages/daemon/tests/probeprocesstest.cpp
@@ -48,7 +48,7 @@
     constexpr double BudgetPermille = 5; // the default
     const auto start = std::chrono::steady_clock::now();
     // Longer than the default, so that a busy machine does not make a healthy server fail its probe.
-    Cluster cluster(2, 1000, "[measuring]\nprobe_deadline_ms = 100\n");
+    Cluster cluster(2, { .extraSettings = "[measuring]\nprobe_deadline_ms = 100\n" });
     const std::vector<std::string> arguments { "--slots=" + std::to_string(Slots), "--service_time_us=1000", "--distribution=fixed",
                                                "--probe_time_us=2000" };
     const Child &failing = cluster.startServer(arguments);
--- a/packages/daemon/tests/processfixture.cpp
+++ b/packages/daemon/tests/processfixture.cpp
@@ -41,11 +41,14 @@
     std::ofstream(path) << text;
 }
 
-std::string settingsText(const std::string &name, bool isControl, const std::string &controlAddress, int freshnessLimitMs)
+/// \p listen is where the instance accepts peers, \p advertised what it tells them when that is another address.
+std::string settingsText(const std::string &name, bool isControl, const std::string &controlAddress, const std::string &listen,
+                         const std::string &advertised, int freshnessLimitMs)
 {
     std::string text = "[instance]\nid = \"" + name + "\"\ndata_centre = \"dc1\"\nroles = [\"entry\"" + (isControl ? ", \"control\"" : "")
         + "]\n[cluster]\nid = \"test\"\nkey_file = \"key\"\n[listen]\ncallers = \"127.0.0.1:0\"\noperators = \"127.0.0.1:0\"\npeers = \""
-        + (isControl ? controlAddress : "127.0.0.1:0") + "\"\n[operators]\ntoken_file = \"token\"\n[log]\nthreshold = \"error\"\n"
+        + listen + "\"\n" + (advertised.empty() ? "" : "[advertise]\npeers = \"" + advertised + "\"\n")
+        + "[operators]\ntoken_file = \"token\"\n[log]\nthreshold = \"error\"\n"
         + "[timings]\nelection_timeout_ms = 300\nheartbeat_ms = 100\nfreshness_limit_ms = " + std::to_string(freshnessLimitMs)
         + "\ndirectory_max_age_s = 1\ndrain_s = 60\n"
         + "server_lease_ms = 5000\n[limits]\nheader_bytes = 4096\nbody_bytes = 65536\nconnections = 64\n[control]\n";
@@ -164,22 +167,33 @@
     return Poco::Process::isRunning(*m_handle);
 }
 
-Cluster::Cluster(std::size_t entryCount, int freshnessLimitMs, std::string extraSettings)
-    : m_extraSettings(std::move(extraSettings))
-    , m_controlAddress(freeAddress())
-    , m_freshnessLimitMs(freshnessLimitMs)
+Cluster::Cluster(std::size_t entryCount, ClusterOptions options)
+    : m_options(std::move(options))
+    , m_entryCount(entryCount)
 {
+    if (m_options.isRelayed) {
+        m_toLast = std::make_unique<Teststand::Relay>();
+        m_toControl = std::make_unique<Teststand::Relay>();
+    }
+    // After the relays, whose listening sockets must not get the port that was picked for control.
+    m_controlAddress = freeAddress();
+    if (m_options.isRelayed) {
+        m_toControl->setTarget(m_controlAddress);
+    }
     m_folder.createDirectories();
     writeFile(m_folder.path() + "/key", "key-of-the-process-tests");
     writeFile(m_folder.path() + "/token", Token);
     for (std::size_t n = 0; n < entryCount; ++n) {
         startEntry(n);
     }
-    REQUIRE(waitUntil([this] {
-        return operate(0, "PUT", "/v1/contracts/abyssinia", { { "If-Match", "0" }, { "Galenabarrow-Change-Id", "first" } }, ContractText)
-                   .status
-            == 200;
-    }));
+    HttpAnswer accepted;
+    const bool isAccepted = waitUntil([&] {
+        accepted =
+            operate(0, "PUT", "/v1/contracts/abyssinia", { { "If-Match", "0" }, { "Galenabarrow-Change-Id", "first" } }, ContractText);
+        return accepted.status == 200;
+    });
+    INFO("last answer: " << accepted.status << " " << accepted.code << " " << accepted.body);
+    REQUIRE(isAccepted);
     for (std::size_t n = 0; n < entryCount; ++n) {
         REQUIRE(waitUntil([this, n] { return isServing(n); }));
     }
@@ -189,7 +203,16 @@
 {
     const std::string name = "e" + std::to_string(number);
     const std::string path = m_folder.path() + "/" + name + ".toml";
-    writeFile(path, settingsText(name, number == 0, m_controlAddress, m_freshnessLimitMs) + m_extraSettings);
+    const int limit = m_options.freshnessLimitMs;
+    std::string text;
+    if (m_toLast && number + 1 == m_entryCount) {
+        const std::string listen = freeAddress();
+        m_toLast->setTarget(listen);
+        text = settingsText(name, false, m_toControl->address(), listen, m_toLast->address(), limit);
+    } else {
+        text = settingsText(name, number == 0, m_controlAddress, number == 0 ? m_controlAddress : "127.0.0.1:0", {}, limit);
+    }
+    writeFile(path, text + m_options.extraSettings);
     Entry entry;
     entry.process = std::make_unique<Child>("galenabarrowd", std::vector<std::string> { "--settings", path });
     entry.callers = entry.process->value("callers");
@@ -202,6 +225,16 @@
     return m_entries.at(number);
 }
 
+Teststand::Relay &Cluster::toLast()
+{
+    return *m_toLast;
+}
+
+Teststand::Relay &Cluster::toControl()
+{
+    return *m_toControl;
+}
+
 std::vector<std::string> Cluster::callerAddresses() const
 {
     std::vector<std::string> addresses;
--- a/packages/daemon/tests/processfixture.h
+++ b/packages/daemon/tests/processfixture.h
@@ -11,6 +11,8 @@
 #include <Poco/Process.h>
 #include <Poco/TemporaryFile.h>
 
+#include "teststand/relay.h"
+
 namespace Galenabarrow::Daemon::Test
 {
 
@@ -62,16 +64,27 @@
     std::string operators;
 };
 
+/// What differs between the clusters of the tests.
+struct ClusterOptions {
+    /// The age of the contracts at which an entry is fenced.
+    int freshnessLimitMs = 1000;
+    /// Added to the settings file of each entry.
+    std::string extraSettings {};
+    /// All traffic between the last entry and its peers passes Cluster::toLast(), and its requests to control pass
+    /// Cluster::toControl().
+    bool isRelayed = false;
+};
+
 /// Entries on loopback, the first of which is also the only control instance, and a contract for customer "abyssinia" and
 /// service "orders", whose idempotent path is /stock.
 class Cluster
 {
 public:
-    /// \p freshnessLimitMs is the age of the contracts at which an entry is fenced. \p extraSettings are added to the settings
-    /// file of each entry.
-    explicit Cluster(std::size_t entryCount, int freshnessLimitMs = 1000, std::string extraSettings = {});
+    explicit Cluster(std::size_t entryCount, ClusterOptions options = {});
 
     Entry &entry(std::size_t number);
+    Teststand::Relay &toLast();
+    Teststand::Relay &toControl();
     std::vector<std::string> callerAddresses() const;
     /// Starts a stand-in server that announces itself to the first entry, and waits until all entries know it.
     Child &startServer(const std::vector<std::string> &arguments = {});
@@ -97,9 +110,11 @@
     std::vector<std::string> counts() const;
 
     Poco::TemporaryFile m_folder;
-    std::string m_extraSettings;
+    ClusterOptions m_options;
     std::string m_controlAddress;
-    int m_freshnessLimitMs;
+    std::size_t m_entryCount;
+    std::unique_ptr<Teststand::Relay> m_toLast;
+    std::unique_ptr<Teststand::Relay> m_toControl;
     std::vector<Entry> m_entries;
     std::vector<std::unique_ptr<Child>> m_servers;
 };
