Let silent entries report to a new control leader

Cause: a new leader grants no concurrency until the longest deadline has passed after the leases of its predecessor, or until every registered entry has reported what it holds. Entries without demand are silent now, so the wait would always last its full time.

Change: a feed reply carries the term of the control instance. When the term rises, an entry sends one share request to all control instances, also without demand, and repeats it each second until it is answered. The waits of the leader are unchanged.

Ruled out: a report at an interval (costs bytes in each idle second); the leader asking the entries (it knows the callers' addresses of registered entries only).

--- a/packages/control/control/controlservice.cpp
+++ b/packages/control/control/controlservice.cpp
@@ -302,6 +302,7 @@
     if (const std::optional<Confirmation> confirmation = m_raft.confirmation(m_now)) {
         reply.stamp = FreshnessStamp { confirmation->index, m_now - confirmation->madeAt };
     }
+    reply.term = m_raft.term();
     push(envelope.senderAddress, Wire::MessageKind::FeedReply, envelope.correlation, encode(reply));
     return {};
 }
--- a/packages/control/control/feed.h
+++ b/packages/control/control/feed.h
@@ -48,6 +48,8 @@
     std::optional<std::vector<RegisteredEntry>> entries;
     /// Absent when the instance has no confirmation of a quorum.
     std::optional<FreshnessStamp> stamp;
+    /// The term of the control instance; rises when there is a new leader.
+    Term term;
 };
 
 }
--- a/packages/control/control/feedclient.cpp
+++ b/packages/control/control/feedclient.cpp
@@ -45,6 +45,7 @@
     }
     const Instant sentAt = m_request->sentAt;
     m_request.reset();
+    m_term = std::max(m_term, reply->term);
     const bool isChanged = applyChanges(*reply);
     advance(*reply);
     if (reply->stamp) {
@@ -105,6 +106,11 @@
     return m_tableIndex;
 }
 
+Term FeedClient::term() const
+{
+    return m_term;
+}
+
 const ControlPeer &FeedClient::control() const
 {
     return m_controls[m_current];
--- a/packages/control/control/feedclient.h
+++ b/packages/control/control/feedclient.h
@@ -56,6 +56,8 @@
     const std::vector<RegisteredEntry> &registeredEntries() const;
     /// Every change up to this index is in the table.
     LogIndex tableIndex() const;
+    /// The highest term received; a rise tells of a new leader.
+    Term term() const;
     /// The control instance that is asked.
     const ControlPeer &control() const;
 
@@ -87,6 +89,7 @@
     std::vector<RegisteredEntry> m_entries;
     LogIndex m_entriesAsOf;
     LogIndex m_tableIndex;
+    Term m_term;
     /// Start of the next request; before the table index while a pass is incomplete.
     LogIndex m_cursor;
     /// The pass is complete when a control instance that has applied this index has nothing more.
--- a/packages/control/control/feedcodec.cpp
+++ b/packages/control/control/feedcodec.cpp
@@ -48,6 +48,7 @@
         table.add_stamp_index(reply.stamp->index.value());
         table.add_stamp_age(reply.stamp->age.count());
     }
+    table.add_term(reply.term.value());
     return finish(builder, table.Finish());
 }
 
@@ -73,6 +74,7 @@
             reply.entries->push_back(unpack(*it));
         }
     }
+    reply.term = Term(root->term());
     if (root->stamp_index()) {
         reply.stamp = FreshnessStamp { LogIndex(*root->stamp_index()), Duration(root->stamp_age()) };
     }
--- a/packages/control/tests/clienttest.cpp
+++ b/packages/control/tests/clienttest.cpp
@@ -127,9 +127,13 @@
     fixture.reply(request, fixture.state, {});
     request = fixture.ask();
     feed.after = decodeFeedRequest(request.payload)->after;
+    feed.term = Term(3);
     REQUIRE_FALSE(fixture.client.receive(answer(request, Wire::MessageKind::FeedReply, encode(feed)), fixture.now).value());
     REQUIRE(fixture.client.find(CustomerId("a"))->version == Version(2));
     REQUIRE(fixture.client.tableIndex() == LogIndex(2));
+    REQUIRE(fixture.client.term() == Term(3));
+    fixture.reply(fixture.ask(), fixture.state, {}); // from an instance that has not heard of the term
+    REQUIRE(fixture.client.term() == Term(3));
 }
 
 // Guards against "not accepted" for a change that a lost copy may still get into the log, and against a resend that is not
--- a/packages/control/tests/contractstatetest.cpp
+++ b/packages/control/tests/contractstatetest.cpp
@@ -110,9 +110,11 @@
     const Bytes command = encode(Command(putChange("acme", 0, "a")));
     FeedReply reply = fixture.state.changesAfter(LogIndex(), 1000);
     reply.stamp = FreshnessStamp { LogIndex(1), Duration(5) };
+    reply.term = Term(7);
     const Bytes feed = encode(reply);
     REQUIRE(decodeFeedReply(feed)->contracts == reply.contracts);
     REQUIRE(decodeFeedReply(feed)->stamp->age == Duration(5));
+    REQUIRE(decodeFeedReply(feed)->term == Term(7));
     for (std::size_t n = 0; n < command.size(); ++n) {
         const Result<Command> cut = decodeCommand(ByteView(command).first(n));
         REQUIRE((!cut || *cut == Command(putChange("acme", 0, "a")))); // the last bytes may be padding
--- a/packages/daemon/daemon/entrynode.cpp
+++ b/packages/daemon/daemon/entrynode.cpp
@@ -480,6 +480,11 @@
 
 void EntryNode::requestShares(Instant now)
 {
+    if (m_cluster.feed().term() != m_leaderTerm) {
+        m_leaderTerm = m_cluster.feed().term();
+        m_limits.reportToNewLeader();
+        m_shareAddress.clear();
+    }
     const std::optional<Limits::ShareRequest> request = m_limits.takeRequest(now);
     if (!request) {
         return;
--- a/packages/daemon/daemon/entrynode.h
+++ b/packages/daemon/daemon/entrynode.h
@@ -113,6 +113,7 @@
     std::optional<Instant> m_registeredAt;
     bool m_hasLimits = false;
     Instant m_lastShareReply {};
+    Term m_leaderTerm;
     std::string m_shareAddress;
     Instant m_nextSync {};
     Instant m_nextHousekeeping {};
--- a/packages/limits/tests/leasetest.cpp
+++ b/packages/limits/tests/leasetest.cpp
@@ -324,3 +324,18 @@
         }
     }
 }
+
+// Guards against a report that is lost, and against one that is repeated for ever.
+TEST_CASE("an entry without demand reports to a new leader until it is answered", "[limits]")
+{
+    Pair pair;
+    REQUIRE_FALSE(pair.a.takeRequest(Ready));
+    pair.a.reportToNewLeader();
+    REQUIRE(pair.a.takeRequest(Ready + 1s));
+    const std::optional<ShareRequest> again = pair.a.takeRequest(Ready + 2s);
+    REQUIRE(again);
+    REQUIRE(again->demands.empty());
+    pair.allocator.becomeLeader(Ready + 2s);
+    REQUIRE_FALSE(pair.a.applyGrant(pair.answer(*again, Ready + 2s), Ready + 2s)); // heard, but too early for a lease
+    REQUIRE_FALSE(pair.a.takeRequest(Ready + 3s));
+}
--- a/packages/limits/tests/limitstest.cpp
+++ b/packages/limits/tests/limitstest.cpp
@@ -255,6 +255,40 @@
     REQUIRE(result.idleRequests == 0);
 }
 
+// Guards against entries whose silence keeps a new leader from granting concurrency for a whole deadline.
+TEST_CASE("a new leader grants concurrency early when silent entries report to it", "[limits]")
+{
+    const bool isReporting = GENERATE(false, true);
+    Contract contract = makeContract(100000, 100000, 340);
+    contract.services.front().maxDeadline = 10s;
+    World world(contract, 45);
+    world.setReporting(isReporting);
+    world.setTicksPerNews(20);
+    world.faults().setDelay(1ms, 1ms);
+    const auto runUntilLeased = [&world](Duration most) {
+        const Instant start = world.now();
+        while (world.now() - start < most && world.concurrencyInForce() < 200) {
+            world.step();
+            for (int n = 0; n < 10; ++n) {
+                world.call(0);
+            }
+        }
+        return world.now() - start;
+    };
+    for (const Instant end = world.now() + 30s; world.now() < end;) {
+        world.step();
+    }
+    for (std::size_t n = 0; n < World::EntryCount; ++n) {
+        world.faults().cut(n, world.leader());
+    }
+    world.changeLeader();
+    const Duration time = runUntilLeased(30s);
+    std::cout << "a new leader grants concurrency after " << time / 1ms << " ms, silent entries "
+              << (isReporting ? "report" : "do not report") << "\n";
+    REQUIRE(world.isKept());
+    REQUIRE((time < 5s) == isReporting);
+}
+
 // Guards against calls of a customer whose contract was withdrawn, and against a count that is lost on the way.
 TEST_CASE("a customer without a contract gets no service", "[limits]")
 {
--- a/packages/limits/tests/limitsworld.h
+++ b/packages/limits/tests/limitsworld.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <map>
 #include <memory>
+#include <utility>
 #include <vector>
 
 #include "base/random.h"
@@ -100,6 +101,7 @@
     {
         m_confirmedAt = m_now;
         m_leader = 1 - m_leader;
+        ++m_leaderChanges;
         m_allocators[m_leader].becomeLeader(m_now);
     }
 
@@ -141,6 +143,10 @@
             if (!entry.isCutOff && m_random.below(m_ticksPerNews) == 0) {
                 entry.knownAt = m_now;
                 learn(entry);
+                if (m_isReporting && std::exchange(entry.leaderChanges, m_leaderChanges) != m_leaderChanges) {
+                    entry.limits->reportToNewLeader();
+                    entry.asksAll = true;
+                }
             }
             endCalls(entry);
             if (m_now >= entry.firstRequest) {
@@ -197,6 +203,22 @@
         m_tick = tick;
     }
 
+    /// Whether entries report to a new leader when they learn of it.
+    void setReporting(bool isReporting)
+    {
+        m_isReporting = isReporting;
+    }
+
+    /// The sum over all entries.
+    std::uint32_t concurrencyInForce()
+    {
+        std::uint32_t sum = 0;
+        for (Entry &it : m_entries) {
+            sum += it.limits->shareInForce(m_contract.customer, m_now)->concurrency;
+        }
+        return sum;
+    }
+
     std::uint64_t requests() const
     {
         return m_requests;
@@ -240,6 +262,8 @@
         bool isCutOff = false;
         /// The intervals of the entries differ.
         Instant firstRequest {};
+        std::uint64_t leaderChanges = 0;
+        bool asksAll = false;
         /// The end of each call.
         std::multimap<Instant, bool> calls;
     };
@@ -271,6 +295,9 @@
         const std::size_t control = asksOld ? 1 - m_leader : m_leader;
         ++m_requests;
         m_network.send(n, EntryCount + control, encode(*request), m_now);
+        if (std::exchange(m_entries[n].asksAll, false)) {
+            m_network.send(n, EntryCount + 1 - control, encode(*request), m_now);
+        }
     }
 
     void endCalls(Entry &entry)
@@ -316,6 +343,8 @@
     std::array<ShareAllocator, 2> m_allocators { ShareAllocator({}), ShareAllocator({}) };
     std::size_t m_leader = 0;
     Instant m_confirmedAt {};
+    std::uint64_t m_leaderChanges = 0;
+    bool m_isReporting = true;
     std::array<Entry, EntryCount> m_entries;
     std::uint64_t m_lives = 0;
     Duration m_longestCall = std::chrono::seconds(2);
