Let entries return to the control instance that they chose at the start

Cause: an entry asks one control instance for the feed, chosen at random, and changes it when it does not answer or has no confirmation.

Change: 30 s after an entry has left its first choice it asks it again. When that fails, it is left out for 3 s, so that two failed control instances of five cause at most two timeouts of 1 s in a row; the freshness limit is 5 s.

Ruled out: a random change every few requests (asks failed instances much more often); leaving the first choice out until the 30 s are over (an entry that can reach no other instance would be fenced for that long).

--- a/packages/control/control/feedclient.cpp
+++ b/packages/control/control/feedclient.cpp
@@ -8,6 +8,13 @@
 namespace Galenabarrow::Control
 {
 
+namespace
+{
+
+constexpr Duration PreferredPause = std::chrono::seconds(3);
+
+}
+
 FeedClient::FeedClient(std::vector<ControlPeer> controls, RandomSource &random, FeedTiming timing)
     : m_controls(std::move(controls))
     , m_random(random)
@@ -16,13 +23,14 @@
 {
     assert(!m_controls.empty());
     m_current = static_cast<std::size_t>(m_random.below(m_controls.size()));
+    m_preferred = m_current;
 }
 
 void FeedClient::tick(Instant now)
 {
     if (m_request && now - m_request->sentAt >= m_timing.timeout) {
         m_request.reset();
-        changeControl();
+        changeControl(now);
         m_nextRequest = now;
     }
     if (!m_request && now >= m_nextRequest) {
@@ -52,7 +60,7 @@
         applyStamp(*reply->stamp, sentAt);
     }
     if (!reply->stamp || reply->stamp->age > m_timing.staleAge) {
-        changeControl();
+        changeControl(now);
     }
     m_nextRequest = reply->more ? now : sentAt + m_timing.interval;
     if (reply->more) {
@@ -118,16 +126,31 @@
 
 void FeedClient::ask(Instant now)
 {
+    if (m_current != m_preferred && now - m_leftPreferredAt >= m_timing.returnAfter) {
+        m_current = m_preferred;
+    }
     ++m_lastCorrelation;
     m_request = Request { m_lastCorrelation, m_cursor, now };
     m_outgoing.push_back(
         Outgoing { control().address, Wire::MessageKind::FeedRequest, m_lastCorrelation, encode(FeedRequest { m_cursor }) });
 }
 
-void FeedClient::changeControl()
+// To another one at random. The preferred one is left out for a short time: when it and one more have failed, several timeouts
+// in a row would fence the entry.
+void FeedClient::changeControl(Instant now)
 {
-    if (m_controls.size() > 1) {
-        m_current = (m_current + 1 + static_cast<std::size_t>(m_random.below(m_controls.size() - 1))) % m_controls.size();
+    if (m_current == m_preferred) {
+        m_leftPreferredAt = now;
+    }
+    const bool isPreferredLeftOut = m_controls.size() > 2 && now - m_leftPreferredAt < PreferredPause;
+    std::vector<std::size_t> others;
+    for (std::size_t n = 0; n < m_controls.size(); ++n) {
+        if (n != m_current && !(n == m_preferred && isPreferredLeftOut)) {
+            others.push_back(n);
+        }
+    }
+    if (!others.empty()) {
+        m_current = others[m_random.below(others.size())];
     }
 }
 
--- a/packages/control/control/feedclient.h
+++ b/packages/control/control/feedclient.h
@@ -19,6 +19,9 @@
     Duration timeout = std::chrono::milliseconds(1000);
     /// A control instance whose stamps are older than this is replaced by another: it may have lost its quorum.
     Duration staleAge = std::chrono::seconds(2);
+    /// After this time with another control instance, the one chosen at the start is asked again. Without it, all entries stay with the
+    /// leader, which is the first with a confirmation when a cluster starts.
+    Duration returnAfter = std::chrono::seconds(30);
     /// An entry whose table is not confirmed younger than this accepts no work.
     Duration freshnessLimit = std::chrono::seconds(5);
 };
@@ -73,7 +76,7 @@
         Instant madeAt {};
     };
     void ask(Instant now);
-    void changeControl();
+    void changeControl(Instant now);
     bool applyChanges(const FeedReply &reply);
     void advance(const FeedReply &reply);
     void applyStamp(const FreshnessStamp &stamp, Instant sentAt);
@@ -82,6 +85,8 @@
     RandomSource &m_random;
     FeedTiming m_timing;
     std::size_t m_current = 0;
+    std::size_t m_preferred = 0;
+    Instant m_leftPreferredAt {};
     std::uint64_t m_lastCorrelation = 0;
     std::optional<Request> m_request;
     Instant m_nextRequest {};
--- a/packages/control/tests/clienttest.cpp
+++ b/packages/control/tests/clienttest.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <catch2/catch.hpp>
 
 #include "control/codecs.h"
@@ -8,6 +10,7 @@
 
 using namespace Galenabarrow;
 using namespace Galenabarrow::Control;
+using namespace std::chrono_literals;
 
 namespace
 {
@@ -136,6 +139,41 @@
     REQUIRE(fixture.client.term() == Term(3));
 }
 
+// Guards against entries that all stay with the control instance that was the first to have a confirmation.
+TEST_CASE("an entry returns to the control instance that it chose at the start", "[feed]")
+{
+    std::vector<ControlPeer> controls;
+    for (const char *name : { "c1", "c2", "c3", "c4", "c5" }) {
+        controls.push_back({ InstanceId(name), name });
+    }
+    SeededRandom random(2);
+    FeedClient client(controls, random);
+    const std::string preferred = client.control().address;
+    const std::string failed = preferred == "c5" ? "c4" : "c5";
+    ContractState state;
+    std::size_t timeouts = 0;
+    std::size_t mostTimeouts = 0;
+    std::size_t asked = 0;
+    // The preferred one and one more do not answer for 5 min, then all do.
+    for (Instant now {}; now < Instant(10min); now += 100ms) {
+        client.tick(now);
+        for (const Outgoing &request : client.takeOutgoing()) {
+            if (now < Instant(5min) && (request.address == preferred || request.address == failed)) {
+                mostTimeouts = std::max(mostTimeouts, ++timeouts);
+                continue;
+            }
+            timeouts = 0;
+            asked += request.address == preferred ? 1 : 0;
+            FeedReply feed = state.changesAfter(decodeFeedRequest(request.payload)->after, 1000);
+            feed.stamp = FreshnessStamp { state.appliedIndex(), Duration() };
+            REQUIRE(client.receive(answer(request, Wire::MessageKind::FeedReply, encode(feed)), now));
+        }
+    }
+    REQUIRE(mostTimeouts <= 2);
+    REQUIRE(client.control().address == preferred);
+    REQUIRE(asked >= 500);
+}
+
 // Guards against "not accepted" for a change that a lost copy may still get into the log, and against a resend that is not
 // the same change.
 TEST_CASE("a proposal finishes with what is known about it", "[proposal]")
