--- a/scripts/cost.sh
+++ b/scripts/cost.sh
@@ -59,7 +59,8 @@
 for n in 1 2 3; do start_server "desk-$n" order-desk "dc$n" --service_time_us=2000; done
 for n in 1 2 3; do start_server "dispatch-$n" dispatch "dc$n" --service_time_us=2000; done
 for it in "${entries[@]}"; do wait_for 60 has_serving "$it" 17; done
-sleep 5
+# By then entries have returned to the control instance that they chose at the start.
+sleep 30
 measure "idle"
 "$bin/galenabarrow-load" --entries="$(entry_addresses)" --dc=dc1 --customer=abyssinia --services=order-desk,dispatch --threads=16 --rate="$rate" \
     --calls=10000000 --seconds=$((seconds + 10)) --action_permille=200 > "$work/load.json" &
