--- a/packages/control/control/feedclient.h
+++ b/packages/control/control/feedclient.h
@@ -19,6 +19,9 @@
     Duration timeout = std::chrono::milliseconds(1000);
     /// A control instance whose stamps are older than this is replaced by another: it may have lost its quorum.
     Duration staleAge = std::chrono::seconds(2);
+    /// After this time with another control instance, the one chosen at the start is asked again. Without it, all entries stay with the
+    /// leader, which is the first with a confirmation when a cluster starts.
+    Duration returnAfter = std::chrono::seconds(30);
     /// An entry whose table is not confirmed younger than this accepts no work.
     Duration freshnessLimit = std::chrono::seconds(5);
 };
@@ -56,6 +59,8 @@
     const std::vector<RegisteredEntry> &registeredEntries() const;
     /// Every change up to this index is in the table.
     LogIndex tableIndex() const;
+    /// The highest term received; a rise tells of a new leader.
+    Term term() const;
     /// The control instance that is asked.
     const ControlPeer &control() const;
 
@@ -71,7 +76,7 @@
         Instant madeAt {};
     };
     void ask(Instant now);
-    void changeControl();
+    void changeControl(Instant now);
     bool applyChanges(const FeedReply &reply);
     void advance(const FeedReply &reply);
     void applyStamp(const FreshnessStamp &stamp, Instant sentAt);
@@ -80,6 +85,8 @@
     RandomSource &m_random;
     FeedTiming m_timing;
     std::size_t m_current = 0;
+    std::size_t m_preferred = 0;
+    Instant m_leftPreferredAt {};
     std::uint64_t m_lastCorrelation = 0;
     std::optional<Request> m_request;
     Instant m_nextRequest {};
@@ -87,6 +94,7 @@
     std::vector<RegisteredEntry> m_entries;
     LogIndex m_entriesAsOf;
     LogIndex m_tableIndex;
+    Term m_term;
     /// Start of the next request; before the table index while a pass is incomplete.
     LogIndex m_cursor;
     /// The pass is complete when a control instance that has applied this index has nothing more.
