Place the earliest deadline first among customers with equal counts

Cause: the queue of an entry chose the customer with the fewest served calls, and among equals the first one by name. Near saturation a handful of calls wait at an entry, mostly of different customers with equal counts, so the order of the names decided which call waited longest.

Change: among equal counts the customer with the earliest deadline comes first. The fairness between customers is unchanged.

--- a/packages/entry/entry/deadlinequeue.cpp
+++ b/packages/entry/entry/deadlinequeue.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <tuple>
 
 namespace Galenabarrow::Entry
 {
@@ -23,11 +24,17 @@
     m_size += isNew ? 1 : 0;
 }
 
+bool DeadlineQueue::isBefore(const CustomerRow &a, const CustomerRow &b)
+{
+    // Few calls wait at one entry, so most customers have equal counts. Their order decides the tail of the latency.
+    return std::tie(a.served, *a.waiting.begin()) < std::tie(b.served, *b.waiting.begin());
+}
+
 std::map<CustomerId, DeadlineQueue::CustomerRow>::iterator DeadlineQueue::nextCustomer()
 {
     auto best = m_customers.end();
     for (auto it = m_customers.begin(); it != m_customers.end(); ++it) {
-        if (!it->second.waiting.empty() && (best == m_customers.end() || it->second.served < best->second.served)) {
+        if (!it->second.waiting.empty() && (best == m_customers.end() || isBefore(it->second, best->second))) {
             best = it;
         }
     }
--- a/packages/entry/entry/deadlinequeue.h
+++ b/packages/entry/entry/deadlinequeue.h
@@ -13,8 +13,8 @@
 namespace Galenabarrow::Entry
 {
 
-/// Calls of one service that wait for a server. The customer with the fewest served calls comes first, and among its calls
-/// the one with the earliest deadline.
+/// Calls of one service that wait for a server. The customer with the fewest served calls comes first, among equals the one
+/// with the earliest deadline, and among its calls the one with the earliest deadline.
 class DeadlineQueue
 {
 public:
@@ -37,6 +37,8 @@
         std::uint64_t served = 0;
     };
 
+    /// Both customers have waiting calls.
+    static bool isBefore(const CustomerRow &a, const CustomerRow &b);
     std::map<CustomerId, CustomerRow>::iterator nextCustomer();
 
     std::map<CustomerId, CustomerRow> m_customers;
--- a/packages/entry/tests/partstest.cpp
+++ b/packages/entry/tests/partstest.cpp
@@ -26,6 +26,18 @@
     REQUIRE_FALSE(queue.pop());
 }
 
+// Guards against an order by customer name among customers with equal counts, which let calls of late names wait longest.
+TEST_CASE("among equal customers the earliest deadline comes first", "[deadlinequeue]")
+{
+    DeadlineQueue queue;
+    queue.push(CustomerId("a"), Instant(30ms), CallId(3));
+    queue.push(CustomerId("b"), Instant(10ms), CallId(1));
+    queue.push(CustomerId("c"), Instant(20ms), CallId(2));
+    REQUIRE(queue.pop() == CallId(1));
+    REQUIRE(queue.pop() == CallId(2));
+    REQUIRE(queue.pop() == CallId(3));
+}
+
 // Guards against a customer that saves up turns while it is idle and then blocks the others.
 TEST_CASE("an idle customer saves up no turns", "[deadlinequeue]")
 {
