Compare waits between entries, so that the longest waits get free slots

Cause: near saturation each entry finds a free slot only by sending attempts, and the pause after a refusal depended on the wait of the own call alone. Entries whose calls had waited little took slots before calls of other entries, and all of them sent attempts at the same rate.

Change: each entry tells the others, at most once a second and only while calls wait, the moving mean of its waits. An entry knows the median of these and multiplies the pause after a refusal by the fourth power of (usual wait / wait of its oldest call), within 0.1 and 8. Reports expire after 3 s. Without fresh reports the pauses are as before. The median makes a wrong report of one entry harmless, and a lost, late or repeated report only changes pauses within these limits.

Offers of slots were not built.

--- a/Makefile
+++ b/Makefile
@@ -54,3 +54,4 @@
 	flatc --cpp --cpp-std c++17 --scoped-enums -o packages/control/control/generated packages/control/control/control.fbs
 	flatc --cpp --cpp-std c++17 --scoped-enums -o packages/membership/membership/generated packages/membership/membership/gossip.fbs
 	flatc --cpp --cpp-std c++17 --scoped-enums -o packages/limits/limits/generated packages/limits/limits/shares.fbs
+	flatc --cpp --cpp-std c++17 --scoped-enums -o packages/entry/entry/generated packages/entry/entry/waits.fbs
--- a/packages/bench/bench/main.cpp
+++ b/packages/bench/bench/main.cpp
@@ -20,6 +20,7 @@
 DEFINE_uint32(lag, 0, "report lag in ms; 0 for 1, 50 and 1000");
 DEFINE_uint32(refusal_price, 500, "price of a refusal in us of waiting time");
 DEFINE_uint32(refusal_permille, 0, "refused attempts per 1,000 calls; 0 for the deployment's value");
+DEFINE_bool(exchange_waits, true, "entries tell each other how long calls wait");
 DEFINE_uint32(threads, 4, "runs at the same time");
 DEFINE_bool(markdown, false, "print the table as Markdown");
 DEFINE_bool(chain, false, "measure the retries of a chain of 7 services instead");
@@ -76,6 +77,7 @@
                   number(100 * share(static_cast<double>(cost.count()), slotTime), 3),
                   number(share(static_cast<double>(result.refusals), total), 2),
                   number(share(static_cast<double>(result.hedges), total), 4),
+                  number(share(static_cast<double>(result.messages), total), 3),
                   number(bound.quantile(0.5), 1),
                   number(boundP99, 1),
                   number(bound.quantile(0.999), 1),
@@ -83,9 +85,10 @@
                   number(share(p99, boundP99), 2) };
 }
 
-const std::vector<std::string> Header { "deployment",  "load %",    "lag ms",    "fault",       "strategy",       "p50 ms",
-                                        "p99 ms",      "p99.9 ms",  "failures",  "lost %",      "cost %",         "refused/call",
-                                        "hedges/call", "bound p50", "bound p99", "bound p99.9", "bound failures", "p99/bound" };
+const std::vector<std::string> Header { "deployment", "load %",       "lag ms",         "fault",         "strategy",
+                                        "p50 ms",     "p99 ms",       "p99.9 ms",       "failures",      "lost %",
+                                        "cost %",     "refused/call", "hedges/call",    "messages/call", "bound p50",
+                                        "bound p99",  "bound p99.9",  "bound failures", "p99/bound" };
 
 void print(const std::vector<std::string> &cells)
 {
@@ -124,6 +127,7 @@
                         row.scenario.length = std::chrono::seconds(FLAGS_seconds);
                         row.scenario.refusalPrice = std::chrono::microseconds(FLAGS_refusal_price);
                         row.scenario.refusalPermille = FLAGS_refusal_permille > 0 ? FLAGS_refusal_permille : deployment.refusalPermille;
+                        row.scenario.exchangesWaits = FLAGS_exchange_waits;
                         rows.push_back(std::move(row));
                     }
                 }
--- a/packages/bench/bench/measurement.h
+++ b/packages/bench/bench/measurement.h
@@ -21,6 +21,8 @@
     std::uint64_t reports = 0;
     std::uint64_t hedges = 0;
     std::uint64_t retries = 0;
+    /// Wait reports between entries, one for each receiver.
+    std::uint64_t messages = 0;
     /// Only in a chain: calls and attempts that were not refused, per service.
     std::vector<std::uint64_t> callsAt;
     std::vector<std::uint64_t> attemptsAt;
--- a/packages/bench/bench/scenario.h
+++ b/packages/bench/bench/scenario.h
@@ -56,6 +56,7 @@
     Duration meanService = 20ms;
     Duration refusalPrice {};
     std::uint32_t refusalPermille = 0;
+    bool exchangesWaits = true;
     /// The share of calls that may run more than once.
     double idempotentShare = 0.9;
     /// Servers of service n call service n + 1, and only service 0 is called from outside.
--- a/packages/bench/bench/stand.cpp
+++ b/packages/bench/bench/stand.cpp
@@ -77,6 +77,7 @@
         config.strategy = m_scenario.strategy;
         config.costs.refusalPrice = m_scenario.refusalPrice;
         config.refusalPermille = m_scenario.refusalPermille;
+        config.exchangesWaits = m_scenario.exchangesWaits;
         m_entries[n].engine = std::make_unique<CallEngine>(config, m_parts, m_parts, m_parts, m_parts, *m_entryRandom[n]);
         for (const Server &server : m_servers) {
             m_entries[n].engine->upsertServer(server.record, Instant {});
@@ -127,6 +128,7 @@
         at(when, [this] {
             for (std::uint32_t n = 0; n < EntryCount; ++n) {
                 tick(n);
+                sendWaitReports(n);
             }
         });
     }
@@ -227,6 +229,23 @@
     apply(entry, effects);
 }
 
+void Stand::sendWaitReports(std::uint32_t entry)
+{
+    const std::vector<WaitReport> reports = m_entries[entry].engine->collectWaitReports(m_clock.now());
+    if (reports.empty()) {
+        return;
+    }
+    const InstanceId sender("e" + std::to_string(entry));
+    for (std::uint32_t n = 0; n < EntryCount; ++n) {
+        if (n == entry) {
+            continue;
+        }
+        ++m_result.messages;
+        after(n % DataCentreCount == entry % DataCentreCount ? LocalOneWay : RemoteOneWay,
+              [this, n, sender, reports] { m_entries[n].engine->receiveWaitReports(sender, reports, m_clock.now()); });
+    }
+}
+
 void Stand::apply(std::uint32_t entry, const DispatchAttempt &effect)
 {
     Job job;
--- a/packages/bench/bench/stand.h
+++ b/packages/bench/bench/stand.h
@@ -86,6 +86,7 @@
     void apply(std::uint32_t entry, const Entry::CancelAttempt &effect);
     void apply(std::uint32_t entry, const Entry::FinishCall &effect);
     void tick(std::uint32_t entry);
+    void sendWaitReports(std::uint32_t entry);
 
     Duration oneWay(const Job &job) const;
     Duration workOf(const Job &job);
--- a/packages/entry/entry/callengine.cpp
+++ b/packages/entry/entry/callengine.cpp
@@ -55,6 +55,7 @@
     RetryBudget retries;
     HedgeBudget hedges;
     RefusalBudget refusals;
+    WaitExchange waits;
     std::unique_ptr<RoutingStrategy> strategy;
 };
 
@@ -222,7 +223,7 @@
         finishAllWaiting(service, ResultCode::NoServer, now, effects);
         return false;
     }
-    m_servers.collectAvailable(service.id, std::nullopt, now, m_candidates);
+    m_servers.collectAvailable(service.id, std::nullopt, now, m_candidates, pauseFactor(service, now));
     if (m_candidates.empty()) {
         return false;
     }
@@ -241,6 +242,43 @@
     return true;
 }
 
+double CallEngine::pauseFactor(ServiceState &service, Instant now) const
+{
+    const std::optional<Duration> usualWait = service.waits.usualWait(m_servers.averages(service.id).latency, now);
+    const std::optional<CallId> oldest = usualWait ? service.queue.earliest() : std::nullopt;
+    return oldest ? WaitExchange::pauseFactor(*usualWait, now - m_calls.at(*oldest).submittedAt) : 1;
+}
+
+std::vector<WaitReport> CallEngine::collectWaitReports(Instant now)
+{
+    std::vector<WaitReport> reports;
+    if (!m_config.exchangesWaits || now < m_nextWaitReports) {
+        return reports;
+    }
+    for (const auto &[id, service] : m_services) {
+        if (const auto wait = service->waits.reportDue(m_servers.averages(id).latency, now)) {
+            reports.push_back({ id, *wait });
+        }
+    }
+    if (!reports.empty()) {
+        m_nextWaitReports = now + WaitExchange::ReportInterval;
+    }
+    return reports;
+}
+
+void CallEngine::receiveWaitReports(const InstanceId &sender, const std::vector<WaitReport> &reports, Instant now)
+{
+    if (!m_config.exchangesWaits) {
+        return;
+    }
+    for (const WaitReport &it : reports) {
+        // A service without calls here needs no pauses, and a wrong report must not add states.
+        if (const auto service = m_services.find(it.service); service != m_services.end()) {
+            service->second->waits.receive(sender, it.wait, now);
+        }
+    }
+}
+
 void CallEngine::finishAllWaiting(ServiceState &service, ResultCode code, Instant now, Effects &effects)
 {
     while (const auto id = service.queue.pop()) {
@@ -257,7 +295,7 @@
     assert(call.request.idempotent || (!call.mayHaveRun && call.inFlight[0] == NoAttempt));
     m_lastAttempt = next(m_lastAttempt);
     *place = m_lastAttempt;
-    m_attempts.emplace(m_lastAttempt, Attempt { id, row, isHedge });
+    m_attempts.emplace(m_lastAttempt, Attempt { id, row, isHedge, now - call.submittedAt });
     m_servers.attemptSent(row, now);
     if (!call.wasDispatched) {
         call.wasDispatched = true;
@@ -320,10 +358,15 @@
     const ServiceId service = m_servers.row(attempt.row).record.service;
     const auto it = m_calls.find(attempt.call);
     RefusalContext refusal;
-    refusal.waited = it == m_calls.end() ? Duration::zero() : now - it->second.submittedAt;
+    // With reports of other entries, pauseFactor() weighs the wait instead; both together cost twice the refusals.
+    const bool hasUsualWait = serviceState(service).waits.usualWait(m_servers.averages(service).latency, now).has_value();
+    refusal.waited = it == m_calls.end() || hasUsualWait ? Duration::zero() : now - it->second.submittedAt;
     const bool isLimited = m_config.refusalPermille > 0 && report.end == AttemptEnd::RefusedByServer;
     refusal.isOverBudget = isLimited && !serviceState(service).refusals.tryTake();
     m_servers.attemptEnded(attempt.row, report, refusal, now);
+    if (report.end == AttemptEnd::Answered && !attempt.isHedge) {
+        serviceState(service).waits.noteAnswer(attempt.waited);
+    }
     if (it != m_calls.end()) {
         std::replace(it->second.inFlight.begin(), it->second.inFlight.end(), report.attempt, NoAttempt);
         attemptEnded(it, attempt, report, now, effects);
@@ -474,7 +517,7 @@
         if (service->queue.empty()) {
             continue;
         }
-        const auto open = m_servers.nextAvailable(id, now);
+        const auto open = m_servers.nextAvailable(id, now, pauseFactor(*service, now));
         if (open && (!wake || *open < *wake)) {
             wake = open;
         }
--- a/packages/entry/entry/callengine.h
+++ b/packages/entry/entry/callengine.h
@@ -18,6 +18,7 @@
 #include "entry/serverrecord.h"
 #include "entry/servertable.h"
 #include "entry/sharebudget.h"
+#include "entry/waitexchange.h"
 
 namespace Galenabarrow::Entry
 {
@@ -32,6 +33,8 @@
     /// Refused attempts per 1,000 calls; above that, refused servers are left alone for longer. A low value saves server time;
     /// 0 stands for no limit and keeps the tail of the latency short near saturation.
     std::uint32_t refusalPermille = 0;
+    /// Compares waits with those of other entries, so that near saturation the longest waits get the free slots.
+    bool exchangesWaits = true;
     /// Calls that may wait for a server of one service.
     std::size_t queueLimit = 1000;
 };
@@ -78,6 +81,12 @@
     /// When tick() has something to do; nothing when only an event from outside can change that.
     std::optional<Instant> nextWakeUp(Instant now) const;
 
+    /// The waits to tell the other entries now: at most one set per WaitExchange::ReportInterval, and none while slots are
+    /// found at once. A lost set costs only time.
+    std::vector<WaitReport> collectWaitReports(Instant now);
+    /// Takes the waits of another entry.
+    void receiveWaitReports(const InstanceId &sender, const std::vector<WaitReport> &reports, Instant now);
+
     /// From now on every submitted call is refused with EntryStopping; accepted calls go on.
     void stopAccepting();
 
@@ -113,6 +122,8 @@
         CallId call;
         RowIndex row = 0;
         bool isHedge = false;
+        /// How long the call had waited when the attempt was sent.
+        Duration waited {};
     };
 
     enum class TimerKind : std::uint8_t { Deadline, Hedge };
@@ -133,6 +144,7 @@
     void enqueue(CallId id, Call &call);
     void pump(ServiceState &service, Instant now, Effects &effects);
     bool pumpOne(ServiceState &service, Instant now, Effects &effects);
+    double pauseFactor(ServiceState &service, Instant now) const;
     void finishAllWaiting(ServiceState &service, ResultCode code, Instant now, Effects &effects);
     void dispatch(CallId id, Call &call, RowIndex row, bool isHedge, Instant now, Effects &effects);
     void hedge(CallId id, Call &call, Instant now, Effects &effects);
@@ -161,6 +173,7 @@
     CallId m_lastCall;
     AttemptId m_lastAttempt;
     EngineCounters m_counters;
+    Instant m_nextWaitReports = Instant::min();
     bool m_isStopping = false;
 };
 
--- a/packages/entry/entry/deadlinequeue.cpp
+++ b/packages/entry/entry/deadlinequeue.cpp
@@ -41,6 +41,17 @@
     return best;
 }
 
+std::optional<CallId> DeadlineQueue::earliest() const
+{
+    const std::pair<Instant, CallId> *best = nullptr;
+    for (const auto &[id, row] : m_customers) {
+        if (!row.waiting.empty() && (best == nullptr || *row.waiting.begin() < *best)) {
+            best = &*row.waiting.begin();
+        }
+    }
+    return best == nullptr ? std::nullopt : std::optional(best->second);
+}
+
 std::optional<CallId> DeadlineQueue::pop()
 {
     if (m_size == 0) {
--- a/packages/entry/entry/deadlinequeue.h
+++ b/packages/entry/entry/deadlinequeue.h
@@ -20,6 +20,8 @@
 public:
     /// Adds a call that is not in the queue.
     void push(const CustomerId &customer, Instant deadline, CallId call);
+    /// The call with the earliest deadline of all customers; it need not be the next one.
+    std::optional<CallId> earliest() const;
     /// Takes the next call and counts it as served.
     std::optional<CallId> pop();
     /// Removes a waiting call without counting it as served.
--- a/packages/entry/entry/servertable.cpp
+++ b/packages/entry/entry/servertable.cpp
@@ -70,9 +70,14 @@
     return !row.isRemoved && !row.record.draining && row.inFlight < slotsOf(row.record);
 }
 
-Instant openFrom(const ServerRow &row)
+Instant openFrom(const ServerRow &row, double pauseFactor)
 {
-    return std::max({ row.refusedUntil, row.resetUntil, row.admitAfter });
+    Instant refusedUntil = Instant::min();
+    if (row.refusedAt) {
+        const auto pause = static_cast<Duration::rep>(static_cast<double>(row.refusalPause.count()) * pauseFactor);
+        refusedUntil = *row.refusedAt + std::max(ShortestRefusalPause, Duration(pause));
+    }
+    return std::max({ refusedUntil, row.resetUntil, row.admitAfter });
 }
 
 bool isFailure(const AttemptReport &report)
@@ -198,8 +203,8 @@
     return std::any_of(rows.begin(), rows.end(), [this](RowIndex it) { return !m_rows[it].record.draining; });
 }
 
-void ServerTable::collectAvailable(const ServiceId &service, std::optional<RowIndex> excluded, Instant now,
-                                   std::vector<RowIndex> &rows) const
+void ServerTable::collectAvailable(const ServiceId &service, std::optional<RowIndex> excluded, Instant now, std::vector<RowIndex> &rows,
+                                   double pauseFactor) const
 {
     rows.clear();
     const std::vector<RowIndex> &all = rowsOf(service);
@@ -208,7 +213,7 @@
         const ServerRow &row = m_rows[it];
         const bool isPenalized = row.penaltyUntil > now;
         penalized += isPenalized ? 1 : 0;
-        if (!isPenalized && it != excluded && takesWork(row) && openFrom(row) <= now) {
+        if (!isPenalized && it != excluded && takesWork(row) && openFrom(row, pauseFactor) <= now) {
             rows.push_back(it);
         }
     }
@@ -217,13 +222,13 @@
         return;
     }
     for (const RowIndex it : all) {
-        if (m_rows[it].penaltyUntil > now && it != excluded && takesWork(m_rows[it]) && openFrom(m_rows[it]) <= now) {
+        if (m_rows[it].penaltyUntil > now && it != excluded && takesWork(m_rows[it]) && openFrom(m_rows[it], pauseFactor) <= now) {
             rows.push_back(it);
         }
     }
 }
 
-std::optional<Instant> ServerTable::nextAvailable(const ServiceId &service, Instant now) const
+std::optional<Instant> ServerTable::nextAvailable(const ServiceId &service, Instant now, double pauseFactor) const
 {
     std::optional<Instant> next;
     for (const RowIndex it : rowsOf(service)) {
@@ -231,7 +236,7 @@
         if (!takesWork(row)) {
             continue;
         }
-        const Instant open = std::max(openFrom(row), row.penaltyUntil);
+        const Instant open = std::max(openFrom(row, pauseFactor), row.penaltyUntil);
         if (open > now && (!next || open < *next)) {
             next = open;
         }
@@ -279,7 +284,7 @@
     row.penaltyUntil = Instant::min();
     // The answer has just freed a slot.
     row.consecutiveRefusals = 0;
-    row.refusedUntil = Instant::min();
+    row.refusedAt.reset();
     row.reportTrust = std::min(1.0, row.reportTrust + TrustGain);
     noteLatency(row, averages, report.elapsed);
     noteWarmth(row, report.elapsed);
@@ -332,7 +337,8 @@
     const Duration pause = latency / slotsOf(row.record) * (1U << steps) * overBudget / 2;
     // A call that has waited long is tried more often, so that the entries with the longest queues get the free slots.
     const double urgency = std::max(1.0, std::chrono::duration<double>(refusal.waited) / std::chrono::duration<double>(latency));
-    row.refusedUntil = now + std::max(ShortestRefusalPause, std::chrono::duration_cast<Duration>(pause / urgency));
+    row.refusedAt = now;
+    row.refusalPause = std::max(ShortestRefusalPause, std::chrono::duration_cast<Duration>(pause / urgency));
     ++row.consecutiveRefusals;
 }
 
--- a/packages/entry/entry/servertable.h
+++ b/packages/entry/entry/servertable.h
@@ -43,7 +43,9 @@
     std::uint32_t consecutiveFailures = 0;
     Instant penaltyUntil = Instant::min();
     std::uint32_t consecutiveRefusals = 0;
-    Instant refusedUntil = Instant::min();
+    /// The last refusal, unless an answer came later, and the pause after it.
+    std::optional<Instant> refusedAt;
+    Duration refusalPause {};
     Instant resetUntil = Instant::min();
 
     /// Slow admission of a cold or slow server: no attempt before this time, with this pause after each one.
@@ -84,10 +86,12 @@
     const std::vector<RowIndex> &rowsOf(const ServiceId &service) const;
     /// True when a server of \p service is not draining.
     bool hasServer(const ServiceId &service) const;
-    /// Collects the rows that can take an attempt now, without \p excluded.
-    void collectAvailable(const ServiceId &service, std::optional<RowIndex> excluded, Instant now, std::vector<RowIndex> &rows) const;
+    /// Collects the rows that can take an attempt now, without \p excluded. The pauses after refusals are multiplied by
+    /// \p pauseFactor.
+    void collectAvailable(const ServiceId &service, std::optional<RowIndex> excluded, Instant now, std::vector<RowIndex> &rows,
+                          double pauseFactor = 1) const;
     /// When the next row of \p service becomes available by the passing of time alone.
-    std::optional<Instant> nextAvailable(const ServiceId &service, Instant now) const;
+    std::optional<Instant> nextAvailable(const ServiceId &service, Instant now, double pauseFactor = 1) const;
 
     /// Notes that an attempt was sent to the server.
     void attemptSent(RowIndex index, Instant now);
--- /dev/null
+++ b/packages/entry/entry/waitexchange.cpp
@@ -0,0 +1,83 @@
+#include "entry/waitexchange.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace Galenabarrow::Entry
+{
+
+namespace
+{
+constexpr double MeanWeight = 0.1;
+/// Below this share of the mean answer time, slots are found at once and the order of the calls hardly matters.
+constexpr double LeastWaitShare = 0.5;
+/// A wait above every allowed deadline is a fault of the sender.
+constexpr Duration MaxReportedWait = std::chrono::minutes(1);
+/// Reports from more senders are ignored, so that wrong messages can't fill the memory.
+constexpr std::size_t MaxSenders = WaitExchange::MaxReceivers;
+
+bool isLong(Duration wait, Duration latency)
+{
+    return latency > Duration::zero() && static_cast<double>(wait.count()) >= static_cast<double>(latency.count()) * LeastWaitShare;
+}
+}
+
+void WaitExchange::noteAnswer(Duration waited)
+{
+    const double difference = static_cast<double>((waited - m_ownWait).count());
+    m_ownWait += Duration(static_cast<Duration::rep>(difference * MeanWeight));
+}
+
+void WaitExchange::receive(const InstanceId &sender, Duration wait, Instant now)
+{
+    if (wait < Duration::zero() || wait > MaxReportedWait) {
+        return;
+    }
+    std::erase_if(m_received, [now](const auto &it) { return it.second.at + ReportLifetime <= now; });
+    if (m_received.size() >= MaxSenders && !m_received.contains(sender)) {
+        return;
+    }
+    m_received[sender] = Received { wait, now };
+    m_lastReceived = now;
+    summarize(now);
+}
+
+void WaitExchange::summarize(Instant now)
+{
+    std::vector<Duration> waits { m_ownWait };
+    waits.reserve(m_received.size() + 1);
+    for (const auto &[sender, report] : m_received) {
+        if (report.at + ReportLifetime > now) {
+            waits.push_back(report.wait);
+        }
+    }
+    m_longest = *std::max_element(waits.begin(), waits.end());
+    // The lower one of two middle values, so that a wrong report of a single other entry has no effect.
+    const auto middle = waits.begin() + static_cast<std::ptrdiff_t>((waits.size() - 1) / 2);
+    std::nth_element(waits.begin(), middle, waits.end());
+    m_median = *middle;
+}
+
+std::optional<Duration> WaitExchange::reportDue(Duration latency, Instant now) const
+{
+    const bool hasReports = m_lastReceived && *m_lastReceived + ReportLifetime > now;
+    const bool isDue = isLong(m_ownWait, latency) || (hasReports && isLong(m_longest, latency));
+    return isDue ? std::optional(m_ownWait) : std::nullopt;
+}
+
+std::optional<Duration> WaitExchange::usualWait(Duration latency, Instant now) const
+{
+    if (!m_lastReceived || *m_lastReceived + ReportLifetime <= now || !isLong(m_median, latency)) {
+        return std::nullopt;
+    }
+    return m_median;
+}
+
+double WaitExchange::pauseFactor(Duration usualWait, Duration waited)
+{
+    const double ratio = static_cast<double>(usualWait.count()) / static_cast<double>(std::max(waited, Duration(1)).count());
+    // The fourth power: a lower one lets young calls take too many slots, a higher one costs more refusals.
+    return std::clamp(ratio * ratio * ratio * ratio, LeastPauseFactor, MostPauseFactor);
+}
+
+}
--- /dev/null
+++ b/packages/entry/tests/waitexchangetest.cpp
@@ -0,0 +1,180 @@
+#include "entry/waitexchange.h"
+#include "entry/waitcodec.h"
+
+#include "enginefixture.h"
+
+namespace Galenabarrow::Entry
+{
+
+namespace
+{
+
+const InstanceId North("north-1");
+const InstanceId South("south-1");
+
+/// One server with one slot, of which the engine knows that it answers within 10 ms, and a call that waits after a refusal.
+struct RefusedCall : EngineFixture {
+    RefusedCall()
+        : EngineFixture(1)
+    {
+        submit(lookup());
+        report(dispatched().attempt, AttemptEnd::Answered, 200);
+        submit(lookup());
+        const AttemptId refused = dispatched().attempt;
+        report(refused, AttemptEnd::RefusedByServer);
+        REQUIRE(all<DispatchAttempt>().empty());
+    }
+
+    bool isDispatchedAfter(Duration step)
+    {
+        tickAfter(step);
+        return !all<DispatchAttempt>().empty();
+    }
+
+    void receive(const InstanceId &sender, Duration wait)
+    {
+        engine->receiveWaitReports(sender, { { OrderDesk, wait } }, clock.now());
+    }
+};
+
+}
+
+// Guards against a change of pauses while no entry reports, for example when all messages are lost.
+TEST_CASE("without reports of others there is no usual wait", "[waitexchange]")
+{
+    WaitExchange exchange;
+    for (int n = 0; n < 50; ++n) {
+        exchange.noteAnswer(100ms);
+    }
+    REQUIRE_FALSE(exchange.usualWait(10ms, Instant(1s)));
+    REQUIRE(exchange.reportDue(10ms, Instant(1s)));
+}
+
+// Guards against an entry that crashes or is cut off and whose last report then slows the others down for ever.
+TEST_CASE("reports lose their effect after their lifetime", "[waitexchange]")
+{
+    WaitExchange exchange;
+    exchange.receive(North, 50ms, Instant(1s));
+    exchange.receive(South, 50ms, Instant(1s));
+    REQUIRE(exchange.usualWait(10ms, Instant(1s)) == 50ms);
+    REQUIRE(exchange.reportDue(10ms, Instant(1s)));
+    const Instant later = Instant(1s) + WaitExchange::ReportLifetime;
+    REQUIRE_FALSE(exchange.usualWait(10ms, later));
+    REQUIRE_FALSE(exchange.reportDue(10ms, later));
+    // A report of one entry must not revive the old one of another.
+    exchange.receive(North, 50ms, later);
+    REQUIRE_FALSE(exchange.usualWait(10ms, later));
+}
+
+// Guards against a duplicate that counts as a second entry, and against a late report that has effect after a newer one came.
+TEST_CASE("each sender counts once, with its last report", "[waitexchange]")
+{
+    WaitExchange exchange;
+    for (int n = 0; n < 5; ++n) {
+        exchange.receive(North, 80ms, Instant(1s));
+    }
+    REQUIRE_FALSE(exchange.usualWait(10ms, Instant(1s)));
+    exchange.receive(South, 20ms, Instant(1s));
+    REQUIRE(exchange.usualWait(10ms, Instant(1s)) == 20ms);
+    exchange.receive(South, 60ms, Instant(1s));
+    REQUIRE(exchange.usualWait(10ms, Instant(1s)) == 60ms);
+}
+
+// Guards against one wrong report that decides the pauses of all entries, and against reports that no clock can produce.
+TEST_CASE("a wrong report of one entry has no effect", "[waitexchange]")
+{
+    WaitExchange exchange;
+    exchange.receive(North, 30s, Instant(1s));
+    REQUIRE_FALSE(exchange.usualWait(10ms, Instant(1s)));
+    exchange.receive(South, Duration::min(), Instant(1s));
+    exchange.receive(InstanceId("south-2"), Duration::max(), Instant(1s));
+    REQUIRE_FALSE(exchange.usualWait(10ms, Instant(1s)));
+    for (int n = 0; n < 1000; ++n) {
+        exchange.receive(InstanceId("made-up-" + std::to_string(n)), 30s, Instant(1s));
+    }
+    const auto usual = exchange.usualWait(10ms, Instant(1s));
+    REQUIRE(usual);
+    REQUIRE(WaitExchange::pauseFactor(*usual, Duration(1)) == WaitExchange::MostPauseFactor);
+    REQUIRE(WaitExchange::pauseFactor(Duration::zero(), 1s) == WaitExchange::LeastPauseFactor);
+}
+
+// Guards against more messages than the budget allows when the queue is long.
+TEST_CASE("an engine reports at most once per interval", "[waitexchange]")
+{
+    RefusedCall fixture;
+    fixture.receive(North, 50ms);
+    int sets = 0;
+    for (int n = 0; n < 4000; ++n) {
+        fixture.clock.advance(1ms);
+        fixture.receive(North, 50ms);
+        sets += fixture.engine->collectWaitReports(fixture.clock.now()).empty() ? 0 : 1;
+    }
+    REQUIRE(sets == 4s / WaitExchange::ReportInterval);
+}
+
+// Guards against messages while slots are found at once.
+TEST_CASE("an engine without waits reports nothing", "[waitexchange]")
+{
+    RefusedCall fixture;
+    REQUIRE(fixture.engine->collectWaitReports(fixture.clock.now()).empty());
+}
+
+// Guards against young calls that take free slots before calls at other entries that have waited longer. The server has one
+// slot and answers within 10 ms, so the usual pause is 5 ms.
+TEST_CASE("a call younger than the usual wait pauses longer, and is still placed", "[waitexchange]")
+{
+    RefusedCall usual;
+    REQUIRE(usual.isDispatchedAfter(5ms));
+
+    RefusedCall young;
+    young.receive(North, 200ms);
+    young.receive(South, 200ms);
+    REQUIRE_FALSE(young.isDispatchedAfter(5ms));
+    REQUIRE_FALSE(young.isDispatchedAfter(34ms));
+    REQUIRE(young.isDispatchedAfter(1ms));
+}
+
+// Guards against an entry that crashes or is cut off after its report and whose effect on the pauses then stays.
+TEST_CASE("pauses are as usual when the reports are too old", "[waitexchange]")
+{
+    RefusedCall call;
+    call.receive(North, 200ms);
+    call.receive(South, 200ms);
+    call.tickAfter(WaitExchange::ReportLifetime);
+    CallRequest request = EngineFixture::lookup();
+    request.deadline = call.clock.now() + 1s;
+    call.submit(request);
+    const AttemptId refused = call.dispatched().attempt;
+    call.report(refused, AttemptEnd::RefusedByServer);
+    REQUIRE_FALSE(call.isDispatchedAfter(4ms));
+    REQUIRE(call.isDispatchedAfter(1ms));
+}
+
+// Guards against a codec that loses a field, and against a payload that is read without being verified.
+TEST_CASE("wait reports survive the codec and a damaged payload is refused", "[waitexchange]")
+{
+    const std::vector<std::uint8_t> bytes = encode({ { OrderDesk, 50ms }, { ServiceId("dispatch"), 7us } });
+    const auto reports = decodeWaitReports(bytes);
+    REQUIRE(reports);
+    REQUIRE(reports->size() == 2);
+    REQUIRE(reports->back().service == ServiceId("dispatch"));
+    REQUIRE(reports->back().wait == 7us);
+    for (std::size_t size = 0; size < bytes.size() / 2; ++size) {
+        REQUIRE_FALSE(decodeWaitReports(std::span(bytes).first(size)));
+    }
+}
+
+// Guards against a setting without effect.
+TEST_CASE("an engine that does not exchange waits ignores reports and sends none", "[waitexchange]")
+{
+    RefusedCall fixture;
+    EngineConfig config = fixture.config;
+    config.exchangesWaits = false;
+    CallEngine engine(config, fixture.contracts, fixture.admission, fixture.keys, fixture.freshness, fixture.random);
+    engine.upsertServer(server("a"), fixture.clock.now());
+    engine.submit(EngineFixture::lookup(), fixture.clock.now(), fixture.effects);
+    engine.receiveWaitReports(North, { { OrderDesk, 50ms } }, fixture.clock.now());
+    REQUIRE(engine.collectWaitReports(fixture.clock.now()).empty());
+}
+
+}
