Send wait reports between the entries of a cluster

A payload that does not verify is ignored. routing.exchange_waits (default true) switches both directions off.

No process test shows a wait report between two daemons yet; the codec and the engine are covered by test-entry. The bytes per second were not measured.

--- a/packages/daemon/daemon/daemon.cpp
+++ b/packages/daemon/daemon/daemon.cpp
@@ -210,7 +210,7 @@
         break;
     }
     const std::lock_guard lock(m_lock);
-    if (envelope.kind == Wire::MessageKind::ShareReply) {
+    if (envelope.kind == Wire::MessageKind::ShareReply || envelope.kind == Wire::MessageKind::WaitReports) {
         if (m_entry) {
             m_entry->receive(envelope, now);
         }
--- a/packages/daemon/daemon/entrynode.cpp
+++ b/packages/daemon/daemon/entrynode.cpp
@@ -6,6 +6,7 @@
 #include "daemon/announcementinput.h"
 #include "daemon/httpinput.h"
 #include "daemon/lookupreply.h"
+#include "entry/waitcodec.h"
 #include "limits/baseline.h"
 #include "limits/sharecodec.h"
 
@@ -39,6 +40,7 @@
     config.dataCentre = settings.instance.dataCentre;
     config.strategy = settings.routing.strategy;
     config.refusalPermille = settings.routing.refusalPermille;
+    config.exchangesWaits = settings.routing.exchangeWaits;
     config.queueLimit = settings.limits.queueSize;
     return config;
 }
@@ -106,6 +108,12 @@
 
 void EntryNode::receive(const Wire::Envelope &envelope, Instant now)
 {
+    if (envelope.kind == Wire::MessageKind::WaitReports) {
+        if (const auto reports = Entry::decodeWaitReports(envelope.payload)) {
+            m_engine.receiveWaitReports(envelope.sender, *reports, now);
+        }
+        return;
+    }
     const Result<Limits::ShareReply> reply = Limits::decodeShareReply(envelope.payload);
     if (reply && m_limits.applyGrant(*reply, now)) {
         m_lastShareReply = now;
@@ -136,6 +144,7 @@
     updateSelf(now);
     registerSelf(now);
     requestShares(now);
+    sendWaitReports(now);
 }
 
 void EntryNode::beginStop()
@@ -502,4 +511,24 @@
     }
 }
 
+void EntryNode::sendWaitReports(Instant now)
+{
+    const std::vector<Entry::WaitReport> reports = m_engine.collectWaitReports(now);
+    if (reports.empty()) {
+        return;
+    }
+    const std::vector<std::uint8_t> payload = Entry::encode(reports);
+    std::size_t receivers = 0;
+    for (const Membership::Record *record : m_cluster.members().live(Membership::RecordKind::Instance)) {
+        const auto &info = std::get<Membership::InstanceInfo>(record->body);
+        if ((info.roles & Membership::EntryRole) == 0 || record->key.id == m_cluster.identity().instance.value()) {
+            continue;
+        }
+        m_network.send(info.peerAddress, Wire::MessageKind::WaitReports, 0, payload);
+        if (++receivers == Entry::WaitExchange::MaxReceivers) {
+            return;
+        }
+    }
+}
+
 }
--- a/packages/daemon/daemon/entrynode.h
+++ b/packages/daemon/daemon/entrynode.h
@@ -46,7 +46,7 @@
     HttpReply handleCaller(HttpRequest &request);
     /// A request to the announcements' address.
     HttpReply handleAnnouncement(const HttpRequest &request);
-    /// Takes a ShareReply; with the lock held.
+    /// Takes a ShareReply or WaitReports; with the lock held.
     void receive(const Wire::Envelope &envelope, Instant now);
     /// Call it every millisecond while there are calls, and every few milliseconds otherwise; without the lock.
     void tick(Instant now);
@@ -87,6 +87,7 @@
     bool hasShareOfEveryContract(Instant now);
     void syncAll(Instant now);
     void requestShares(Instant now);
+    void sendWaitReports(Instant now);
 
     ClusterNode &m_cluster;
     Wire::PeerNetwork &m_network;
--- a/packages/settings/settings/daemonsettings.h
+++ b/packages/settings/settings/daemonsettings.h
@@ -96,6 +96,8 @@
     std::string strategy = "least-expected-delay";
     /// Refused attempts per 1,000 calls above which full servers are tried less often; 0 for no limit.
     std::uint32_t refusalPermille = 0;
+    /// Tell the other entries how long calls wait, so that near saturation the longest waits get the free slots.
+    bool exchangeWaits = true;
 };
 
 struct LogSettings {
--- a/packages/settings/settings/rules.cpp
+++ b/packages/settings/settings/rules.cpp
@@ -134,6 +134,8 @@
     { "routing.refusal_permille", Need::Optional,
       IntegerRule { 0, 1'000'000, [](Slot it) -> std::uint32_t & { return it.settings.routing.refusalPermille; } },
       "Attempts per 1,000 calls that full servers may refuse before they are tried less often; 0 for no limit." },
+    { "routing.exchange_waits", Need::Optional, FlagRule { [](Slot it) -> bool & { return it.settings.routing.exchangeWaits; } },
+      "Tell the other entries how long calls wait, so that near saturation the longest waits get the free slots." },
     { "log.threshold", Need::Optional, ChoiceRule { Thresholds, [](Slot it) -> std::string & { return it.settings.log.threshold; } },
       "Least severe lines that are written." },
 });
--- a/packages/settings/tests/settingstest.cpp
+++ b/packages/settings/tests/settingstest.cpp
@@ -112,6 +112,7 @@
 serve_when_stale = true
 [routing]
 strategy = "round-robin"
+exchange_waits = false
 [log]
 threshold = "warn"
 )";
@@ -139,6 +140,7 @@
     REQUIRE(settings->measuring.budgetPermille == 2.5);
     REQUIRE(settings->contracts.serveWhenStale);
     REQUIRE(settings->routing.strategy == "round-robin");
+    REQUIRE_FALSE(settings->routing.exchangeWaits);
     REQUIRE(settings->log.threshold == "warn");
 }
 
--- a/packages/wire/wire/envelope.h
+++ b/packages/wire/wire/envelope.h
@@ -20,6 +20,7 @@
     ProposeReply = 121,
     ShareRequest = 130,
     ShareReply = 131,
+    WaitReports = 140,
     GossipRecords = 200,
     GossipAcknowledgement = 201,
     GossipDigest = 202,
