--- a/packages/daemon/daemon/entrynode.h
+++ b/packages/daemon/daemon/entrynode.h
@@ -38,7 +38,7 @@
     HttpReply handleCaller(HttpRequest &request);
     /// A request to the announcements' address.
     HttpReply handleAnnouncement(const HttpRequest &request);
-    /// Takes a ShareReply; with the lock held.
+    /// Takes a ShareReply or WaitReports; with the lock held.
     void receive(const Wire::Envelope &envelope, Instant now);
     /// Takes changed records of servers into the call engine, so that calls see what the status page shows; with the lock held.
     void syncServers(Instant now);
@@ -79,6 +79,7 @@
     bool hasShareOfEveryContract(Instant now);
     void syncAll(Instant now);
     void requestShares(Instant now);
+    void sendWaitReports(Instant now);
 
     ClusterNode &m_cluster;
     Wire::PeerNetwork &m_network;
--- a/packages/daemon/tests/processfixture.cpp
+++ b/packages/daemon/tests/processfixture.cpp
@@ -5,6 +5,8 @@
 #include <fstream>
 #include <thread>
 
+#include <sys/wait.h>
+
 #include <Poco/Exception.h>
 #include <Poco/File.h>
 #include <Poco/JSON/Object.h>
@@ -154,6 +156,12 @@
 void Child::signal(int number) const
 {
     ::kill(m_handle->id(), number);
+    if (number == SIGSTOP) {
+        // The signal is delivered to one thread after the other; on a busy machine others went on for some milliseconds.
+        int status = 0;
+        REQUIRE(::waitpid(m_handle->id(), &status, WUNTRACED) == m_handle->id());
+        REQUIRE(WIFSTOPPED(status));
+    }
 }
 
 int Child::wait()
--- a/packages/daemon/tests/processfixture.h
+++ b/packages/daemon/tests/processfixture.h
@@ -46,6 +46,7 @@
 
     /// The value of \p name in the first line of its output.
     std::string value(const std::string &name) const;
+    /// After SIGSTOP, returns when all threads have stopped.
     void signal(int number) const;
     /// Waits for its end and returns the exit code.
     int wait();
--- a/packages/entry/entry/deadlinequeue.cpp
+++ b/packages/entry/entry/deadlinequeue.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <tuple>
 
 namespace Galenabarrow::Entry
 {
@@ -23,17 +24,34 @@
     m_size += isNew ? 1 : 0;
 }
 
+bool DeadlineQueue::isBefore(const CustomerRow &a, const CustomerRow &b)
+{
+    // Few calls wait at one entry, so most customers have equal counts. Their order decides the tail of the latency.
+    return std::tie(a.served, *a.waiting.begin()) < std::tie(b.served, *b.waiting.begin());
+}
+
 std::map<CustomerId, DeadlineQueue::CustomerRow>::iterator DeadlineQueue::nextCustomer()
 {
     auto best = m_customers.end();
     for (auto it = m_customers.begin(); it != m_customers.end(); ++it) {
-        if (!it->second.waiting.empty() && (best == m_customers.end() || it->second.served < best->second.served)) {
+        if (!it->second.waiting.empty() && (best == m_customers.end() || isBefore(it->second, best->second))) {
             best = it;
         }
     }
     return best;
 }
 
+std::optional<CallId> DeadlineQueue::earliest() const
+{
+    const std::pair<Instant, CallId> *best = nullptr;
+    for (const auto &[id, row] : m_customers) {
+        if (!row.waiting.empty() && (best == nullptr || *row.waiting.begin() < *best)) {
+            best = &*row.waiting.begin();
+        }
+    }
+    return best == nullptr ? std::nullopt : std::optional(best->second);
+}
+
 std::optional<CallId> DeadlineQueue::pop()
 {
     if (m_size == 0) {
--- a/packages/entry/entry/deadlinequeue.h
+++ b/packages/entry/entry/deadlinequeue.h
@@ -13,13 +13,15 @@
 namespace Galenabarrow::Entry
 {
 
-/// Calls of one service that wait for a server. The customer with the fewest served calls comes first, and among its calls
-/// the one with the earliest deadline.
+/// Calls of one service that wait for a server. The customer with the fewest served calls comes first, among equals the one
+/// with the earliest deadline, and among its calls the one with the earliest deadline.
 class DeadlineQueue
 {
 public:
     /// Adds a call that is not in the queue.
     void push(const CustomerId &customer, Instant deadline, CallId call);
+    /// The call with the earliest deadline of all customers; it need not be the next one.
+    std::optional<CallId> earliest() const;
     /// Takes the next call and counts it as served.
     std::optional<CallId> pop();
     /// Removes a waiting call without counting it as served.
@@ -37,6 +39,8 @@
         std::uint64_t served = 0;
     };
 
+    /// Both customers have waiting calls.
+    static bool isBefore(const CustomerRow &a, const CustomerRow &b);
     std::map<CustomerId, CustomerRow>::iterator nextCustomer();
 
     std::map<CustomerId, CustomerRow> m_customers;
--- a/packages/entry/entry/servertable.cpp
+++ b/packages/entry/entry/servertable.cpp
@@ -73,9 +73,14 @@
     return !row.isRemoved && !row.record.draining && row.inFlight < slotsOf(row.record);
 }
 
-Instant openFrom(const ServerRow &row)
+Instant openFrom(const ServerRow &row, double pauseFactor)
 {
-    return std::max({ row.refusedUntil, row.resetUntil, row.admitAfter });
+    Instant refusedUntil = Instant::min();
+    if (row.refusedAt) {
+        const auto pause = static_cast<Duration::rep>(static_cast<double>(row.refusalPause.count()) * pauseFactor);
+        refusedUntil = *row.refusedAt + std::max(ShortestRefusalPause, Duration(pause));
+    }
+    return std::max({ refusedUntil, row.resetUntil, row.admitAfter });
 }
 
 bool isFailure(const AttemptReport &report)
@@ -201,14 +206,14 @@
     return std::any_of(rows.begin(), rows.end(), [this](RowIndex it) { return !m_rows[it].record.draining; });
 }
 
-void ServerTable::collectAvailable(const ServiceId &service, std::optional<RowIndex> excluded, Instant now,
-                                   std::vector<RowIndex> &rows) const
+void ServerTable::collectAvailable(const ServiceId &service, std::optional<RowIndex> excluded, Instant now, std::vector<RowIndex> &rows,
+                                   double pauseFactor) const
 {
     rows.clear();
     const std::vector<RowIndex> &all = rowsOf(service);
     for (const RowIndex it : all) {
         const ServerRow &row = m_rows[it];
-        if (row.penaltyUntil <= now && it != excluded && takesWork(row) && openFrom(row) <= now) {
+        if (row.penaltyUntil <= now && it != excluded && takesWork(row) && openFrom(row, pauseFactor) <= now) {
             rows.push_back(it);
         }
     }
@@ -216,7 +221,7 @@
         return;
     }
     for (const RowIndex it : all) {
-        if (m_rows[it].penaltyUntil > now && it != excluded && takesWork(m_rows[it]) && openFrom(m_rows[it]) <= now) {
+        if (m_rows[it].penaltyUntil > now && it != excluded && takesWork(m_rows[it]) && openFrom(m_rows[it], pauseFactor) <= now) {
             rows.push_back(it);
         }
     }
@@ -237,7 +242,7 @@
     return avoided * 2 > staying;
 }
 
-std::optional<Instant> ServerTable::nextAvailable(const ServiceId &service, Instant now) const
+std::optional<Instant> ServerTable::nextAvailable(const ServiceId &service, Instant now, double pauseFactor) const
 {
     std::optional<Instant> next;
     const bool isMostly = isMostlyAvoided(rowsOf(service), now);
@@ -246,7 +251,7 @@
         if (!takesWork(row)) {
             continue;
         }
-        const Instant open = isMostly ? openFrom(row) : std::max(openFrom(row), row.penaltyUntil);
+        const Instant open = isMostly ? openFrom(row, pauseFactor) : std::max(openFrom(row, pauseFactor), row.penaltyUntil);
         if (open > now && (!next || open < *next)) {
             next = open;
         }
@@ -296,7 +301,7 @@
     row.penaltyUntil = Instant::min();
     // The answer has just freed a slot.
     row.consecutiveRefusals = 0;
-    row.refusedUntil = Instant::min();
+    row.refusedAt.reset();
     row.reportTrust = std::min(1.0, row.reportTrust + TrustGain);
     noteLatency(row, averages, report.elapsed);
     noteWarmth(row, report.elapsed);
@@ -349,7 +354,8 @@
     const Duration pause = latency / slotsOf(row.record) * (1U << steps) * overBudget / 2;
     // A call that has waited long is tried more often, so that the entries with the longest queues get the free slots.
     const double urgency = std::max(1.0, std::chrono::duration<double>(refusal.waited) / std::chrono::duration<double>(latency));
-    row.refusedUntil = now + std::max(ShortestRefusalPause, std::chrono::duration_cast<Duration>(pause / urgency));
+    row.refusedAt = now;
+    row.refusalPause = std::max(ShortestRefusalPause, std::chrono::duration_cast<Duration>(pause / urgency));
     ++row.consecutiveRefusals;
 }
 
--- a/packages/settings/tests/settingstest.cpp
+++ b/packages/settings/tests/settingstest.cpp
@@ -113,6 +113,7 @@
 serve_when_stale = true
 [routing]
 strategy = "round-robin"
+exchange_waits = false
 [log]
 threshold = "warn"
 )";
@@ -141,6 +142,7 @@
     REQUIRE(settings->measuring.probeDeadline == 15ms);
     REQUIRE(settings->contracts.serveWhenStale);
     REQUIRE(settings->routing.strategy == "round-robin");
+    REQUIRE_FALSE(settings->routing.exchangeWaits);
     REQUIRE(settings->log.threshold == "warn");
 }
 
