Catch up with the peers before an entry that was fenced serves again

Cause: an entry whose link was broken got a fresh contract table, which lifted its fence, before it heard of a drain that began meanwhile: a leaving record is repeated for 2 s only, and the digest exchange asks one peer a second.

Ruled out: longer repeats (the race between the feed and the next repeat stays), and a wait of fixed length (no proof that anything was heard).

Change: when the table has been stale, the entry stays fenced until its peers and seeds have answered a catch-up: they send what it lacks, then the answer, in order. Instances that are behind themselves do not answer. A round ends after 1 s at the latest, so that a silent peer does not keep the entry out. A new schema field of the digest carries the round.

A drain can still be missed for up to the freshness limit by an entry that is cut off and not yet fenced, and after a catch-up that ended by time.

--- a/packages/daemon/daemon/clusternode.cpp
+++ b/packages/daemon/daemon/clusternode.cpp
@@ -86,9 +86,11 @@
 {
     switch (envelope.kind) {
     case Wire::MessageKind::FeedReply:
+        noteFence(now);
         if (const Result<bool> changed = m_feed.receive(envelope, now); changed && *changed) {
             takeFeedChange();
         }
+        noteFence(now);
         break;
     case Wire::MessageKind::ProposeReply:
         // A malformed frame with a valid digest comes from an instance of another version; the request is sent again.
@@ -108,6 +110,7 @@
     m_feed.tick(now);
     m_proposals.tick(now);
     m_members.expire(now);
+    noteFence(now);
     flush(now);
 }
 
@@ -187,7 +190,17 @@
 bool ClusterNode::isFenced(Instant now) const
 {
     // Without a table that was confirmed once, even serve_when_stale has nothing to serve by.
-    return m_serveWhenStale ? !m_feed.freshnessAge(now).has_value() : m_feed.isFenced(now);
+    return m_serveWhenStale ? !m_feed.freshnessAge(now).has_value() : m_feed.isFenced(now) || m_gossip.isBehind(now);
+}
+
+// An entry that was cut off has missed what the peers told each other meanwhile, such as that a server is leaving.
+void ClusterNode::noteFence(Instant now)
+{
+    if (m_feed.isFenced(now)) {
+        m_gossip.markBehind();
+    } else if (m_gossip.isMarkedBehind()) {
+        m_gossip.catchUp(now);
+    }
 }
 
 const Identity &ClusterNode::identity() const
--- a/packages/daemon/daemon/clusternode.h
+++ b/packages/daemon/daemon/clusternode.h
@@ -71,6 +71,7 @@
     void send(const std::vector<Control::Outgoing> &messages);
     void send(const std::vector<Membership::GossipMessage> &messages);
     void takeFeedChange();
+    void noteFence(Instant now);
 
     Identity m_identity;
     Wire::PeerNetwork &m_network;
--- a/packages/membership/membership/gossipcodec.cpp
+++ b/packages/membership/membership/gossipcodec.cpp
@@ -216,7 +216,8 @@
     flatbuffers::FlatBufferBuilder builder;
     const auto versions = structs(builder, toWire(message.versions));
     const auto stale = structs(builder, toWire(message.stale));
-    builder.Finish(Fb::CreateDigest(builder, message.summary, versions, stale, message.wantsVersions));
+    builder.Finish(
+        Fb::CreateDigest(builder, message.summary, versions, stale, message.wantsVersions, message.catchUp, message.catchUpAnswer));
     return bytesOf(builder);
 }
 
@@ -255,7 +256,8 @@
     if (root == nullptr) {
         return failure(ResultCode::FrameMalformed, "the gossip digest does not verify");
     }
-    return GossipDigest { root->summary(), fromWire(root->versions()), fromWire(root->stale()), root->wants_versions() };
+    return GossipDigest { root->summary(),        fromWire(root->versions()), fromWire(root->stale()),
+                          root->wants_versions(), root->catch_up(),           root->catch_up_answer() };
 }
 
 }
--- a/packages/membership/membership/gossipcodec.h
+++ b/packages/membership/membership/gossipcodec.h
@@ -30,6 +30,10 @@
     std::vector<LoadUpdate> stale;
     /// The receiver answers with its own versions when the sender lacks or holds something newer.
     bool wantsVersions = false;
+    /// Not 0 when the sender asks for all that it lacks and an answer with this number after that.
+    std::uint64_t catchUp = 0;
+    /// Not 0 in that answer.
+    std::uint64_t catchUpAnswer = 0;
 };
 
 std::vector<std::uint8_t> encode(const GossipRecords &message, Instant now);
--- a/packages/membership/membership/gossipcore.cpp
+++ b/packages/membership/membership/gossipcore.cpp
@@ -23,6 +23,7 @@
     , m_self(self)
     , m_table(table)
     , m_random(random)
+    , m_catchUp(m_settings.resendInterval, m_settings.catchUpTime)
     , m_nextLoads(now)
     , m_nextDigest(now)
     , m_renewedAt(now)
@@ -93,6 +94,30 @@
     changeSelf(now);
 }
 
+void GossipCore::markBehind()
+{
+    m_isBehind = true;
+}
+
+void GossipCore::catchUp(Instant now)
+{
+    m_isBehind = false;
+    std::vector<std::string> addresses = peerAddresses();
+    const std::vector<std::string> seeds = unknownSeeds();
+    addresses.insert(addresses.end(), seeds.begin(), seeds.end());
+    m_catchUp.start(addresses, now);
+}
+
+bool GossipCore::isMarkedBehind() const
+{
+    return m_isBehind;
+}
+
+bool GossipCore::isBehind(Instant now) const
+{
+    return m_isBehind || m_catchUp.isRunning(now);
+}
+
 std::vector<GossipMessage> GossipCore::onTick(Instant now)
 {
     for (const RecordKey &key : m_table.expire(now)) {
@@ -103,6 +128,7 @@
         renewSelf(now);
     }
     std::vector<GossipMessage> out;
+    sendCatchUp(now, out);
     sendPending(now, out);
     sendLoads(now, out);
     sendDigest(now, out);
@@ -299,18 +325,7 @@
         return;
     }
     m_nextDigest = now + m_settings.digestInterval;
-    std::vector<std::string> known;
-    for (const Peer &it : peers()) {
-        known.push_back(it.address);
-    }
-    std::vector<std::string> unknown;
-    for (const std::string &it : m_settings.seeds) {
-        const bool isSelf = it == std::get<InstanceInfo>(m_self.body).peerAddress;
-        if (!isSelf && std::find(known.begin(), known.end(), it) == known.end()) {
-            unknown.push_back(it);
-        }
-    }
-    const GossipDigest digest { m_table.summary(), {}, staleLoads(now), true };
+    const GossipDigest digest { m_table.summary(), {}, staleLoads(now), true, 0, 0 };
     const auto ask = [&](const std::vector<std::string> &addresses) {
         if (!addresses.empty()) {
             out.push_back({ addresses[m_random.below(addresses.size())], Wire::MessageKind::GossipDigest, encode(digest) });
@@ -318,11 +333,58 @@
     };
     // With 30% loss half of all exchanges fail; several a second keep the lease of a live announcer from ending here.
     const int peersAsked = digest.stale.empty() ? 1 : StalePeersAsked;
+    const std::vector<std::string> known = peerAddresses();
     for (int n = 0; n < peersAsked; ++n) {
         ask(known);
     }
     // A seed that is not a live peer may be on the other side of a healed partition.
-    ask(unknown);
+    ask(unknownSeeds());
+}
+
+void GossipCore::sendCatchUp(Instant now, std::vector<GossipMessage> &out)
+{
+    const std::vector<std::string> due = m_catchUp.takeDue(now);
+    if (due.empty()) {
+        return;
+    }
+    const std::vector<std::uint8_t> payload = encode(GossipDigest { m_table.summary(), allVersions(), {}, false, m_catchUp.round(), 0 });
+    for (const std::string &it : due) {
+        out.push_back({ it, Wire::MessageKind::GossipDigest, payload });
+    }
+}
+
+// The records go first: frames between two instances keep their order.
+void GossipCore::answerCatchUp(const GossipDigest &message, const std::string &address, Instant now, std::vector<GossipMessage> &out) const
+{
+    if (message.summary != m_table.summary()) {
+        sendMissing(message, address, now, out);
+    }
+    if (!isBehind(now)) {
+        const GossipDigest answer { m_table.summary(), {}, {}, false, 0, message.catchUp };
+        out.push_back({ address, Wire::MessageKind::GossipDigest, encode(answer) });
+    }
+}
+
+std::vector<std::string> GossipCore::peerAddresses() const
+{
+    std::vector<std::string> addresses;
+    for (const Peer &it : peers()) {
+        addresses.push_back(it.address);
+    }
+    return addresses;
+}
+
+std::vector<std::string> GossipCore::unknownSeeds() const
+{
+    const std::vector<std::string> known = peerAddresses();
+    std::vector<std::string> unknown;
+    for (const std::string &it : m_settings.seeds) {
+        const bool isSelf = it == std::get<InstanceInfo>(m_self.body).peerAddress;
+        if (!isSelf && std::find(known.begin(), known.end(), it) == known.end()) {
+            unknown.push_back(it);
+        }
+    }
+    return unknown;
 }
 
 void GossipCore::receiveRecords(const GossipRecords &message, const Wire::Envelope &envelope, Instant now, std::vector<GossipMessage> &out)
@@ -364,6 +426,14 @@
 
 void GossipCore::receiveDigest(const GossipDigest &message, const Wire::Envelope &envelope, Instant now, std::vector<GossipMessage> &out)
 {
+    if (message.catchUp != 0) {
+        answerCatchUp(message, envelope.senderAddress, now, out);
+        return;
+    }
+    if (message.catchUpAnswer != 0) {
+        m_catchUp.answered(message.catchUpAnswer, envelope.senderAddress);
+        return;
+    }
     GossipRecords fresher;
     for (const LoadUpdate &it : message.stale) {
         const Record *record = m_table.findAnnouncer(it.announcer);
@@ -383,7 +453,7 @@
     }
     if (message.wantsVersions) {
         // The first answer asks for the sender's versions in turn; those are the end of the exchange.
-        const GossipDigest answer { m_table.summary(), allVersions(), {}, message.versions.empty() };
+        const GossipDigest answer { m_table.summary(), allVersions(), {}, message.versions.empty(), 0, 0 };
         out.push_back({ envelope.senderAddress, Wire::MessageKind::GossipDigest, encode(answer) });
     }
 }
--- a/packages/membership/membership/gossipcore.h
+++ b/packages/membership/membership/gossipcore.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/random.h"
+#include "membership/catchup.h"
 #include "membership/gossipcodec.h"
 #include "membership/membershiptable.h"
 #include "wire/envelope.h"
@@ -26,6 +27,8 @@
     Duration loadInterval = std::chrono::seconds(1);
     /// An unchanged load is reported again after this time, to renew the lease elsewhere.
     Duration renewInterval = std::chrono::seconds(2);
+    /// Longest time that a catch-up waits for peers that do not answer.
+    Duration catchUpTime = std::chrono::seconds(1);
     Duration digestInterval = std::chrono::seconds(1);
     /// Announcers that were not heard for this long are asked for in digests.
     Duration staleAfter = std::chrono::seconds(4);
@@ -66,6 +69,16 @@
     /// Announces that this instance is leaving.
     void leave(Instant now);
 
+    /// From now on this instance may miss records. Until a catch-up has ended, it answers no catch-up of others, since a whole
+    /// data centre that was cut off has missed the same.
+    void markBehind();
+    /// True from markBehind() until catchUp().
+    bool isMarkedBehind() const;
+    /// Asks all peers and seeds for what this instance has missed.
+    void catchUp(Instant now);
+    /// True from markBehind() until catchUp() was called and all have answered, or GossipSettings::catchUpTime has passed.
+    bool isBehind(Instant now) const;
+
     /// Call it every 10 to 50 ms, and after announce() to spread a change at once.
     std::vector<GossipMessage> onTick(Instant now);
     /// Takes a message of one of the gossip kinds. Fails with FrameMalformed.
@@ -104,6 +117,11 @@
     void sendPending(Instant now, std::vector<GossipMessage> &out);
     void sendLoads(Instant now, std::vector<GossipMessage> &out);
     void sendDigest(Instant now, std::vector<GossipMessage> &out);
+    void sendCatchUp(Instant now, std::vector<GossipMessage> &out);
+    void answerCatchUp(const GossipDigest &message, const std::string &address, Instant now, std::vector<GossipMessage> &out) const;
+    /// Seeds that are not live peers.
+    std::vector<std::string> unknownSeeds() const;
+    std::vector<std::string> peerAddresses() const;
     void receiveRecords(const GossipRecords &message, const Wire::Envelope &envelope, Instant now, std::vector<GossipMessage> &out);
     void receiveAcknowledgement(const GossipAcknowledgement &message, const InstanceId &sender);
     void receiveDigest(const GossipDigest &message, const Wire::Envelope &envelope, Instant now, std::vector<GossipMessage> &out);
@@ -117,6 +135,8 @@
     RandomSource &m_random;
     std::map<RecordKey, Pending> m_pending;
     std::map<RecordKey, Source> m_sources;
+    CatchUp m_catchUp;
+    bool m_isBehind = false;
     Instant m_nextLoads;
     Instant m_nextDigest;
     Instant m_renewedAt;
--- a/packages/membership/tests/gossiptest.cpp
+++ b/packages/membership/tests/gossiptest.cpp
@@ -204,3 +204,63 @@
     REQUIRE(base < 5000);
     REQUIRE(idle < 2000); // 2,696 when the renewals of an instance were sent one by one
 }
+
+// Guards against an entry that serves again after a partition before it knows of a drain that it missed (P5): a leaving
+// record is repeated for 2 s only, and a whole data centre that was cut off has missed the same.
+TEST_CASE("an instance that was cut off is behind until it knows what it has missed", "[membership]")
+{
+    const std::uint64_t seed = GENERATE(range<std::uint64_t>(71, 81));
+    const std::size_t cutOff = GENERATE(1U, 6U);
+    const Duration length = GENERATE(3s, 15s); // 15 s: the records of the peers have expired
+    const std::uint32_t lossPermille = GENERATE(0U, 300U);
+    CAPTURE(seed, cutOff, length, lossPermille);
+    Cluster cluster(EntryCount, seed);
+    Servers servers(cluster, 5);
+    servers.run(5s);
+    const std::size_t end = 6 + cutOff;
+    for (std::size_t inside = 6; inside < end; ++inside) {
+        for (std::size_t outside = 0; outside < EntryCount; ++outside) {
+            if (outside < 6 || outside >= end) {
+                cluster.faults().cut(inside, outside);
+            }
+        }
+        cluster.core(inside).markBehind();
+    }
+    REQUIRE(cluster.core(2).drain(ServerId("server-2"), cluster.now()));
+    servers.run(length);
+    cluster.faults().healAll();
+    cluster.faults().setLossPermille(lossPermille);
+    for (std::size_t n = 6; n < end; ++n) {
+        REQUIRE(cluster.core(n).isBehind(cluster.now()));
+        cluster.core(n).catchUp(cluster.now());
+    }
+    for (int n = 0; n < 100; ++n) {
+        for (std::size_t inside = 6; inside < end; ++inside) {
+            const Record *record = cluster.table(inside).find(serverKey("server-2"));
+            // A server that is not known gets no work either.
+            REQUIRE((cluster.core(inside).isBehind(cluster.now()) || record == nullptr || record->leaving));
+        }
+        cluster.step();
+    }
+    for (std::size_t n = 6; n < end; ++n) {
+        REQUIRE_FALSE(cluster.core(n).isBehind(cluster.now()));
+        REQUIRE(isLeavingAt(cluster.table(n), serverKey("server-2")));
+    }
+}
+
+// Guards against an instance that waits for ever when nobody can answer, and against one that waits when all have answered.
+TEST_CASE("a catch-up ends with the last answer, or after a second", "[membership]")
+{
+    Cluster cluster(3, 82);
+    cluster.run(3s);
+    const bool isSilent = GENERATE(false, true);
+    if (isSilent) {
+        cluster.stop(2);
+    }
+    cluster.core(0).markBehind();
+    cluster.core(0).catchUp(cluster.now());
+    cluster.run(100ms);
+    REQUIRE(cluster.core(0).isBehind(cluster.now()) == isSilent);
+    cluster.run(900ms);
+    REQUIRE_FALSE(cluster.core(0).isBehind(cluster.now()));
+}
