Keep calls of a small contract for entries that have none yet

A contract of 20 calls at once leaves less than one call in headroom for each of 17 entries. The leader then gave all of it to the entries that had calls, so an entry that a caller changed to got nothing until those had given some back.

Change: when the headroom is less than one call for each entry, a holder gets one more at most.

The new test got 10 calls at the first entry without the change; with it, 5 entries get 2 each.

--- a/packages/limits/limits/shareallocator.cpp
+++ b/packages/limits/limits/shareallocator.cpp
@@ -55,6 +55,11 @@
         division.parts.push_back(isShort ? proportion(total, own, allExcess) : own + headroom);
         division.rest -= division.parts.back();
     }
+    if (!isShort && headroom == 0) {
+        // Less than one call for each entry. A holder gets one more at most; the others are left for entries whose first call
+        // comes, which would be refused until holders had given theirs back.
+        division.rest = std::min<std::uint64_t>(division.rest, division.parts.size());
+    }
     return division;
 }
 
--- a/packages/limits/tests/leasetest.cpp
+++ b/packages/limits/tests/leasetest.cpp
@@ -364,3 +364,24 @@
     REQUIRE_FALSE(pair.a.applyGrant(pair.answer(*again, Ready + 2s), Ready + 2s)); // heard, but too early for a lease
     REQUIRE_FALSE(pair.a.takeRequest(Ready + 3s));
 }
+
+// Guards against holders that keep all calls of a contract smaller than the number of entries: the first call at another entry
+// was refused until they had given some back.
+TEST_CASE("a small contract keeps calls for entries that have none yet", "[limits]")
+{
+    const Contract small = makeContract(150, 30, 20); // the leased half is 10 in flight
+    ShareAllocator allocator { {} };
+    allocator.setContract(small);
+    std::vector<InstanceId> entries;
+    for (int n = 0; n < 17; ++n) {
+        entries.emplace_back("e" + std::to_string(n));
+    }
+    allocator.setRegisteredEntries(entries);
+    allocator.becomeLeader(Start);
+    for (std::size_t n = 0; n < 5; ++n) {
+        const ShareRequest request { entries[n], Incarnation(1), 1, 0, { { small.customer, 1000, 1, 0 } } };
+        const ShareReply reply = allocator.answer(request, {}, Ready);
+        INFO(n);
+        REQUIRE(Pair::granted(reply).concurrency == 2);
+    }
+}
