Move what the end of an attempt proves out of CallEngine

Change: isProvedNotRun() and codeOf() are beside the type that they are about. No change of behaviour.

--- a/packages/entry/entry/callengine.cpp
+++ b/packages/entry/entry/callengine.cpp
@@ -22,31 +22,6 @@
 /// Above this utilization a hedge takes a slot that a waiting call needs, at this entry or another.
 constexpr double MaxHedgeUtilization = 0.85;
 
-bool isProvedNotRun(AttemptEnd end)
-{
-    return end == AttemptEnd::RefusedByServer || end == AttemptEnd::ConnectFailed || end == AttemptEnd::FailedBeforeSend;
-}
-
-ResultCode codeOf(AttemptEnd end)
-{
-    switch (end) {
-    case AttemptEnd::Answered:
-        return ResultCode::Ok;
-    case AttemptEnd::RefusedByServer:
-        return ResultCode::RefusedByServer;
-    case AttemptEnd::ConnectFailed:
-    case AttemptEnd::FailedBeforeSend:
-        return ResultCode::NotSent;
-    case AttemptEnd::FailedAfterSend:
-        return ResultCode::ConnectionLost;
-    case AttemptEnd::TimedOut:
-        return ResultCode::AttemptTimedOut;
-    case AttemptEnd::Cancelled:
-        return ResultCode::OutcomeUnknown;
-    }
-    return ResultCode::InternalError;
-}
-
 }
 
 struct CallEngine::ServiceState {
--- a/packages/entry/entry/calltypes.h
+++ b/packages/entry/entry/calltypes.h
@@ -47,6 +47,11 @@
     Cancelled,
 };
 
+/// True when the end proves that the call was not run.
+bool isProvedNotRun(AttemptEnd end);
+/// The result code of a call whose last attempt ended so.
+ResultCode codeOf(AttemptEnd end);
+
 /// The load that a server stated in an answer.
 struct ServerLoad {
     std::uint32_t inFlight = 0;
