--- a/packages/daemon/daemon/callrunner.cpp
+++ b/packages/daemon/daemon/callrunner.cpp
@@ -18,8 +18,8 @@
 constexpr std::size_t WorkerCount = 8;
 // Receive timeouts end an attempt in time; this is for responses that arrive in small pieces.
 constexpr Duration ExpiryGrace = std::chrono::milliseconds(20);
-// The engine's nextWakeUp() leaves out a server in its penalty time that is used because most servers fail, so calls that
-// wait are looked at this often.
+// While calls wait, the engine is ticked at least this often: nextWakeUp() left out avoided servers that are used because most
+// servers fail. It covers them now; whether a longer time would do is not measured.
 constexpr Duration WaitingTick = std::chrono::milliseconds(1);
 constexpr Duration CancellationTime = std::chrono::milliseconds(200);
 // Servers do not depend on cancellations; above this many waiting ones the rest is dropped.
