--- a/Makefile
+++ b/Makefile
@@ -54,6 +54,7 @@
 
 # Needs flatbuffers-compiler; its output is committed.
 generate:
+	flatc --cpp --cpp-std c++17 --scoped-enums --gen-object-api -o packages/routing/routing/generated packages/routing/routing/routing.fbs
 	flatc --cpp --cpp-std c++17 --scoped-enums -o packages/wire/wire/generated packages/wire/wire/messages.fbs
 	flatc --cpp --cpp-std c++17 --scoped-enums -o packages/control/control/generated packages/control/control/control.fbs
 	flatc --cpp --cpp-std c++17 --scoped-enums -o packages/membership/membership/generated packages/membership/membership/gossip.fbs
--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -26,7 +26,7 @@
     install(DIRECTORY ${name} DESTINATION ${CMAKE_INSTALL_INCLUDEDIR}/galenabarrow FILES_MATCHING PATTERN "*.h")
 
     file(GLOB_RECURSE tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/*.cpp)
-    if(tests)
+    if(tests AND GALENABARROW_TESTS)
         add_executable(test-${name} ${tests})
         target_link_libraries(test-${name} PRIVATE ${target} galenabarrow-testmain ${ARG_TEST_DEPENDS})
         target_include_directories(test-${name} PRIVATE ${CMAKE_CURRENT_SOURCE_DIR}/tests)
--- a/packages/base/base/log.cpp
+++ b/packages/base/base/log.cpp
@@ -34,7 +34,8 @@
     line += '"';
 }
 
-std::string formatLine(std::string_view event, std::initializer_list<LogField> fields)
+template<typename Fields>
+std::string formatLine(std::string_view event, const Fields &fields)
 {
     std::string line = "event=";
     appendValue(line, event);
@@ -73,6 +74,11 @@
     LOG4CXX_INFO(logger(m_component), formatLine(event, fields));
 }
 
+void Log::info(std::string_view event, const std::vector<LogField> &fields) const
+{
+    LOG4CXX_INFO(logger(m_component), formatLine(event, fields));
+}
+
 void Log::warn(std::string_view event, std::initializer_list<LogField> fields) const
 {
     LOG4CXX_WARN(logger(m_component), formatLine(event, fields));
--- a/packages/base/base/log.h
+++ b/packages/base/base/log.h
@@ -3,6 +3,7 @@
 #include <initializer_list>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace Galenabarrow
 {
@@ -23,6 +24,7 @@
 
     explicit Log(std::string_view component);
     void info(std::string_view event, std::initializer_list<LogField> fields = {}) const;
+    void info(std::string_view event, const std::vector<LogField> &fields) const;
     void warn(std::string_view event, std::initializer_list<LogField> fields = {}) const;
     void error(std::string_view event, std::initializer_list<LogField> fields = {}) const;
 
--- a/packages/base/base/resultcode.cpp
+++ b/packages/base/base/resultcode.cpp
@@ -42,6 +42,7 @@
     { ResultCode::NoQuorum, "NoQuorum", "The control instances have no quorum." },
     { ResultCode::NotLeader, "NotLeader", "The control instance is not the leader." },
     { ResultCode::ChangeIdReused, "ChangeIdReused", "The change id was used for a different change." },
+    { ResultCode::ConfigInvalid, "ConfigInvalid", "The routing configuration breaks a rule of every configuration." },
     { ResultCode::HeaderMissing, "HeaderMissing", "A required header is missing." },
     { ResultCode::HeaderInvalid, "HeaderInvalid", "A header has an invalid value." },
     { ResultCode::HeaderContradictory, "HeaderContradictory", "A header is given twice with different values." },
--- a/packages/base/base/resultcode.h
+++ b/packages/base/base/resultcode.h
@@ -52,6 +52,7 @@
     NoQuorum = 305,
     NotLeader = 306,
     ChangeIdReused = 307,
+    ConfigInvalid = 308,
 
     // 400: input
     HeaderMissing = 400,
--- a/packages/control/control/raftjoin.cpp
+++ b/packages/control/control/raftjoin.cpp
@@ -11,17 +11,25 @@
 constexpr Duration ChallengeLifetime = std::chrono::seconds(2);
 }
 
-RaftJoin::RaftJoin(ReplicaId self, std::vector<InstanceId> peers, bool bootstrap, Duration interval, RandomSource &random)
+RaftJoin::RaftJoin(ReplicaId self, std::vector<InstanceId> peers, bool bootstrap, Duration interval, RandomSource &random,
+                   Admission admission)
     : m_self(std::move(self))
     , m_others(std::move(peers))
     , m_interval(interval)
     , m_random(random)
+    , m_admission(admission)
 {
     std::erase(m_others, m_self.instance);
     const bool isLowest = std::all_of(m_others.begin(), m_others.end(), [this](const InstanceId &it) { return m_self.instance < it; });
     m_mayStart = bootstrap && isLowest;
 }
 
+void RaftJoin::setPeers(std::vector<InstanceId> peers)
+{
+    m_others = std::move(peers);
+    std::erase(m_others, m_self.instance);
+}
+
 std::vector<RaftMessage> RaftJoin::tick(const View &view, Instant now)
 {
     const bool isSettled = view.isMember && view.hasLeader;
@@ -45,7 +53,8 @@
 std::vector<RaftMessage> RaftJoin::receive(const RaftMessage &message, const View &view, Instant now)
 {
     const bool isNamed = std::find(m_others.begin(), m_others.end(), message.from.instance) != m_others.end();
-    if (!isNamed || message.to.instance != m_self.instance) {
+    const bool isAdmitted = isNamed || m_admission == Admission::Open;
+    if (!isAdmitted || message.to.instance != m_self.instance) {
         return {};
     }
     if (message.kind == RaftKind::JoinRequest) {
--- a/packages/control/control/raftjoin.h
+++ b/packages/control/control/raftjoin.h
@@ -42,8 +42,20 @@
         bool isEmpty = false;
     };
 
+    /// Whose join requests are answered.
+    enum class Admission : std::uint8_t {
+        /// Those of the control instances in the settings.
+        Listed,
+        /// All; for instances that are told a few seeds only and may be replaced by others.
+        Open,
+    };
+
     /// \p peers names all control instances, this one too.
-    RaftJoin(ReplicaId self, std::vector<InstanceId> peers, bool bootstrap, Duration interval, RandomSource &random);
+    RaftJoin(ReplicaId self, std::vector<InstanceId> peers, bool bootstrap, Duration interval, RandomSource &random,
+             Admission admission = Admission::Listed);
+
+    /// Replaces the instances that are asked to join their cluster. What has been heard of them is kept.
+    void setPeers(std::vector<InstanceId> peers);
 
     std::vector<RaftMessage> tick(const View &view, Instant now);
     /// Takes JoinRequest and JoinReply; returns the answers.
@@ -67,6 +79,7 @@
     bool m_mayStart;
     Duration m_interval;
     RandomSource &m_random;
+    Admission m_admission;
     std::uint64_t m_round = 0;
     Instant m_roundAt {};
     bool m_hasSeenCluster = false;
--- /dev/null
+++ b/packages/coordination/coordination/corenode.cpp
@@ -0,0 +1,477 @@
+#include "coordination/corenode.h"
+
+#include <algorithm>
+
+#include "routing/codec.h"
+
+namespace Galenabarrow::Coordination
+{
+
+namespace
+{
+
+/// Time between two looks at elections, links and deadlines; a tenth of the shortest of them.
+constexpr Duration TickInterval = std::chrono::milliseconds(40);
+/// Time between two signs of life to an entry. An entry changes its core instance after three times that.
+constexpr Duration FeedInterval = std::chrono::milliseconds(400);
+/// Time between two reports to the other core instances, unless an entry comes or goes.
+constexpr Duration ReportInterval = std::chrono::milliseconds(1000);
+/// A caller of the control API moves on after a second without a response.
+constexpr Duration ForwardTimeout = std::chrono::milliseconds(850);
+constexpr Duration ReadTimeout = std::chrono::milliseconds(850);
+/// Without a confirmation for this time, announcements are refused, so that servers turn to an instance with a quorum.
+constexpr Duration SureLimit = std::chrono::milliseconds(1500);
+/// Announcements that may be late or lost before a server counts as silent.
+constexpr int SilentIntervals = 3;
+
+}
+
+/// A connection that another instance opened.
+struct CoreNode::Peer {
+    std::unique_ptr<Net::FrameStream> frames;
+    /// Set for an entry.
+    std::optional<EntryInfo> entry;
+    Instant heardAt {};
+    LogIndex knownIndex;
+    bool isAcknowledgementDue = false;
+};
+
+CoreNode::CoreNode(Net::EventLoop &loop, CoreSettings settings, std::unique_ptr<Replica> replica, const Wire::FrameCodec &codec,
+                   RandomSource &random)
+    : m_loop(loop)
+    , m_settings(std::move(settings))
+    , m_replica(std::move(replica))
+    , m_codec(codec)
+    , m_log("core")
+    , m_links(loop, codec, m_settings.replica.instance, makeIncarnation())
+    , m_listener(loop, [this](std::shared_ptr<Net::Stream> stream) { accept(std::move(stream)); })
+    , m_startedAt(loop.now())
+    , m_lastCorrelation(random.next())
+{
+}
+
+CoreNode::~CoreNode() = default;
+
+Result<void> CoreNode::start()
+{
+    const std::optional<Net::SocketAddress> address = Net::parseSocketAddress(m_settings.replica.instance.value());
+    if (!address || !m_listener.listen(*address)) {
+        return failure(ResultCode::AddressUnavailable, "cannot listen at " + m_settings.replica.instance.value());
+    }
+    tick();
+    return {};
+}
+
+void CoreNode::onStoreFailure(std::function<void(const Error &)> callback)
+{
+    m_storeFailed = std::move(callback);
+}
+
+const Replica &CoreNode::replica() const
+{
+    return *m_replica;
+}
+
+void CoreNode::tick()
+{
+    m_replica->tick(m_loop.now());
+    m_links.tick();
+    noteLeader();
+    if (m_isReportDue || m_loop.now() - m_lastReport >= ReportInterval) {
+        reportToCore();
+    }
+    pump();
+    finishForwarded();
+    if (m_loop.now() - m_lastFeed >= FeedInterval) {
+        feedAll(true);
+    }
+    m_loop.after(TickInterval, [this] { tick(); });
+}
+
+void CoreNode::noteLeader()
+{
+    const std::optional<InstanceId> leader = m_replica->leader();
+    if (leader == m_knownLeader) {
+        return;
+    }
+    m_knownLeader = leader;
+    m_log.info("leader_changed",
+               { { "leader", leader ? leader->value() : "none" },
+                 { "term", std::to_string(m_replica->term().value()) },
+                 { "members", std::to_string(m_replica->membership().members.size()) },
+                 { "voters", std::to_string(m_replica->membership().voterCount()) } });
+}
+
+void CoreNode::schedulePump()
+{
+    if (!m_isPumpScheduled) {
+        m_isPumpScheduled = true;
+        m_loop.defer([this] { pump(); });
+    }
+}
+
+void CoreNode::pump()
+{
+    m_isPumpScheduled = false;
+    for (RaftEnvelope &it : m_replica->takeOutgoing(m_loop.now())) {
+        m_links.send(it.to, Wire::MessageKind::Raft, 0, std::move(it.payload));
+    }
+    if (m_replica->storeFailure()) {
+        if (m_storeFailed) {
+            m_storeFailed(*m_replica->storeFailure());
+        }
+        return;
+    }
+    if (m_replica->state().changedAt() > m_fedIndex) {
+        feedAll(false);
+    }
+    for (const Finished &it : m_replica->takeFinished()) {
+        const auto proposal = m_proposals.find(it.ticket);
+        if (proposal != m_proposals.end()) {
+            const Done done = std::move(proposal->second);
+            m_proposals.erase(proposal);
+            done(it.result);
+        }
+    }
+    finishReads();
+}
+
+void CoreNode::submit(Routing::ConfigChange change, Done done)
+{
+    Routing::Command command;
+    command.change = std::move(change);
+    propose(command, std::move(done));
+}
+
+void CoreNode::announce(const Routing::BackendServer &update, Done done)
+{
+    if (!isSure()) {
+        done(failure(ResultCode::NoQuorum, "no confirmation by a quorum lately"));
+        return;
+    }
+    noteHeard(update.id);
+    if (!m_replica->state().wouldChange(update)) {
+        done({});
+        return;
+    }
+    Routing::Command command;
+    command.update = update;
+    propose(command, std::move(done));
+}
+
+void CoreNode::withdraw(const Routing::BackendServer &withdrawal, Done done)
+{
+    // Decided even when it changes nothing here: this replica may lag behind.
+    Routing::Command command;
+    command.withdrawal = withdrawal;
+    propose(command, std::move(done));
+}
+
+void CoreNode::readConfig(ConfigDone done)
+{
+    m_reads.push_back(Read { std::move(done), m_loop.now() });
+}
+
+std::vector<std::string> CoreNode::resolve(std::size_t most, std::string_view caller) const
+{
+    SlotsByDataCentre slots;
+    for (const auto &[id, server] : m_replica->state().servers()) {
+        if (server.state == Routing::ServerState::Ready) {
+            slots[server.dataCentre] += server.slots;
+        }
+    }
+    return m_entries.choose(slots, most, caller, m_loop.now());
+}
+
+void CoreNode::propose(const Routing::Command &command, Done done)
+{
+    Bytes bytes = Routing::encode(command);
+    if (const std::optional<Ticket> ticket = m_replica->propose(bytes, m_loop.now())) {
+        m_proposals.emplace(*ticket, std::move(done));
+        schedulePump();
+        return;
+    }
+    const std::optional<InstanceId> leader = m_replica->leader();
+    if (!leader || *leader == m_settings.replica.instance) {
+        done(failure(ResultCode::NoQuorum, "no leader is known"));
+        return;
+    }
+    ++m_lastCorrelation;
+    m_forwarded.emplace(m_lastCorrelation, Forwarded { std::move(done), m_loop.now() + ForwardTimeout });
+    m_links.send(*leader, Wire::MessageKind::ProposeRequest, m_lastCorrelation, std::move(bytes));
+}
+
+void CoreNode::finishForwarded()
+{
+    std::vector<Done> late;
+    std::erase_if(m_forwarded, [&](auto &row) {
+        const bool isLate = m_loop.now() >= row.second.deadline;
+        if (isLate) {
+            late.push_back(std::move(row.second.done));
+        }
+        return isLate;
+    });
+    for (const Done &it : late) {
+        it(failure(ResultCode::ChangeOutcomeUnknown, "the leader did not answer in time"));
+    }
+}
+
+void CoreNode::finishReads()
+{
+    const std::optional<Instant> confirmedAt = m_replica->confirmedAt(m_loop.now());
+    std::vector<std::pair<ConfigDone, bool>> finished;
+    m_reads.remove_if([&](Read &read) {
+        // Strictly later: a confirmation from before the process was suspended must not count.
+        const bool isConfirmed = confirmedAt && *confirmedAt > read.askedAt;
+        const bool isLate = m_loop.now() - read.askedAt > ReadTimeout;
+        if (isConfirmed || isLate) {
+            finished.emplace_back(std::move(read.done), isConfirmed);
+        }
+        return isConfirmed || isLate;
+    });
+    for (const auto &[done, isConfirmed] : finished) {
+        done(isConfirmed ? &m_replica->state().config() : nullptr);
+    }
+}
+
+bool CoreNode::isSure() const
+{
+    const std::optional<Instant> confirmedAt = m_replica->confirmedAt(m_loop.now());
+    return confirmedAt && m_loop.now() - *confirmedAt < SureLimit;
+}
+
+void CoreNode::accept(std::shared_ptr<Net::Stream> stream)
+{
+    auto peer = std::make_shared<Peer>();
+    peer->frames = std::make_unique<Net::FrameStream>(std::move(stream), m_codec);
+    peer->frames->onFrame([this, weak = std::weak_ptr(peer)](const std::vector<std::uint8_t> &frame) {
+        if (const auto strong = weak.lock()) {
+            receive(strong, frame);
+        }
+    });
+    peer->frames->onEnd([this, weak = std::weak_ptr(peer)](const Error &error) {
+        const auto strong = weak.lock();
+        if (strong == nullptr) {
+            return;
+        }
+        if (error.code != ResultCode::Unreachable) {
+            m_log.warn("frame_refused", { { "code", std::string(resultCodeName(error.code)) }, { "detail", error.detail } });
+        }
+        m_loop.defer([this, strong] { m_peers.erase(strong); });
+    });
+    m_peers.insert(std::move(peer));
+}
+
+void CoreNode::receive(const std::shared_ptr<Peer> &peer, ByteView frame)
+{
+    const Result<Wire::Envelope> envelope = Wire::decodeEnvelope(frame);
+    if (!envelope) {
+        m_log.warn("frame_refused", { { "detail", envelope.error().detail } });
+        return;
+    }
+    if (envelope->kind == Wire::MessageKind::EntryReport) {
+        receiveEntryReport(peer, *envelope);
+        return;
+    }
+    acknowledge(peer);
+    if (envelope->kind == Wire::MessageKind::Raft) {
+        if (const Result<void> done = m_replica->receive(envelope->payload, m_loop.now()); !done) {
+            m_log.warn("frame_refused", { { "detail", done.error().detail } });
+        }
+        schedulePump();
+    } else if (envelope->kind == Wire::MessageKind::ProposeRequest) {
+        receiveProposal(*envelope);
+    } else if (envelope->kind == Wire::MessageKind::ProposeReply) {
+        receiveReply(*envelope);
+    } else if (envelope->kind == Wire::MessageKind::CoreReport) {
+        receiveCoreReport(*envelope);
+    }
+}
+
+void CoreNode::acknowledge(const std::shared_ptr<Peer> &peer)
+{
+    if (peer->isAcknowledgementDue) {
+        return;
+    }
+    peer->isAcknowledgementDue = true;
+    m_loop.after(PeerLinks::AcknowledgeDelay, [this, weak = std::weak_ptr(peer)] {
+        if (const auto strong = weak.lock(); strong != nullptr && strong->frames->isOpen()) {
+            strong->isAcknowledgementDue = false;
+            Wire::Envelope envelope;
+            envelope.sender = m_settings.replica.instance;
+            envelope.senderAddress = m_settings.replica.instance.value();
+            envelope.kind = Wire::MessageKind::LinkAcknowledgement;
+            strong->frames->send(Wire::encode(envelope));
+        }
+    });
+}
+
+void CoreNode::receiveProposal(const Wire::Envelope &envelope)
+{
+    const Done reply = [this, to = envelope.sender, correlation = envelope.correlation](const Result<void> &result) {
+        m_links.send(to, Wire::MessageKind::ProposeReply, correlation, encodeResult(result));
+    };
+    if (const Result<Routing::Command> command = Routing::decodeCommand(envelope.payload); !command) {
+        reply(tl::make_unexpected(command.error()));
+        return;
+    }
+    const std::optional<Ticket> ticket = m_replica->propose(envelope.payload, m_loop.now());
+    if (!ticket) {
+        reply(failure(ResultCode::NotLeader, "this replica does not lead"));
+        return;
+    }
+    m_proposals.emplace(*ticket, reply);
+    schedulePump();
+}
+
+void CoreNode::receiveReply(const Wire::Envelope &envelope)
+{
+    const auto it = m_forwarded.find(envelope.correlation);
+    if (it == m_forwarded.end()) {
+        return;
+    }
+    const Done done = std::move(it->second.done);
+    m_forwarded.erase(it);
+    done(decodeResult(envelope.payload));
+}
+
+void CoreNode::receiveEntryReport(const std::shared_ptr<Peer> &peer, const Wire::Envelope &envelope)
+{
+    const Result<EntryReport> report = decodeEntryReport(envelope.payload);
+    if (!report) {
+        m_log.warn("frame_refused", { { "detail", report.error().detail } });
+        return;
+    }
+    const bool isFirst = !peer->entry;
+    peer->entry = report->entry;
+    peer->heardAt = m_loop.now();
+    peer->knownIndex = isFirst ? report->knownIndex : std::max(peer->knownIndex, report->knownIndex);
+    if (m_entries.note(report->entry, m_loop.now())) {
+        m_isReportDue = true;
+    }
+    if (isFirst) {
+        feed(*peer);
+    }
+}
+
+void CoreNode::receiveCoreReport(const Wire::Envelope &envelope)
+{
+    const Result<CoreReport> report = decodeCoreReport(envelope.payload);
+    if (!report) {
+        m_log.warn("frame_refused", { { "detail", report.error().detail } });
+        return;
+    }
+    m_coreDataCentres[report->core.name] = report->core.dataCentre;
+    for (const CoreReport::Heard &it : report->heard) {
+        Instant &heardAt = m_heard[it.server];
+        heardAt = std::max(heardAt, m_loop.now() - it.age);
+    }
+    for (const CoreReport::Entry &it : report->entries) {
+        m_entries.note(it.info, m_loop.now() - it.age);
+    }
+}
+
+void CoreNode::noteHeard(const ServerId &server)
+{
+    m_heard[server] = m_loop.now();
+    m_freshlyHeard[server] = m_loop.now();
+}
+
+void CoreNode::feedAll(bool isPeriodic)
+{
+    if (isPeriodic) {
+        m_lastFeed = m_loop.now();
+    }
+    m_fedIndex = m_replica->state().changedAt();
+    for (const auto &it : m_peers) {
+        const bool isDue = isPeriodic || it->knownIndex < m_fedIndex;
+        if (it->entry && it->frames->isOpen() && isDue) {
+            feed(*it);
+        }
+    }
+}
+
+void CoreNode::feed(Peer &peer)
+{
+    const Routing::RoutingState &state = m_replica->state();
+    FeedUpdate update;
+    update.index = state.changedAt();
+    const std::optional<Instant> confirmedAt = m_replica->confirmedAt(m_loop.now());
+    if (confirmedAt) {
+        update.confirmedAge = m_loop.now() - *confirmedAt;
+    }
+    if (update.index > peer.knownIndex) {
+        Routing::StateChanges changes = state.changesAfter(peer.knownIndex);
+        update.isWhole = changes.isWhole;
+        update.servers = std::move(changes.servers);
+        if (changes.hasConfig) {
+            update.config = state.config();
+            update.configAt = state.configAt();
+        }
+        peer.knownIndex = update.index;
+    }
+    update.silent = silentServers();
+    update.entryCount = static_cast<unsigned>(std::max<std::size_t>(1, m_entries.liveCount(m_loop.now())));
+    update.core = coreInstances();
+    Wire::Envelope envelope;
+    envelope.sender = m_settings.replica.instance;
+    envelope.senderAddress = m_settings.replica.instance.value();
+    envelope.kind = Wire::MessageKind::FeedUpdate;
+    envelope.payload = encode(update);
+    peer.frames->send(Wire::encode(envelope));
+}
+
+std::vector<ServerId> CoreNode::silentServers() const
+{
+    const Duration limit = m_settings.announcementInterval * SilentIntervals;
+    std::vector<ServerId> silent;
+    for (const auto &[id, server] : m_replica->state().servers()) {
+        if (server.state != Routing::ServerState::Ready) {
+            continue;
+        }
+        const auto it = m_heard.find(id);
+        const Instant heardAt = it == m_heard.end() ? m_startedAt : std::max(it->second, m_startedAt);
+        if (m_loop.now() - heardAt > limit) {
+            silent.push_back(id);
+        }
+    }
+    return silent;
+}
+
+std::vector<CoreInstance> CoreNode::coreInstances() const
+{
+    std::vector<CoreInstance> core;
+    for (const Control::Member &it : m_replica->membership().members) {
+        const bool isSelf = it.id.instance == m_settings.replica.instance;
+        const auto known = m_coreDataCentres.find(it.id.instance);
+        core.push_back(CoreInstance { it.id.instance,
+                                      isSelf                                 ? m_settings.dataCentre
+                                          : known == m_coreDataCentres.end() ? DataCentreId()
+                                                                             : known->second });
+    }
+    return core;
+}
+
+void CoreNode::reportToCore()
+{
+    m_lastReport = m_loop.now();
+    m_isReportDue = false;
+    CoreReport report;
+    report.core = CoreInstance { m_settings.replica.instance, m_settings.dataCentre };
+    for (const auto &[server, at] : std::exchange(m_freshlyHeard, {})) {
+        report.heard.push_back(CoreReport::Heard { server, m_loop.now() - at });
+    }
+    for (const auto &it : m_peers) {
+        if (it->entry && m_loop.now() - it->heardAt <= EntryDirectory::Lifetime) {
+            report.entries.push_back(CoreReport::Entry { *it->entry, m_loop.now() - it->heardAt });
+        }
+    }
+    const std::vector<std::uint8_t> payload = encode(report);
+    for (const Control::Member &it : m_replica->membership().members) {
+        if (it.id.instance != m_settings.replica.instance) {
+            m_links.send(it.id.instance, Wire::MessageKind::CoreReport, 0, payload);
+        }
+    }
+}
+
+}
--- /dev/null
+++ b/packages/coordination/coordination/corenode.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+
+#include "base/log.h"
+#include "coordination/entrydirectory.h"
+#include "coordination/feed.h"
+#include "coordination/peerlinks.h"
+#include "coordination/replica.h"
+
+namespace Galenabarrow::Coordination
+{
+
+/// Settings of an instance of the core.
+struct CoreSettings {
+    ReplicaSettings replica;
+    DataCentreId dataCentre;
+    /// Time between two announcements of a backend server.
+    Duration announcementInterval = std::chrono::milliseconds(1500);
+};
+
+/// An instance of the core: a replica of the routing state with its connections to the other replicas and to the entries
+/// that it feeds. Runs on the thread of its event loop.
+class CoreNode
+{
+public:
+    using Done = std::function<void(const Result<void> &)>;
+    /// Null when this instance cannot be sure of the newest configuration.
+    using ConfigDone = std::function<void(const Routing::RoutingConfig *)>;
+
+    CoreNode(Net::EventLoop &loop, CoreSettings settings, std::unique_ptr<Replica> replica, const Wire::FrameCodec &codec,
+             RandomSource &random);
+    ~CoreNode();
+    CoreNode(const CoreNode &) = delete;
+    CoreNode &operator=(const CoreNode &) = delete;
+
+    /// Listens for frames. Fails with AddressUnavailable.
+    Result<void> start();
+    /// Called when the store failed; the process should exit.
+    void onStoreFailure(std::function<void(const Error &)> callback);
+
+    /// Has a change of the configuration decided by the replicas. The result is Ok, VersionConflict, ConfigInvalid, or
+    /// one that leaves the outcome open: ChangeOutcomeUnknown, NoQuorum.
+    void submit(Routing::ConfigChange change, Done done);
+    /// Takes the announcement of a backend server. Ok once it binds; a change is decided by the replicas.
+    void announce(const Routing::BackendServer &update, Done done);
+    void withdraw(const Routing::BackendServer &withdrawal, Done done);
+    /// Reads the newest accepted configuration, confirmed by a quorum after this call.
+    void readConfig(ConfigDone done);
+    /// Addresses of ready entries for a caller.
+    std::vector<std::string> resolve(std::size_t most, std::string_view caller) const;
+    const Replica &replica() const;
+
+private:
+    struct Peer;
+    struct Forwarded {
+        Done done;
+        Instant deadline {};
+    };
+    struct Read {
+        ConfigDone done;
+        Instant askedAt {};
+    };
+
+    void tick();
+    void schedulePump();
+    void pump();
+    void propose(const Routing::Command &command, Done done);
+    void finishForwarded();
+    void finishReads();
+    void accept(std::shared_ptr<Net::Stream> stream);
+    void receive(const std::shared_ptr<Peer> &peer, ByteView frame);
+    void receiveProposal(const Wire::Envelope &envelope);
+    void receiveReply(const Wire::Envelope &envelope);
+    void receiveEntryReport(const std::shared_ptr<Peer> &peer, const Wire::Envelope &envelope);
+    void receiveCoreReport(const Wire::Envelope &envelope);
+    void acknowledge(const std::shared_ptr<Peer> &peer);
+    void feedAll(bool isPeriodic);
+    void feed(Peer &peer);
+    std::vector<ServerId> silentServers() const;
+    std::vector<CoreInstance> coreInstances() const;
+    void reportToCore();
+    void noteHeard(const ServerId &server);
+    void noteLeader();
+    bool isSure() const;
+
+    Net::EventLoop &m_loop;
+    CoreSettings m_settings;
+    std::unique_ptr<Replica> m_replica;
+    const Wire::FrameCodec &m_codec;
+    Log m_log;
+    PeerLinks m_links;
+    Net::Listener m_listener;
+    std::function<void(const Error &)> m_storeFailed;
+    std::set<std::shared_ptr<Peer>> m_peers;
+    bool m_isPumpScheduled = false;
+    LogIndex m_fedIndex;
+    Instant m_lastFeed {};
+    Instant m_lastReport {};
+    bool m_isReportDue = false;
+    Instant m_startedAt {};
+    std::map<Ticket, Done> m_proposals;
+    std::uint64_t m_lastCorrelation = 0;
+    std::map<std::uint64_t, Forwarded> m_forwarded;
+    std::list<Read> m_reads;
+    EntryDirectory m_entries;
+    /// When each server was last heard of by any core instance.
+    std::map<ServerId, Instant> m_heard;
+    /// Servers heard of here since the last report to the other core instances.
+    std::map<ServerId, Instant> m_freshlyHeard;
+    std::map<InstanceId, DataCentreId> m_coreDataCentres;
+    std::optional<InstanceId> m_knownLeader;
+};
+
+}
--- /dev/null
+++ b/packages/coordination/coordination/entrydirectory.cpp
@@ -0,0 +1,121 @@
+#include "coordination/entrydirectory.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include <xxhash.h>
+
+namespace Galenabarrow::Coordination
+{
+
+namespace
+{
+
+/// An entry is told to callers at most this often, compared with equal shares: it has as little processor time as the others.
+constexpr double MaxShareOfEntry = 2.0;
+
+/// An order of \p items that depends on the caller only, so that a change of one item moves no other.
+void orderFor(std::string_view caller, std::vector<std::string> &items)
+{
+    const std::uint64_t seed = XXH3_64bits(caller.data(), caller.size());
+    const auto rank = [seed](const std::string &it) { return XXH3_64bits_withSeed(it.data(), it.size(), seed); };
+    std::sort(items.begin(), items.end(), [&rank](const std::string &a, const std::string &b) { return rank(a) < rank(b); });
+}
+
+/// A number in [0, 1) that depends on the caller and the data centre only.
+double fractionFor(std::string_view caller, const DataCentreId &dataCentre)
+{
+    constexpr double Range = 18446744073709551616.0; // 2^64
+    const std::uint64_t seed = XXH3_64bits(caller.data(), caller.size());
+    return static_cast<double>(XXH3_64bits_withSeed(dataCentre.value().data(), dataCentre.value().size(), ~seed)) / Range;
+}
+
+using EntriesByDataCentre = std::map<DataCentreId, std::vector<std::string>>;
+
+/// Shares of the data centres by their slots, as far as their number of entries allows.
+std::map<DataCentreId, double> targetShares(const EntriesByDataCentre &entries, const SlotsByDataCentre &slots)
+{
+    double slotSum = 0;
+    double entrySum = 0;
+    for (const auto &[dataCentre, addresses] : entries) {
+        const auto it = slots.find(dataCentre);
+        slotSum += it == slots.end() ? 0 : it->second;
+        entrySum += static_cast<double>(addresses.size());
+    }
+    std::map<DataCentreId, double> shares;
+    for (const auto &[dataCentre, addresses] : entries) {
+        const auto it = slots.find(dataCentre);
+        const double even = static_cast<double>(addresses.size()) / entrySum;
+        const double bySlots = slotSum <= 0 ? even : (it == slots.end() ? 0 : it->second) / slotSum;
+        shares[dataCentre] = std::min(bySlots, even * MaxShareOfEntry);
+    }
+    return shares;
+}
+
+}
+
+bool EntryDirectory::note(const EntryInfo &entry, Instant heardAt)
+{
+    Row &row = m_rows[entry.name];
+    if (heardAt < row.heardAt) {
+        return false;
+    }
+    const bool isNews = row.entry != entry || heardAt - row.heardAt > Lifetime;
+    row = Row { entry, heardAt };
+    return isNews;
+}
+
+void EntryDirectory::forget(const InstanceId &name)
+{
+    m_rows.erase(name);
+}
+
+std::vector<EntryInfo> EntryDirectory::live(Instant now) const
+{
+    std::vector<EntryInfo> entries;
+    for (const auto &[name, row] : m_rows) {
+        if (now - row.heardAt <= Lifetime) {
+            entries.push_back(row.entry);
+        }
+    }
+    return entries;
+}
+
+std::size_t EntryDirectory::liveCount(Instant now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_rows.begin(), m_rows.end(), [now](const auto &it) { return now - it.second.heardAt <= Lifetime; }));
+}
+
+std::vector<std::string> EntryDirectory::choose(const SlotsByDataCentre &slots, std::size_t most, std::string_view caller,
+                                                Instant now) const
+{
+    EntriesByDataCentre entries;
+    for (const auto &[name, row] : m_rows) {
+        if (row.entry.isReady && now - row.heardAt <= Lifetime) {
+            entries[row.entry.dataCentre].push_back(row.entry.address);
+        }
+    }
+    const std::map<DataCentreId, double> shares = targetShares(entries, slots);
+    double scale = static_cast<double>(most);
+    for (const auto &[dataCentre, addresses] : entries) {
+        if (shares.at(dataCentre) > 0) {
+            scale = std::min(scale, static_cast<double>(addresses.size()) / shares.at(dataCentre));
+        }
+    }
+    std::vector<std::string> chosen;
+    for (auto &[dataCentre, addresses] : entries) {
+        orderFor(caller, addresses);
+        // Rounded differently for each caller, so that the shares hold over all callers.
+        const auto count = static_cast<std::size_t>(std::floor(shares.at(dataCentre) * scale + fractionFor(caller, dataCentre)));
+        const auto end = addresses.begin() + static_cast<std::ptrdiff_t>(std::min(count, addresses.size()));
+        chosen.insert(chosen.end(), addresses.begin(), end);
+    }
+    orderFor(caller, chosen);
+    if (chosen.size() > most) {
+        chosen.resize(most);
+    }
+    return chosen;
+}
+
+}
--- /dev/null
+++ b/packages/coordination/coordination/entrydirectory.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/id.h"
+
+namespace Galenabarrow::Coordination
+{
+
+/// An entry instance as callers see it.
+struct EntryInfo {
+    InstanceId name;
+    /// Where callers connect, as "host:port".
+    std::string address;
+    DataCentreId dataCentre;
+    bool isReady = false;
+
+    bool operator==(const EntryInfo &) const = default;
+};
+
+/// Slots of ready backend servers by data centre.
+using SlotsByDataCentre = std::map<DataCentreId, double>;
+
+/// The entries that a core instance knows, and which of them a caller is told.
+class EntryDirectory
+{
+public:
+    /// An entry that was not heard of for this time is left out: it reports every 500 ms, and two reports may be lost.
+    static constexpr Duration Lifetime = std::chrono::milliseconds(1800);
+
+    /// Notes an entry that was alive at \p heardAt. True when callers are told something else from now on.
+    bool note(const EntryInfo &entry, Instant heardAt);
+    void forget(const InstanceId &name);
+    std::vector<EntryInfo> live(Instant now) const;
+    std::size_t liveCount(Instant now) const;
+
+    /// Addresses of at most \p most ready entries. The share of each data centre follows its slots: a request that is
+    /// answered within its data centre saves a crossing, and callers reach all data centres alike. The same \p caller is
+    /// told the same entries while these stay the same, because callers leave connections to entries that are not named.
+    std::vector<std::string> choose(const SlotsByDataCentre &slots, std::size_t most, std::string_view caller, Instant now) const;
+
+private:
+    struct Row {
+        EntryInfo entry;
+        Instant heardAt {};
+    };
+    std::map<InstanceId, Row> m_rows;
+};
+
+}
--- /dev/null
+++ b/packages/coordination/coordination/feed.cpp
@@ -0,0 +1,174 @@
+#include "coordination/feed.h"
+
+#include "routing/codec.h"
+
+namespace Galenabarrow::Coordination
+{
+
+namespace Fb = Routing::Fb;
+using Routing::decodeTable;
+using Routing::encodeTable;
+
+namespace
+{
+
+tl::unexpected<Error> malformed(const char *what)
+{
+    return failure(ResultCode::FrameMalformed, std::string("the ") + what + " does not verify");
+}
+
+std::unique_ptr<Fb::EntryRowT> packEntry(const EntryInfo &entry, Duration age)
+{
+    auto to = std::make_unique<Fb::EntryRowT>();
+    to->name = entry.name.value();
+    to->address = entry.address;
+    to->data_centre = entry.dataCentre.value();
+    to->is_ready = entry.isReady;
+    to->age = age.count();
+    return to;
+}
+
+EntryInfo unpackEntry(const Fb::EntryRowT &from)
+{
+    return EntryInfo { InstanceId(from.name), from.address, DataCentreId(from.data_centre), from.is_ready };
+}
+
+std::unique_ptr<Fb::CoreRowT> packCore(const CoreInstance &core)
+{
+    auto to = std::make_unique<Fb::CoreRowT>();
+    to->address = core.name.value();
+    to->data_centre = core.dataCentre.value();
+    return to;
+}
+
+CoreInstance unpackCore(const Fb::CoreRowT &from)
+{
+    return CoreInstance { InstanceId(from.address), DataCentreId(from.data_centre) };
+}
+
+}
+
+std::vector<std::uint8_t> encode(const EntryReport &report)
+{
+    Fb::EntryReportT to;
+    to.row = packEntry(report.entry, {});
+    to.known_index = report.knownIndex.value();
+    return encodeTable<Fb::EntryReport>(to);
+}
+
+Result<EntryReport> decodeEntryReport(std::span<const std::uint8_t> bytes)
+{
+    const auto from = decodeTable<Fb::EntryReport>(bytes);
+    if (from == nullptr || from->row == nullptr) {
+        return malformed("entry report");
+    }
+    return EntryReport { unpackEntry(*from->row), LogIndex(from->known_index) };
+}
+
+std::vector<std::uint8_t> encode(const FeedUpdate &update)
+{
+    Fb::FeedUpdateT to;
+    to.index = update.index.value();
+    to.is_whole = update.isWhole;
+    to.confirmed_age = update.confirmedAge ? update.confirmedAge->count() : -1;
+    if (update.config) {
+        to.config = Routing::pack(*update.config);
+    }
+    to.config_at = update.configAt.value();
+    for (const Routing::BackendServer &it : update.servers) {
+        to.servers.push_back(Routing::pack(it));
+    }
+    for (const ServerId &it : update.silent) {
+        to.silent.push_back(it.value());
+    }
+    to.entry_count = update.entryCount;
+    for (const CoreInstance &it : update.core) {
+        to.core.push_back(packCore(it));
+    }
+    return encodeTable<Fb::FeedUpdate>(to);
+}
+
+Result<FeedUpdate> decodeFeedUpdate(std::span<const std::uint8_t> bytes)
+{
+    const auto from = decodeTable<Fb::FeedUpdate>(bytes);
+    if (from == nullptr) {
+        return malformed("feed update");
+    }
+    FeedUpdate update;
+    update.index = LogIndex(from->index);
+    update.isWhole = from->is_whole;
+    if (from->confirmed_age >= 0) {
+        update.confirmedAge = Duration(from->confirmed_age);
+    }
+    if (from->config != nullptr) {
+        update.config = Routing::unpack(*from->config);
+    }
+    update.configAt = LogIndex(from->config_at);
+    for (const auto &it : from->servers) {
+        update.servers.push_back(Routing::unpack(*it));
+    }
+    for (const std::string &it : from->silent) {
+        update.silent.emplace_back(it);
+    }
+    update.entryCount = std::max(1U, from->entry_count);
+    for (const auto &it : from->core) {
+        update.core.push_back(unpackCore(*it));
+    }
+    return update;
+}
+
+std::vector<std::uint8_t> encode(const CoreReport &report)
+{
+    Fb::CoreReportT to;
+    to.row = packCore(report.core);
+    for (const CoreReport::Heard &it : report.heard) {
+        auto row = std::make_unique<Fb::HeardT>();
+        row->id = it.server.value();
+        row->age = it.age.count();
+        to.heard.push_back(std::move(row));
+    }
+    for (const CoreReport::Entry &it : report.entries) {
+        to.entries.push_back(packEntry(it.info, it.age));
+    }
+    return encodeTable<Fb::CoreReport>(to);
+}
+
+Result<CoreReport> decodeCoreReport(std::span<const std::uint8_t> bytes)
+{
+    const auto from = decodeTable<Fb::CoreReport>(bytes);
+    if (from == nullptr || from->row == nullptr) {
+        return malformed("core report");
+    }
+    CoreReport report;
+    report.core = unpackCore(*from->row);
+    for (const auto &it : from->heard) {
+        report.heard.push_back(CoreReport::Heard { ServerId(it->id), Duration(it->age) });
+    }
+    for (const auto &it : from->entries) {
+        report.entries.push_back(CoreReport::Entry { unpackEntry(*it), Duration(it->age) });
+    }
+    return report;
+}
+
+std::vector<std::uint8_t> encodeResult(const Result<void> &result)
+{
+    Fb::ProposalReplyT to;
+    to.code = static_cast<std::uint16_t>(result ? ResultCode::Ok : result.error().code);
+    to.detail = result ? std::string() : result.error().detail;
+    return encodeTable<Fb::ProposalReply>(to);
+}
+
+Result<void> decodeResult(std::span<const std::uint8_t> bytes)
+{
+    const auto from = decodeTable<Fb::ProposalReply>(bytes);
+    if (from == nullptr) {
+        return malformed("result of a proposal");
+    }
+    const auto code = static_cast<ResultCode>(from->code);
+    if (code == ResultCode::Ok) {
+        return {};
+    }
+    return failure(code, from->detail);
+}
+
+}
--- /dev/null
+++ b/packages/coordination/coordination/feed.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "coordination/entrydirectory.h"
+#include "routing/routingstate.h"
+
+namespace Galenabarrow::Coordination
+{
+
+/// An instance of the core.
+struct CoreInstance {
+    /// Its address for frames, as "host:port".
+    InstanceId name;
+    /// Empty when not known.
+    DataCentreId dataCentre;
+};
+
+/// What an entry says of itself to the core instance that feeds it.
+struct EntryReport {
+    EntryInfo entry;
+    /// The last change of the state that the entry has applied.
+    LogIndex knownIndex;
+};
+
+/// What a core instance tells an entry.
+struct FeedUpdate {
+    /// The entry knows all changes up to this one when it has applied the update.
+    LogIndex index;
+    /// The servers are all that there are.
+    bool isWhole = false;
+    /// Time since the core instance was sure to know every accepted change; absent when it is not sure.
+    std::optional<Duration> confirmedAge;
+    /// Present when it changed.
+    std::optional<Routing::RoutingConfig> config;
+    LogIndex configAt;
+    std::vector<Routing::BackendServer> servers;
+    /// Servers that have not announced themselves for longer than they should.
+    std::vector<ServerId> silent;
+    /// Entries that share the retry budgets.
+    unsigned entryCount = 1;
+    std::vector<CoreInstance> core;
+};
+
+/// What core instances tell each other about what only one of them hears.
+struct CoreReport {
+    CoreInstance core;
+    struct Heard {
+        ServerId server;
+        Duration age {};
+    };
+    std::vector<Heard> heard;
+    struct Entry {
+        EntryInfo info;
+        Duration age {};
+    };
+    std::vector<Entry> entries;
+};
+
+// All decoders verify the buffer first and fail with FrameMalformed.
+
+std::vector<std::uint8_t> encode(const EntryReport &report);
+Result<EntryReport> decodeEntryReport(std::span<const std::uint8_t> bytes);
+std::vector<std::uint8_t> encode(const FeedUpdate &update);
+Result<FeedUpdate> decodeFeedUpdate(std::span<const std::uint8_t> bytes);
+std::vector<std::uint8_t> encode(const CoreReport &report);
+Result<CoreReport> decodeCoreReport(std::span<const std::uint8_t> bytes);
+/// The result of a proposal that was passed on to the leader.
+std::vector<std::uint8_t> encodeResult(const Result<void> &result);
+Result<void> decodeResult(std::span<const std::uint8_t> bytes);
+
+}
--- /dev/null
+++ b/packages/coordination/coordination/replica.cpp
@@ -0,0 +1,300 @@
+#include "coordination/replica.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "control/codecs.h"
+#include "routing/codec.h"
+
+namespace Galenabarrow::Coordination
+{
+
+using namespace Control;
+
+namespace
+{
+
+/// Proposals that wait for a commit at the leader.
+constexpr std::size_t MaxPending = 4096;
+/// Entries kept before a snapshot, as a share of those between two snapshots, so that a follower that lags a little needs
+/// no snapshot.
+constexpr std::uint64_t KeptShare = 2;
+
+}
+
+Result<std::unique_ptr<Replica>> Replica::open(ReplicaSettings settings, std::unique_ptr<LogStore> store, RandomSource &random, Instant now)
+{
+    const Result<StoreContents> contents = store->load();
+    if (!contents) {
+        return tl::make_unexpected(contents.error());
+    }
+    std::unique_ptr<Replica> replica(new Replica(std::move(settings), std::move(store), random, *contents, now));
+    if (replica->m_storeFailure) {
+        return tl::make_unexpected(*replica->m_storeFailure);
+    }
+    return replica;
+}
+
+Replica::Replica(ReplicaSettings settings, std::unique_ptr<LogStore> store, RandomSource &random, const StoreContents &contents,
+                 Instant now)
+    : m_settings(std::move(settings))
+    , m_store(std::move(store))
+    , m_raft(ReplicaId { m_settings.instance, contents.incarnation }, m_settings.timing, random, contents.hardState, contents.snapshot,
+             contents.entries, now)
+    , m_join(m_raft.self(), m_settings.seeds, m_settings.bootstrap, m_settings.timing.join, random, RaftJoin::Admission::Open)
+    , m_lastTicket(random.next())
+{
+    if (contents.snapshot != nullptr) {
+        check(m_state.restoreImage(contents.snapshot->state));
+    }
+}
+
+void Replica::tick(Instant now)
+{
+    if (m_storeFailure) {
+        return;
+    }
+    retireExcess();
+    absorb(m_raft.tick(now), now);
+    runJoin(now);
+    finishUndecided();
+}
+
+Result<void> Replica::receive(ByteView bytes, Instant now)
+{
+    const Result<RaftMessage> message = decodeRaftMessage(bytes);
+    if (!message) {
+        return tl::make_unexpected(message.error());
+    }
+    if (m_storeFailure || message->to.instance != m_settings.instance) {
+        return {};
+    }
+    if (message->kind != RaftKind::JoinRequest && message->kind != RaftKind::JoinReply) {
+        absorb(m_raft.receive(*message, now), now);
+        return {};
+    }
+    for (const RaftMessage &reply : m_join.receive(*message, joinView(), now)) {
+        sendRaft(reply);
+    }
+    if (const std::optional<ReplicaId> joiner = m_join.takeJoiner()) {
+        m_raft.noteJoiner(Member { *joiner, joiner->instance.value(), false }, now);
+    }
+    return {};
+}
+
+std::optional<Ticket> Replica::propose(Bytes command, Instant now)
+{
+    if (m_storeFailure || !m_raft.log().membershipAt(m_raft.commitIndex()).isFormed || m_pending.size() >= MaxPending) {
+        return std::nullopt;
+    }
+    RaftOutput output;
+    const std::optional<RaftCore::Position> position = m_raft.propose(std::move(command), now, output);
+    std::optional<Ticket> ticket;
+    if (position) {
+        ticket = Ticket(++m_lastTicket);
+        m_pending[position->index] = Pending { *ticket, position->term };
+    }
+    absorb(output, now);
+    return ticket;
+}
+
+std::vector<RaftEnvelope> Replica::takeOutgoing(Instant now)
+{
+    while (m_unsynced && !m_storeFailure) {
+        const WriteNumber number = *std::exchange(m_unsynced, std::nullopt);
+        check(m_store->sync());
+        if (!m_storeFailure) {
+            absorb(m_raft.persisted(number, now), now);
+        }
+    }
+    std::vector<RaftEnvelope> outgoing = std::exchange(m_outgoing, {});
+    if (m_storeFailure) {
+        outgoing.clear();
+    }
+    return outgoing;
+}
+
+std::vector<Finished> Replica::takeFinished()
+{
+    return std::exchange(m_finished, {});
+}
+
+const std::optional<Error> &Replica::storeFailure() const
+{
+    return m_storeFailure;
+}
+
+const Routing::RoutingState &Replica::state() const
+{
+    return m_state;
+}
+
+bool Replica::isLeader() const
+{
+    return m_raft.role() == RaftCore::Role::Leader;
+}
+
+std::optional<InstanceId> Replica::leader() const
+{
+    return m_raft.leader() ? std::optional(m_raft.leader()->instance) : std::nullopt;
+}
+
+Term Replica::term() const
+{
+    return m_raft.term();
+}
+
+LogIndex Replica::commitIndex() const
+{
+    return m_raft.commitIndex();
+}
+
+const Membership &Replica::membership() const
+{
+    return m_raft.log().membership();
+}
+
+std::optional<Instant> Replica::confirmedAt(Instant now) const
+{
+    const std::optional<Confirmation> confirmation = m_raft.confirmation(now);
+    // Entries up to the commit index are applied at once.
+    if (!confirmation || confirmation->index > m_raft.commitIndex()) {
+        return std::nullopt;
+    }
+    return confirmation->madeAt;
+}
+
+void Replica::absorb(const RaftOutput &output, Instant)
+{
+    write(output);
+    if (m_storeFailure) {
+        return;
+    }
+    for (const LogEntry &entry : output.committed) {
+        applyEntry(entry);
+    }
+    for (const RaftMessage &message : output.messages) {
+        sendRaft(message);
+    }
+    compactIfDue();
+}
+
+void Replica::write(const RaftOutput &output)
+{
+    if (output.hardState) {
+        check(m_store->writeHardState(*output.hardState));
+    }
+    if (output.install != nullptr && !m_storeFailure) {
+        check(m_state.restoreImage(output.install->state));
+        if (!m_storeFailure) {
+            check(m_store->saveSnapshot(*output.install, {}));
+        }
+    }
+    if (!output.append.empty() && !m_storeFailure) {
+        check(m_store->append(output.append));
+    }
+    if (output.write) {
+        m_unsynced = output.write;
+    }
+}
+
+void Replica::applyEntry(const LogEntry &entry)
+{
+    Result<void> result;
+    if (entry.kind == EntryKind::Proposal) {
+        result = Routing::decodeCommand(entry.command).and_then([&](const Routing::Command &it) { return m_state.apply(it, entry.index); });
+    }
+    const auto it = m_pending.find(entry.index);
+    if (it == m_pending.end()) {
+        return;
+    }
+    const Pending pending = it->second;
+    m_pending.erase(it);
+    if (pending.term != entry.term) {
+        result = failure(ResultCode::ChangeOutcomeUnknown, "another leader decided on this place of the log");
+    }
+    m_finished.push_back(Finished { pending.ticket, std::move(result) });
+}
+
+void Replica::finishUndecided()
+{
+    if (isLeader()) {
+        return;
+    }
+    // The next leader may still commit these entries.
+    for (const auto &[index, pending] : std::exchange(m_pending, {})) {
+        m_finished.push_back(Finished { pending.ticket, failure(ResultCode::ChangeOutcomeUnknown, "the leader lost its quorum") });
+    }
+}
+
+void Replica::compactIfDue()
+{
+    const SnapshotPointer &last = m_raft.log().snapshot();
+    const std::uint64_t lastIndex = last == nullptr ? 0 : last->index.value();
+    if (m_raft.commitIndex().value() - lastIndex < m_settings.entriesPerSnapshot) {
+        return;
+    }
+    const SnapshotPointer snapshot = m_raft.compact(m_state.encodeImage(), m_settings.entriesPerSnapshot / KeptShare);
+    const RaftLog &log = m_raft.log();
+    check(m_store->saveSnapshot(*snapshot, log.range(next(log.baseIndex()), log.lastIndex())));
+}
+
+void Replica::check(const Result<void> &done)
+{
+    if (!done && !m_storeFailure) {
+        m_storeFailure = done.error();
+    }
+}
+
+void Replica::sendRaft(const RaftMessage &message)
+{
+    m_outgoing.push_back(RaftEnvelope { message.to.instance, Control::encode(message) });
+}
+
+void Replica::runJoin(Instant now)
+{
+    updatePeers();
+    for (const RaftMessage &message : m_join.tick(joinView(), now)) {
+        sendRaft(message);
+    }
+    if (m_join.mayBootstrap(joinView(), now)) {
+        absorb(m_raft.bootstrap(m_settings.voters, m_state.encodeImage(), m_settings.instance.value(), now), now);
+    }
+}
+
+void Replica::updatePeers()
+{
+    std::vector<InstanceId> peers = m_settings.seeds;
+    for (const Member &member : m_raft.log().membership().members) {
+        if (std::find(peers.begin(), peers.end(), member.id.instance) == peers.end()) {
+            peers.push_back(member.id.instance);
+        }
+    }
+    m_join.setPeers(std::move(peers));
+}
+
+void Replica::retireExcess()
+{
+    const Membership &membership = m_raft.log().membership();
+    std::vector<ReplicaId> retired;
+    if (membership.members.size() > m_settings.voters) {
+        for (const Member &member : membership.members) {
+            if (member.id != m_raft.self()) {
+                retired.push_back(member.id);
+            }
+        }
+    }
+    m_raft.noteRetired(std::move(retired));
+}
+
+RaftJoin::View Replica::joinView() const
+{
+    RaftJoin::View view;
+    view.isMember = m_raft.log().membership().find(m_raft.self()) != nullptr;
+    view.isLeader = isLeader();
+    view.hasLeader = m_raft.leader().has_value();
+    view.isEmpty = m_raft.log().lastIndex() == LogIndex() && m_raft.term() == Term();
+    return view;
+}
+
+}
--- a/packages/daemon/main/main.cpp
+++ b/packages/daemon/main/main.cpp
@@ -5,9 +5,11 @@
 
 #include "base/log.h"
 #include "daemon/daemon.h"
+#include "platform/node.h"
 #include "settings/loader.h"
 
 DEFINE_string(settings, "", "settings file of this instance");
+DEFINE_bool(platform, false, "run the instance that the settings file of the hosting platform describes");
 DEFINE_bool(check, false, "check the settings and exit");
 
 namespace
@@ -58,8 +60,11 @@
 
 int main(int argc, char **argv)
 {
-    gflags::SetUsageMessage("runs one instance of galenabarrow\n  galenabarrowd --settings <file> [--check]");
+    gflags::SetUsageMessage("runs one instance of galenabarrow\n  galenabarrowd --settings <file> [--check]\n  galenabarrowd --platform");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (FLAGS_platform && FLAGS_settings.empty() && argc == 1) {
+        return Platform::runNode();
+    }
     if (FLAGS_settings.empty() || argc > 1) {
         return fail(Error { ResultCode::UsageError, "needs --settings <file> and nothing else" }, ExitUsage);
     }
--- /dev/null
+++ b/packages/gateway/gateway/gatewaynode.cpp
@@ -0,0 +1,107 @@
+#include "gateway/gatewaynode.h"
+
+namespace Galenabarrow::Gateway
+{
+
+namespace
+{
+
+/// Time after a stop was asked for during which new connections are still taken: callers keep the addresses they were told.
+constexpr Duration AcceptAfterStop = std::chrono::milliseconds(3500);
+constexpr Duration StopCheckInterval = std::chrono::milliseconds(50);
+
+}
+
+GatewayNode::GatewayNode(Net::EventLoop &loop, GatewaySettings settings, const Wire::FrameCodec &codec, RandomSource &random)
+    : m_loop(loop)
+    , m_settings(std::move(settings))
+    , m_log("entry")
+    , m_servers(m_settings.self.dataCentre, random)
+    , m_runner(loop, random, m_settings.dialect, m_settings.budget, m_servers)
+    , m_server(loop, [this](const Http::ExchangePointer &exchange) { m_runner.handle(exchange); })
+    , m_link(loop, codec, random, m_settings.seeds, m_settings.self)
+{
+}
+
+Result<void> GatewayNode::start()
+{
+    if (!m_server.listen(m_settings.listen)) {
+        return failure(ResultCode::AddressUnavailable, "cannot listen at " + m_settings.listen.text());
+    }
+    m_link.onUpdate([this](const Coordination::FeedUpdate &update) { apply(update); });
+    m_link.start();
+    return {};
+}
+
+bool GatewayNode::isReady() const
+{
+    return m_runner.hasConfig() && m_hasServers && !m_isStopping;
+}
+
+void GatewayNode::stop(std::function<void()> done)
+{
+    m_isStopping = true;
+    m_stopAt = m_loop.now();
+    m_stopped = std::move(done);
+    m_link.setReady(false);
+    m_server.startClosing();
+    m_log.info("stopping", { { "running", std::to_string(m_runner.running()) } });
+    checkStopped();
+}
+
+void GatewayNode::setSeeds(std::vector<InstanceId> seeds)
+{
+    m_link.setSeeds(std::move(seeds));
+}
+
+const RequestCounters &GatewayNode::counters() const
+{
+    return m_runner.counters();
+}
+
+void GatewayNode::apply(const Coordination::FeedUpdate &update)
+{
+    const Instant now = m_loop.now();
+    m_servers.apply(update, now);
+    m_runner.retire(m_servers.takeGone());
+    m_runner.setEntryCount(update.entryCount);
+    m_hasServers = m_hasServers || m_servers.size() > 0;
+    // A core instance that lags must not bring back an older configuration.
+    if (update.config && update.configAt > m_configAt) {
+        m_configAt = update.configAt;
+        m_runner.setConfig(*update.config);
+        applyLimits(update.config->limits);
+        m_log.info(
+            "config_in_force",
+            { { "version", std::to_string(update.config->version.value()) }, { "routes", std::to_string(update.config->routes.size()) } });
+    }
+    m_link.setReady(isReady());
+}
+
+void GatewayNode::applyLimits(const Routing::CallerLimits &limits)
+{
+    Http::ServerLimits server = m_server.limits();
+    server.reader.headerBytes = limits.headerBytes;
+    server.reader.bodyBytes = limits.bodyBytes;
+    server.headerTimeout = limits.headerTimeout;
+    server.idleTimeout = limits.idleTimeout;
+    m_server.setLimits(server);
+}
+
+void GatewayNode::checkStopped()
+{
+    const Duration since = m_loop.now() - m_stopAt;
+    if (since >= AcceptAfterStop) {
+        m_server.stopListening();
+        m_server.closeIdle();
+    }
+    const bool isDone = since >= AcceptAfterStop && m_runner.running() == 0 && m_server.pendingCount() == 0;
+    if (isDone || since >= m_settings.stopLimit) {
+        m_log.info("stopped", { { "running", std::to_string(m_runner.running()) } });
+        m_stopped();
+        return;
+    }
+    m_loop.after(StopCheckInterval, [this] { checkStopped(); });
+}
+
+}
--- /dev/null
+++ b/packages/gateway/gateway/gatewaynode.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <functional>
+
+#include "coordination/corelink.h"
+#include "gateway/requestrunner.h"
+
+namespace Galenabarrow::Gateway
+{
+
+/// Settings of an entry instance.
+struct GatewaySettings {
+    Coordination::EntryInfo self;
+    std::vector<InstanceId> seeds;
+    /// Where callers connect.
+    Net::SocketAddress listen;
+    RetryBudgetSettings budget;
+    Dialect dialect;
+    /// Time after a stop was asked for within which the process must have ended.
+    Duration stopLimit = std::chrono::seconds(5);
+};
+
+/// An entry instance: takes the requests of callers, with the state that the core feeds it.
+class GatewayNode
+{
+public:
+    GatewayNode(Net::EventLoop &loop, GatewaySettings settings, const Wire::FrameCodec &codec, RandomSource &random);
+
+    /// Fails with AddressUnavailable.
+    Result<void> start();
+    /// Whether callers should be sent here.
+    bool isReady() const;
+    /// Takes no more callers, finishes the requests that run, then calls \p done.
+    void stop(std::function<void()> done);
+    void setSeeds(std::vector<InstanceId> seeds);
+    const RequestCounters &counters() const;
+
+private:
+    void apply(const Coordination::FeedUpdate &update);
+    void applyLimits(const Routing::CallerLimits &limits);
+    void checkStopped();
+
+    Net::EventLoop &m_loop;
+    GatewaySettings m_settings;
+    Log m_log;
+    ServerTable m_servers;
+    RequestRunner m_runner;
+    Http::Server m_server;
+    Coordination::CoreLink m_link;
+    LogIndex m_configAt;
+    bool m_hasServers = false;
+    bool m_isStopping = false;
+    Instant m_stopAt {};
+    std::function<void()> m_stopped;
+};
+
+}
--- /dev/null
+++ b/packages/gateway/gateway/requestrunner.cpp
@@ -0,0 +1,468 @@
+#include "gateway/requestrunner.h"
+
+#include <charconv>
+#include <cstdio>
+
+namespace Galenabarrow::Gateway
+{
+
+namespace
+{
+
+/// The response must reach the caller before its deadline; a network round trip and the time to write it.
+constexpr Duration CallerMargin = std::chrono::milliseconds(25);
+/// Longest deadline that is believed.
+constexpr Duration MaxDeadline = std::chrono::minutes(10);
+/// Time after which a rejected caller may come back when nothing better is known.
+constexpr Duration DefaultComeBack = std::chrono::milliseconds(300);
+/// An attempt that may be repeated is given up after this many usual durations, and not before the objective is used up.
+constexpr int PatienceFactor = 4;
+
+std::string milliseconds(Duration duration)
+{
+    return std::to_string(std::chrono::floor<std::chrono::milliseconds>(duration).count());
+}
+
+std::optional<Duration> parseMilliseconds(const std::string *field)
+{
+    if (field == nullptr) {
+        return std::nullopt;
+    }
+    std::int64_t value = 0;
+    const auto [end, ec] = std::from_chars(field->data(), field->data() + field->size(), value);
+    if (ec != std::errc() || end != field->data() + field->size() || value < 0) {
+        return std::nullopt;
+    }
+    return std::min<Duration>(std::chrono::milliseconds(value), MaxDeadline);
+}
+
+/// Statuses that promise a caller that its request has not run.
+bool isPromise(unsigned status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+}
+
+/// One request of a caller.
+class RequestRunner::Run : public std::enable_shared_from_this<RequestRunner::Run>
+{
+public:
+    Run(RequestRunner &runner, Http::ExchangePointer exchange, Routing::RoutePointer route)
+        : m_runner(runner)
+        , m_exchange(std::move(exchange))
+        , m_route(std::move(route))
+    {
+    }
+
+    void start()
+    {
+        const Http::Request &request = m_exchange->request();
+        m_startedAt = m_runner.m_loop.now();
+        m_requestId = *request.fields.find(m_runner.m_dialect.requestId);
+        m_service = m_runner.m_splits.choose(*m_route);
+        m_runner.budgetOf(m_service).noteRequest(m_startedAt);
+        m_giveUpAt = m_startedAt + m_route->timeout;
+        m_deadline = m_giveUpAt;
+        if (const auto stated = parseMilliseconds(request.fields.find(m_runner.m_dialect.deadlineMilliseconds))) {
+            m_deadline = std::min(m_deadline, m_startedAt + *stated - CallerMargin);
+            m_giveUpAt = m_deadline;
+        }
+        m_exchange->onGone([weak = weak_from_this()] {
+            if (const auto self = weak.lock()) {
+                self->callerGone();
+            }
+        });
+        m_deadlineTimer = m_runner.m_loop.after(m_giveUpAt - m_startedAt, [weak = weak_from_this()] {
+            if (const auto self = weak.lock()) {
+                self->deadlinePassed();
+            }
+        });
+        attempt();
+    }
+
+private:
+    bool isSafe() const
+    {
+        return m_route->repeatability == Routing::Repeatability::Safe;
+    }
+
+    void attempt()
+    {
+        const Instant now = m_runner.m_loop.now();
+        if (now >= m_giveUpAt) {
+            deadlinePassed();
+            return;
+        }
+        ChoiceInput input { m_service, m_route->objective, m_tried };
+        const std::optional<ServerChoice> choice = m_runner.m_servers.choose(input, now);
+        if (!choice) {
+            reject(m_tried.empty() ? "no_server" : "no_other_server");
+            return;
+        }
+        m_choice = *choice;
+        const ServerRow *row = m_runner.m_servers.find(choice->server);
+        m_tried.push_back(choice->server);
+        ++m_runner.m_counters.attempts;
+        m_attemptAt = now;
+        m_runner.m_servers.noteStart(choice->server);
+        m_attempt = m_runner.m_pool.send(row->server, makeRequest(now));
+        m_attempt->onResponse([this](Http::Response response) { responded(std::move(response)); });
+        m_attempt->onFailure([this](AttemptFailure failure) { failed(failure); });
+        armPatience();
+    }
+
+    UpstreamRequest makeRequest(Instant now) const
+    {
+        const Dialect &dialect = m_runner.m_dialect;
+        Http::Request request = m_exchange->request();
+        request.fields.removeConnectionFields();
+        request.fields.set(dialect.deadlineMilliseconds, milliseconds(m_giveUpAt - now));
+        request.fields.set(dialect.expectedServer, m_choice.server.value());
+        return UpstreamRequest { Http::serialize(request), m_requestId, request.method == "HEAD" };
+    }
+
+    /// Gives up an attempt at a server that does not answer while there is time for another one.
+    void armPatience()
+    {
+        const bool mayRepeat = isSafe() && m_tried.size() < m_route->maxAttempts;
+        if (!mayRepeat) {
+            return;
+        }
+        const Duration patience = std::max(m_route->objective, m_runner.m_servers.workTime(m_service) * PatienceFactor);
+        m_patienceTimer = m_runner.m_loop.after(patience, [weak = weak_from_this()] {
+            if (const auto self = weak.lock()) {
+                self->patienceOver();
+            }
+        });
+    }
+
+    void patienceOver()
+    {
+        m_patienceTimer = 0;
+        if (m_attempt == nullptr || !m_runner.takeBudget(m_service)) {
+            return;
+        }
+        endAttempt(AttemptResult::TimedOut);
+        m_mayHaveRun = true;
+        again("no_response");
+    }
+
+    void responded(Http::Response response)
+    {
+        const Dialect &dialect = m_runner.m_dialect;
+        if (const std::string *text = response.fields.find(dialect.serverLoad)) {
+            if (const auto load = parseLoadReport(*text, m_runner.m_loop.now())) {
+                m_runner.m_servers.noteLoad(m_choice.server, *load);
+            }
+        }
+        if (response.fields.find(dialect.notRun) != nullptr || response.status == 421) {
+            endAttempt(AttemptResult::Rejected);
+            notRun("rejected_by_server");
+            return;
+        }
+        m_mayHaveRun = true;
+        const bool isSuccess = response.status >= 200 && response.status < 300;
+        const bool hasStamp = response.fields.find(dialect.serverStamp) != nullptr;
+        const bool hasId = response.fields.find(dialect.requestId) != nullptr;
+        if (!hasStamp || !hasId) {
+            endAttempt(AttemptResult::Broken);
+            unknown("unsigned_response", nullptr);
+            return;
+        }
+        if (isSuccess || response.status < 500) {
+            endAttempt(AttemptResult::Served);
+            pass(std::move(response));
+            return;
+        }
+        endAttempt(AttemptResult::Failed);
+        unknown("failure_of_server", &response);
+    }
+
+    void failed(AttemptFailure failure)
+    {
+        endAttempt(AttemptResult::Broken);
+        if (failure == AttemptFailure::NotSent) {
+            // Nothing reached the server, so another try costs it nothing.
+            if (m_tried.size() < MaxConnectTries) {
+                again("not_connected");
+            } else {
+                reject("not_connected");
+            }
+            return;
+        }
+        m_mayHaveRun = true;
+        unknown("connection_lost", nullptr);
+    }
+
+    /// The server did not run the request: any request may be sent elsewhere.
+    void notRun(const char *reason)
+    {
+        if (m_isGone) {
+            finish("caller_gone", 0);
+            return;
+        }
+        const bool mayRepeat = m_tried.size() < m_route->maxAttempts;
+        if (mayRepeat && m_runner.takeBudget(m_service)) {
+            again(reason);
+        } else if (m_mayHaveRun) {
+            fail(502, reason);
+        } else {
+            reject(mayRepeat ? "retry_budget_spent" : reason);
+        }
+    }
+
+    /// The request may have run: only a safe one may be sent elsewhere. \p response is passed on otherwise, when there is one.
+    void unknown(const char *reason, Http::Response *response)
+    {
+        if (m_isGone) {
+            finish("caller_gone", 0);
+            return;
+        }
+        const bool mayRepeat = isSafe() && m_tried.size() < m_route->maxAttempts;
+        if (mayRepeat && m_runner.takeBudget(m_service)) {
+            again(reason);
+        } else if (response != nullptr && !isPromise(response->status)) {
+            pass(std::move(*response));
+        } else {
+            fail(502, reason);
+        }
+    }
+
+    void again(const char *reason)
+    {
+        m_reason = reason;
+        ++m_runner.m_counters.furtherAttempts;
+        attempt();
+    }
+
+    void endAttempt(AttemptResult result)
+    {
+        m_runner.m_loop.cancel(m_patienceTimer);
+        m_patienceTimer = 0;
+        const Instant now = m_runner.m_loop.now();
+        m_runner.m_servers.noteEnd(m_choice.server, result, now - m_attemptAt, now);
+        if (m_attempt != nullptr) {
+            m_attempt->cancel();
+            // Its callback may be running.
+            m_runner.m_loop.defer([attempt = std::move(m_attempt)] {});
+            m_attempt = nullptr;
+        }
+    }
+
+    void callerGone()
+    {
+        ++m_runner.m_counters.callerGone;
+        m_isGone = true;
+        if (m_attempt == nullptr) {
+            finish("caller_gone", 0);
+            return;
+        }
+        if (isSafe()) {
+            endAttempt(AttemptResult::Abandoned);
+            finish("caller_gone", 0);
+        }
+        // A request that runs once at most is left to finish: it does its work even though nobody waits for the response.
+    }
+
+    void deadlinePassed()
+    {
+        m_deadlineTimer = 0;
+        if (m_attempt != nullptr) {
+            m_mayHaveRun = m_mayHaveRun || m_attempt->isSent();
+            endAttempt(AttemptResult::TimedOut);
+        }
+        if (m_mayHaveRun) {
+            ++m_runner.m_counters.timedOut;
+            fail(504, "deadline");
+        } else {
+            reject("deadline");
+        }
+    }
+
+    void pass(Http::Response response)
+    {
+        const unsigned status = response.status;
+        response.fields.removeConnectionFields();
+        ++m_runner.m_counters.answered;
+        m_exchange->respond(std::move(response));
+        finish("answered", status);
+    }
+
+    void fail(unsigned status, const char *reason)
+    {
+        ++m_runner.m_counters.failed;
+        m_exchange->respond(Http::makeResponse(status));
+        m_reason = reason;
+        finish("failed", status);
+    }
+
+    void reject(const char *reason)
+    {
+        if (m_mayHaveRun) {
+            fail(502, reason);
+            return;
+        }
+        ++m_runner.m_counters.rejected;
+        m_exchange->respond(m_runner.makeRejection(DefaultComeBack));
+        m_reason = reason;
+        finish("rejected", 503);
+    }
+
+    void finish(const char *outcome, unsigned status)
+    {
+        m_runner.m_loop.cancel(m_deadlineTimer);
+        m_runner.m_loop.cancel(m_patienceTimer);
+        const Instant now = m_runner.m_loop.now();
+        const bool isGood = status >= 200 && status < 300 && m_tried.size() == 1 && now - m_startedAt <= m_route->objective;
+        if (m_runner.m_log.admit(isGood, now)) {
+            writeLine(outcome, status, now);
+        }
+        m_runner.m_loop.defer([&runner = m_runner, self = shared_from_this()] { runner.m_runs.erase(self); });
+    }
+
+    void writeLine(const char *outcome, unsigned status, Instant now) const
+    {
+        std::string tried;
+        for (const ServerId &it : m_tried) {
+            tried.append(tried.empty() ? "" : ",").append(it.value());
+        }
+        m_runner.m_log.write({
+            { "id", m_requestId },
+            { "outcome", outcome },
+            { "status", std::to_string(status) },
+            { "reason", m_reason },
+            { "route", m_route->name },
+            { "service", m_service.value() },
+            { "config", std::to_string(m_runner.m_version.value()) },
+            { "servers", tried },
+            { "expected_ms", milliseconds(m_choice.expected) },
+            { "occupancy", std::to_string(m_choice.occupancy) },
+            { "took_ms", milliseconds(now - m_startedAt) },
+            { "budget", std::to_string(m_runner.budgetOf(m_service).tokens()) },
+        });
+    }
+
+    /// Connections that are tried for one request when none is established.
+    static constexpr std::size_t MaxConnectTries = 4;
+
+    RequestRunner &m_runner;
+    Http::ExchangePointer m_exchange;
+    Routing::RoutePointer m_route;
+    ServiceId m_service;
+    std::string m_requestId;
+    Instant m_startedAt {};
+    Instant m_giveUpAt {};
+    Instant m_deadline {};
+    Instant m_attemptAt {};
+    ServerChoice m_choice;
+    std::vector<ServerId> m_tried;
+    std::shared_ptr<Attempt> m_attempt;
+    const char *m_reason = "none";
+    bool m_mayHaveRun = false;
+    bool m_isGone = false;
+    Net::TimerId m_deadlineTimer = 0;
+    Net::TimerId m_patienceTimer = 0;
+};
+
+RequestRunner::RequestRunner(Net::EventLoop &loop, RandomSource &random, Dialect dialect, RetryBudgetSettings budget, ServerTable &servers)
+    : m_loop(loop)
+    , m_random(random)
+    , m_dialect(std::move(dialect))
+    , m_budgetSettings(budget)
+    , m_servers(servers)
+    , m_pool(loop, m_dialect.requestId)
+    , m_splits(random)
+    , m_log(RequestLogSettings {})
+{
+}
+
+RequestRunner::~RequestRunner() = default;
+
+void RequestRunner::setConfig(const Routing::RoutingConfig &config)
+{
+    m_routes = std::make_unique<Routing::RouteTable>(config);
+    m_version = config.version;
+    m_splits.reset();
+}
+
+bool RequestRunner::hasConfig() const
+{
+    return m_routes != nullptr;
+}
+
+void RequestRunner::setEntryCount(unsigned count)
+{
+    m_entryCount = count;
+}
+
+void RequestRunner::handle(const Http::ExchangePointer &exchange)
+{
+    ++m_counters.received;
+    const Http::Request &request = exchange->request();
+    const std::string *host = request.fields.find("Host");
+    const std::string *id = request.fields.find(m_dialect.requestId);
+    if (host == nullptr || id == nullptr || id->empty()) {
+        exchange->respond(Http::makeResponse(400));
+        return;
+    }
+    if (m_routes == nullptr) {
+        ++m_counters.noConfig;
+        exchange->respond(makeRejection(DefaultComeBack));
+        return;
+    }
+    Routing::RoutePointer route = m_routes->find(*host, request.path());
+    if (route == nullptr) {
+        ++m_counters.noRoute;
+        exchange->respond(Http::makeResponse(404));
+        return;
+    }
+    auto run = std::make_shared<Run>(*this, exchange, std::move(route));
+    m_runs.insert(run);
+    run->start();
+}
+
+void RequestRunner::retire(const std::vector<ServerId> &servers)
+{
+    for (const ServerId &it : servers) {
+        m_pool.retire(it);
+    }
+}
+
+std::size_t RequestRunner::running() const
+{
+    return m_runs.size();
+}
+
+const RequestCounters &RequestRunner::counters() const
+{
+    return m_counters;
+}
+
+Http::Response RequestRunner::makeRejection(Duration comeBack) const
+{
+    // Spread over half of the time again, so that callers rejected together do not come back together.
+    const Duration spread =
+        comeBack + Duration(static_cast<Duration::rep>(m_random.below(static_cast<std::uint64_t>(comeBack.count()) / 2 + 1)));
+    std::array<char, 32> buf {};
+    std::snprintf(buf.data(), buf.size(), "%.3f", std::chrono::duration<double>(spread).count());
+    Http::Response response = Http::makeResponse(503);
+    response.fields.add(m_dialect.retryAfter, buf.data());
+    return response;
+}
+
+RetryBudget &RequestRunner::budgetOf(const ServiceId &service)
+{
+    return m_budgets.try_emplace(service, m_budgetSettings, m_loop.now()).first->second;
+}
+
+bool RequestRunner::takeBudget(const ServiceId &service)
+{
+    if (budgetOf(service).take(m_entryCount, m_loop.now())) {
+        return true;
+    }
+    ++m_counters.budgetSpent;
+    return false;
+}
+
+}
--- /dev/null
+++ b/packages/gateway/gateway/requestrunner.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <memory>
+#include <set>
+
+#include "gateway/dialect.h"
+#include "gateway/requestlog.h"
+#include "gateway/retrybudget.h"
+#include "gateway/servertable.h"
+#include "gateway/splitchooser.h"
+#include "gateway/upstreampool.h"
+#include "http/server.h"
+#include "routing/routetable.h"
+
+namespace Galenabarrow::Gateway
+{
+
+/// Counters of an entry's requests.
+struct RequestCounters {
+    std::uint64_t received = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t noConfig = 0;
+    std::uint64_t noRoute = 0;
+    std::uint64_t rejected = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t timedOut = 0;
+    std::uint64_t callerGone = 0;
+    std::uint64_t attempts = 0;
+    std::uint64_t furtherAttempts = 0;
+    std::uint64_t budgetSpent = 0;
+};
+
+/// Runs the requests of callers: finds the route, chooses servers, sends attempts within the limits of the route and the
+/// budget, and answers. On the thread of its event loop.
+class RequestRunner
+{
+public:
+    RequestRunner(Net::EventLoop &loop, RandomSource &random, Dialect dialect, RetryBudgetSettings budget, ServerTable &servers);
+    ~RequestRunner();
+    RequestRunner(const RequestRunner &) = delete;
+    RequestRunner &operator=(const RequestRunner &) = delete;
+
+    /// Requests that run keep the route they started with.
+    void setConfig(const Routing::RoutingConfig &config);
+    bool hasConfig() const;
+    void setEntryCount(unsigned count);
+    void handle(const Http::ExchangePointer &exchange);
+    /// Closes the idle connections to servers that left.
+    void retire(const std::vector<ServerId> &servers);
+    std::size_t running() const;
+    const RequestCounters &counters() const;
+
+private:
+    class Run;
+
+    Http::Response makeRejection(Duration comeBack) const;
+    bool takeBudget(const ServiceId &service);
+    RetryBudget &budgetOf(const ServiceId &service);
+
+    Net::EventLoop &m_loop;
+    RandomSource &m_random;
+    Dialect m_dialect;
+    RetryBudgetSettings m_budgetSettings;
+    ServerTable &m_servers;
+    UpstreamPool m_pool;
+    SplitChooser m_splits;
+    std::unique_ptr<Routing::RouteTable> m_routes;
+    Version m_version;
+    std::map<ServiceId, RetryBudget> m_budgets;
+    unsigned m_entryCount = 1;
+    RequestLog m_log;
+    RequestCounters m_counters;
+    std::set<std::shared_ptr<Run>> m_runs;
+};
+
+}
--- /dev/null
+++ b/packages/gateway/gateway/servertable.cpp
@@ -0,0 +1,298 @@
+#include "gateway/servertable.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Galenabarrow::Gateway
+{
+
+namespace
+{
+
+/// Time in which a load report loses most of its meaning: about the duration of a request, and of a disturbance by
+/// neighbours on the machine.
+constexpr double ReportLifeSeconds = 0.15;
+/// Weight of the newest sample in the moving averages.
+constexpr double AverageWeight = 0.05;
+constexpr double HealthWeight = 0.25;
+/// Usual slowness of shared machines, expected where no fresh report says more.
+constexpr double UsualSlowness = 1.5;
+/// Occupancy from which servers slow down, and by how much when full; see the platform's notes on nearly full servers.
+constexpr double KneeOccupancy = 0.8;
+constexpr double KneeSlowdown = 0.7;
+/// Share of the objective that a request may take longer to stay in the own data centre.
+constexpr double CrossingShare = 0.5;
+/// A server that starts takes about twice as long.
+constexpr double ColdSlowdown = 1.0;
+/// Failures in a row after which a server is avoided, and the share of failures.
+constexpr unsigned MaxConsecutiveBroken = 2;
+constexpr double MaxFailureShare = 0.4;
+constexpr unsigned MinSamples = 4;
+/// How long a server is avoided at first, and at most.
+constexpr Duration FirstAvoidance = std::chrono::seconds(1);
+constexpr Duration MaxAvoidance = std::chrono::seconds(8);
+/// At most this share of a service's servers is avoided at a time.
+constexpr double MaxAvoidedShare = 0.5;
+/// Scores that differ by less are equal: reports are not more precise.
+constexpr double EqualScoreSeconds = 0.01;
+
+double seconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+void average(double &value, double sample, double weight)
+{
+    value += (sample - value) * weight;
+}
+
+}
+
+ServerTable::ServerTable(DataCentreId own, RandomSource &random)
+    : m_own(std::move(own))
+    , m_random(random)
+{
+}
+
+void ServerTable::apply(const Coordination::FeedUpdate &update, Instant now)
+{
+    if (update.isWhole) {
+        std::set<ServerId> named;
+        for (const Routing::BackendServer &it : update.servers) {
+            named.insert(it.id);
+        }
+        std::vector<ServerId> missing;
+        for (const auto &[id, row] : m_rows) {
+            if (!named.contains(id) && row.server.changedAt <= update.index) {
+                missing.push_back(id);
+            }
+        }
+        for (const ServerId &it : missing) {
+            remove(it);
+        }
+    }
+    for (const Routing::BackendServer &it : update.servers) {
+        put(it, now);
+    }
+    for (auto &[id, row] : m_rows) {
+        row.isSilent = std::find(update.silent.begin(), update.silent.end(), id) != update.silent.end();
+    }
+    if (!update.servers.empty() || update.isWhole) {
+        rebuildServices();
+    }
+}
+
+void ServerTable::put(const Routing::BackendServer &server, Instant now)
+{
+    const auto it = m_rows.find(server.id);
+    if (it != m_rows.end() && it->second.server.changedAt >= server.changedAt) {
+        return; // from a core instance that lags
+    }
+    if (server.state == Routing::ServerState::Gone) {
+        remove(server.id);
+        return;
+    }
+    if (it != m_rows.end() && it->second.server.born != server.born) {
+        remove(server.id);
+    }
+    ServerRow &row = m_rows[server.id];
+    const bool isNew = row.server.id != server.id;
+    row.server = server;
+    if (isNew) {
+        row.coldUntil = now + server.coldLeft;
+    }
+}
+
+void ServerTable::remove(const ServerId &server)
+{
+    if (m_rows.erase(server) > 0) {
+        m_gone.push_back(server);
+    }
+}
+
+void ServerTable::rebuildServices()
+{
+    for (auto &[name, service] : m_services) {
+        service.servers.clear();
+    }
+    for (const auto &[id, row] : m_rows) {
+        if (row.server.state == Routing::ServerState::Ready) {
+            m_services[row.server.service].servers.push_back(id);
+        }
+    }
+}
+
+std::optional<ServerChoice> ServerTable::choose(const ChoiceInput &input, Instant now) const
+{
+    const auto service = m_services.find(input.service);
+    if (service == m_services.end()) {
+        return std::nullopt;
+    }
+    const ServerRow *best = nullptr;
+    double bestScore = 0;
+    unsigned ties = 0;
+    for (const ServerId &id : service->second.servers) {
+        if (std::find(input.tried.begin(), input.tried.end(), id) != input.tried.end()) {
+            continue;
+        }
+        const ServerRow &row = m_rows.at(id);
+        const double value = score(row, service->second, input, now);
+        const bool isEqual = best != nullptr && std::abs(value - bestScore) < EqualScoreSeconds;
+        if (isEqual) {
+            ++ties;
+            if (m_random.below(ties) == 0) {
+                best = &row;
+            }
+        } else if (best == nullptr || value < bestScore) {
+            best = &row;
+            bestScore = value;
+            ties = 1;
+        }
+    }
+    if (best == nullptr) {
+        return std::nullopt;
+    }
+    ServerChoice choice;
+    choice.server = best->server.id;
+    choice.expected = Duration(static_cast<Duration::rep>(bestScore * 1e6));
+    choice.occupancy = (best->inFlight + expectedOthers(*best, service->second, now)) / best->server.slots;
+    return choice;
+}
+
+double ServerTable::expectedOthers(const ServerRow &row, const ServiceRow &service, Instant now) const
+{
+    if (!row.load) {
+        return service.othersPerServer;
+    }
+    const double reported = static_cast<double>(row.load->running) + row.load->waiting;
+    const double others = std::max(0.0, reported - row.inFlightAtLoad);
+    const double freshness = std::exp(-seconds(now - row.load->at) / ReportLifeSeconds);
+    return service.othersPerServer + (others - service.othersPerServer) * freshness;
+}
+
+double ServerTable::expectedSlowness(const ServerRow &row, Instant now) const
+{
+    if (!row.load) {
+        return UsualSlowness;
+    }
+    const double freshness = std::exp(-seconds(now - row.load->at) / ReportLifeSeconds);
+    return UsualSlowness + (row.load->slowness - UsualSlowness) * freshness;
+}
+
+double ServerTable::score(const ServerRow &row, const ServiceRow &service, const ChoiceInput &input, Instant now) const
+{
+    const double slots = row.server.slots;
+    const double load = row.inFlight + expectedOthers(row, service, now);
+    const double occupancy = (load + 1) / slots;
+    const double knee = std::clamp((occupancy - KneeOccupancy) / (1 - KneeOccupancy), 0.0, 1.0) * KneeSlowdown;
+    const double work = service.workSeconds * expectedSlowness(row, now) / UsualSlowness;
+    const double waiting = std::max(0.0, load + 1 - slots) / slots;
+    double value = work * (1 + knee + waiting);
+    if (now < row.coldUntil) {
+        value += work * ColdSlowdown;
+    }
+    if (row.server.dataCentre != m_own) {
+        value += seconds(input.objective) * CrossingShare;
+    }
+    // A request that fails costs at least another attempt.
+    value += (row.failureShare + row.rejectionShare) * seconds(input.objective);
+    if (row.isSilent || now < row.avoidedUntil) {
+        value += seconds(MaxAvoidance);
+    }
+    return value;
+}
+
+const ServerRow *ServerTable::find(const ServerId &server) const
+{
+    const auto it = m_rows.find(server);
+    return it == m_rows.end() ? nullptr : &it->second;
+}
+
+void ServerTable::noteStart(const ServerId &server)
+{
+    const auto it = m_rows.find(server);
+    if (it != m_rows.end()) {
+        ++it->second.inFlight;
+    }
+}
+
+void ServerTable::noteEnd(const ServerId &server, AttemptResult result, Duration took, Instant now)
+{
+    const auto it = m_rows.find(server);
+    if (it == m_rows.end()) {
+        return;
+    }
+    ServerRow &row = it->second;
+    row.inFlight -= row.inFlight > 0 ? 1 : 0;
+    if (result == AttemptResult::Abandoned) {
+        return;
+    }
+    ++row.samples;
+    const bool isBroken = result == AttemptResult::Broken || result == AttemptResult::TimedOut;
+    const bool isFailure = isBroken || result == AttemptResult::Failed;
+    average(row.failureShare, isFailure ? 1 : 0, HealthWeight);
+    average(row.rejectionShare, result == AttemptResult::Rejected ? 1 : 0, HealthWeight);
+    row.consecutiveBroken = isBroken ? row.consecutiveBroken + 1 : 0;
+    if (result == AttemptResult::Served) {
+        average(m_services[row.server.service].workSeconds, seconds(took), AverageWeight);
+        row.avoidance = row.failureShare < MaxFailureShare / 2 ? Duration {} : row.avoidance;
+    }
+    const bool isUnhealthy = row.samples >= MinSamples && row.failureShare > MaxFailureShare;
+    if (isFailure && (row.consecutiveBroken >= MaxConsecutiveBroken || isUnhealthy)) {
+        avoid(row, now);
+    }
+}
+
+void ServerTable::avoid(ServerRow &row, Instant now)
+{
+    if (now < row.avoidedUntil || !mayAvoid(m_services[row.server.service], now)) {
+        return;
+    }
+    row.avoidance = std::clamp(row.avoidance * 2, FirstAvoidance, MaxAvoidance);
+    row.avoidedUntil = now + row.avoidance;
+}
+
+bool ServerTable::mayAvoid(const ServiceRow &service, Instant now) const
+{
+    const auto avoided =
+        std::count_if(service.servers.begin(), service.servers.end(), [&](const ServerId &it) { return now < m_rows.at(it).avoidedUntil; });
+    return static_cast<double>(avoided + 1) <= static_cast<double>(service.servers.size()) * MaxAvoidedShare;
+}
+
+void ServerTable::noteLoad(const ServerId &server, const LoadReport &report)
+{
+    const auto it = m_rows.find(server);
+    if (it == m_rows.end()) {
+        return;
+    }
+    ServerRow &row = it->second;
+    row.load = report;
+    row.inFlightAtLoad = row.inFlight;
+    const double others = std::max(0.0, static_cast<double>(report.running) + report.waiting - row.inFlight);
+    average(m_services[row.server.service].othersPerServer, others, AverageWeight);
+}
+
+Duration ServerTable::workTime(const ServiceId &service) const
+{
+    const auto it = m_services.find(service);
+    const double value = it == m_services.end() ? DefaultWorkSeconds : it->second.workSeconds;
+    return Duration(static_cast<Duration::rep>(value * 1e6));
+}
+
+std::size_t ServerTable::readyCount(const ServiceId &service) const
+{
+    const auto it = m_services.find(service);
+    return it == m_services.end() ? 0 : it->second.servers.size();
+}
+
+std::size_t ServerTable::size() const
+{
+    return m_rows.size();
+}
+
+std::vector<ServerId> ServerTable::takeGone()
+{
+    return std::exchange(m_gone, {});
+}
+
+}
--- /dev/null
+++ b/packages/gateway/gateway/servertable.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "base/random.h"
+#include "coordination/feed.h"
+#include "gateway/loadreport.h"
+#include "routing/model.h"
+
+namespace Galenabarrow::Gateway
+{
+
+/// How one attempt at a server ended, as far as its health is concerned.
+enum class AttemptResult {
+    /// A whole response that is not a failure.
+    Served,
+    /// The server stated that it did not run the request.
+    Rejected,
+    /// A whole response that is a failure of the server.
+    Failed,
+    /// No connection, a broken connection, or bytes that are not a response.
+    Broken,
+    /// No response in time.
+    TimedOut,
+    /// The caller left, or the entry gave up for another reason: says nothing.
+    Abandoned,
+};
+
+/// A backend server as this entry sees it.
+struct ServerRow {
+    Routing::BackendServer server;
+    /// Requests of this entry at the server.
+    unsigned inFlight = 0;
+    /// The newest report, and the requests of this entry when it came.
+    std::optional<LoadReport> load;
+    unsigned inFlightAtLoad = 0;
+    /// Moving shares of attempts that failed, and that were rejected.
+    double failureShare = 0;
+    double rejectionShare = 0;
+    unsigned consecutiveBroken = 0;
+    unsigned samples = 0;
+    /// Gets no requests before that time, while others can take them.
+    Instant avoidedUntil {};
+    Duration avoidance {};
+    /// It starts slowly until then.
+    Instant coldUntil {};
+    /// It has not announced itself for too long.
+    bool isSilent = false;
+};
+
+/// What a choice of server was based on, for the log.
+struct ServerChoice {
+    ServerId server;
+    Duration expected {};
+    /// Requests that are expected at the server besides the new one, per slot.
+    double occupancy = 0;
+};
+
+/// What the request needs of its server.
+struct ChoiceInput {
+    ServiceId service;
+    Duration objective {};
+    /// Servers that were tried for this request.
+    std::vector<ServerId> tried;
+};
+
+/// The backend servers known to an entry, and the choice among them. No sockets; deterministic for a seed.
+class ServerTable
+{
+public:
+    ServerTable(DataCentreId own, RandomSource &random);
+
+    /// Takes the servers of a feed update.
+    void apply(const Coordination::FeedUpdate &update, Instant now);
+    /// The best server for a request; absent when the service has none that may take one.
+    std::optional<ServerChoice> choose(const ChoiceInput &input, Instant now) const;
+    /// Null for a server that is not known, or left.
+    const ServerRow *find(const ServerId &server) const;
+    /// A request was sent to the server.
+    void noteStart(const ServerId &server);
+    /// An attempt ended after \p took at the server.
+    void noteEnd(const ServerId &server, AttemptResult result, Duration took, Instant now);
+    void noteLoad(const ServerId &server, const LoadReport &report);
+    /// The usual duration of work at the service.
+    Duration workTime(const ServiceId &service) const;
+    /// Ready servers of the service.
+    std::size_t readyCount(const ServiceId &service) const;
+    std::size_t size() const;
+    /// Servers whose connections are to be closed: they left, or were replaced.
+    std::vector<ServerId> takeGone();
+
+private:
+    struct ServiceRow {
+        std::vector<ServerId> servers;
+        /// Moving average of the duration of served requests.
+        double workSeconds = DefaultWorkSeconds;
+        /// Moving average of the requests of other entries at a server.
+        double othersPerServer = 0;
+    };
+    static constexpr double DefaultWorkSeconds = 0.15;
+
+    void put(const Routing::BackendServer &server, Instant now);
+    void remove(const ServerId &server);
+    void rebuildServices();
+    double expectedOthers(const ServerRow &row, const ServiceRow &service, Instant now) const;
+    double expectedSlowness(const ServerRow &row, Instant now) const;
+    double score(const ServerRow &row, const ServiceRow &service, const ChoiceInput &input, Instant now) const;
+    bool mayAvoid(const ServiceRow &service, Instant now) const;
+    void avoid(ServerRow &row, Instant now);
+
+    DataCentreId m_own;
+    RandomSource &m_random;
+    std::map<ServerId, ServerRow> m_rows;
+    std::map<ServiceId, ServiceRow> m_services;
+    std::vector<ServerId> m_gone;
+};
+
+}
--- /dev/null
+++ b/packages/gateway/gateway/upstreampool.cpp
@@ -0,0 +1,389 @@
+#include "gateway/upstreampool.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace Galenabarrow::Gateway
+{
+
+namespace
+{
+
+/// Time for a connection to be established; several round trips between data centres.
+constexpr Duration ConnectLimit = std::chrono::milliseconds(250);
+/// An idle connection is closed after this time: servers close theirs soon after, and a request that crosses that close
+/// may or may not have run.
+constexpr Duration IdleLimit = std::chrono::milliseconds(7000);
+/// Distance to the idle timeout that a server states.
+constexpr Duration IdleMargin = std::chrono::milliseconds(1000);
+constexpr Duration ExpiryInterval = std::chrono::milliseconds(500);
+/// Idle connections kept to one server; more than a server has slots for one entry is of no use.
+constexpr std::size_t MaxIdlePerServer = 4;
+
+/// The idle timeout that a response states; absent without one.
+std::optional<Duration> statedIdleTimeout(const Http::Response &response)
+{
+    const std::string *field = response.fields.find("Keep-Alive");
+    if (field == nullptr) {
+        return std::nullopt;
+    }
+    constexpr std::string_view Name = "timeout=";
+    const std::size_t at = field->find(Name);
+    if (at == std::string::npos) {
+        return std::nullopt;
+    }
+    unsigned value = 0;
+    const char *begin = field->data() + at + Name.size();
+    const auto [end, ec] = std::from_chars(begin, field->data() + field->size(), value);
+    if (ec != std::errc() || end == begin) {
+        return std::nullopt;
+    }
+    return std::chrono::seconds(value);
+}
+
+}
+
+/// A connection to one server, with at most one request at a time.
+class UpstreamConnection : public std::enable_shared_from_this<UpstreamConnection>
+{
+public:
+    UpstreamConnection(UpstreamPool &pool, ServerId server)
+        : m_pool(pool)
+        , m_server(std::move(server))
+    {
+    }
+
+    bool open(const std::string &address)
+    {
+        const std::optional<Net::SocketAddress> target = Net::parseSocketAddress(address);
+        m_stream = target ? Net::Stream::connect(m_pool.m_loop, *target) : nullptr;
+        if (m_stream == nullptr) {
+            return false;
+        }
+        m_stream->onConnected([this] { m_pool.m_loop.cancel(m_connectTimer); });
+        m_stream->onData([this](std::string_view bytes) { receive(bytes); });
+        m_stream->onEnd([this](Net::StreamEnd reason) { ended(reason); });
+        m_connectTimer = m_pool.m_loop.after(ConnectLimit, [weak = weak_from_this()] {
+            if (const auto self = weak.lock()) {
+                self->connectTimedOut();
+            }
+        });
+        return true;
+    }
+
+    void start(Attempt &attempt, UpstreamRequest request)
+    {
+        m_attempt = &attempt;
+        m_requestId = std::move(request.requestId);
+        m_isHead = request.isHead;
+        m_reader.expect(m_isHead);
+        m_stream->write(request.bytes);
+    }
+
+    void cancel()
+    {
+        m_attempt = nullptr;
+        close();
+    }
+
+    void close()
+    {
+        m_pool.m_loop.cancel(m_connectTimer);
+        if (m_stream != nullptr) {
+            m_stream->close();
+        }
+    }
+
+    bool isConnected() const
+    {
+        return m_stream != nullptr && m_stream->isConnected();
+    }
+
+    const ServerId &server() const
+    {
+        return m_server;
+    }
+
+    Duration idleLimit() const
+    {
+        return m_idleLimit;
+    }
+
+private:
+    void receive(std::string_view bytes)
+    {
+        const auto self = shared_from_this();
+        if (m_attempt == nullptr) {
+            ++m_pool.m_counters.surplus;
+            m_pool.forget(*this);
+            close();
+            return;
+        }
+        m_reader.feed(bytes);
+        proceed();
+    }
+
+    void proceed()
+    {
+        while (m_attempt != nullptr && m_reader.state() == Http::ReadState::Complete) {
+            const bool hasSurplus = m_reader.hasSurplus();
+            Http::Response response = m_reader.take();
+            if (response.status < 200) {
+                m_reader.expect(m_isHead);
+                continue;
+            }
+            const std::string *id = response.fields.find(m_pool.m_requestIdField);
+            if (id != nullptr && *id != m_requestId) {
+                // A late response to an earlier request; this one's own response follows it.
+                ++m_pool.m_counters.strayResponses;
+                m_isTainted = true;
+                m_reader.expect(m_isHead);
+                continue;
+            }
+            deliver(std::move(response), hasSurplus);
+            return;
+        }
+        if (m_attempt != nullptr && m_reader.state() == Http::ReadState::Failed) {
+            fail(AttemptFailure::Broken);
+        }
+    }
+
+    void deliver(Http::Response response, bool hasSurplus)
+    {
+        const bool isReusable = response.keepsAlive && !response.endsWithConnection && !hasSurplus && !m_isTainted && m_stream->isOpen()
+            && m_stream->unsent() == 0;
+        m_pool.m_counters.surplus += hasSurplus ? 1 : 0;
+        const std::optional<Duration> stated = statedIdleTimeout(response);
+        m_idleLimit = stated ? std::min(IdleLimit, std::max(*stated - IdleMargin, *stated / 2)) : IdleLimit;
+        Attempt *attempt = std::exchange(m_attempt, nullptr);
+        const auto self = std::move(attempt->m_connection);
+        if (isReusable) {
+            m_pool.keep(self);
+        } else {
+            close();
+        }
+        const auto callback = std::move(attempt->m_response);
+        callback(std::move(response));
+    }
+
+    void fail(AttemptFailure failure)
+    {
+        const auto self = shared_from_this();
+        close();
+        Attempt *attempt = std::exchange(m_attempt, nullptr);
+        if (attempt == nullptr) {
+            return;
+        }
+        attempt->m_connection.reset();
+        const auto callback = std::move(attempt->m_failure);
+        callback(failure);
+    }
+
+    void ended(Net::StreamEnd reason)
+    {
+        const auto self = shared_from_this();
+        m_pool.m_loop.cancel(m_connectTimer);
+        m_pool.forget(*this);
+        if (m_attempt == nullptr) {
+            return;
+        }
+        if (reason == Net::StreamEnd::Closed) {
+            m_reader.finish();
+            proceed();
+            if (m_attempt == nullptr) {
+                return;
+            }
+        }
+        fail(m_stream->wasConnected() ? AttemptFailure::Broken : AttemptFailure::NotSent);
+    }
+
+    void connectTimedOut()
+    {
+        if (!m_stream->isConnected()) {
+            fail(AttemptFailure::NotSent);
+        }
+    }
+
+    UpstreamPool &m_pool;
+    ServerId m_server;
+    std::shared_ptr<Net::Stream> m_stream;
+    Http::ResponseReader m_reader;
+    Attempt *m_attempt = nullptr;
+    std::string m_requestId;
+    bool m_isHead = false;
+    bool m_isTainted = false;
+    Duration m_idleLimit = IdleLimit;
+    Net::TimerId m_connectTimer = 0;
+};
+
+Attempt::~Attempt()
+{
+    cancel();
+}
+
+void Attempt::onResponse(ResponseCallback callback)
+{
+    m_response = std::move(callback);
+}
+
+void Attempt::onFailure(FailureCallback callback)
+{
+    m_failure = std::move(callback);
+}
+
+void Attempt::cancel()
+{
+    if (m_connection != nullptr) {
+        m_connection->cancel();
+        m_connection.reset();
+    }
+}
+
+bool Attempt::isSent() const
+{
+    return m_connection != nullptr && m_connection->isConnected();
+}
+
+UpstreamPool::UpstreamPool(Net::EventLoop &loop, std::string requestIdField)
+    : m_loop(loop)
+    , m_requestIdField(std::move(requestIdField))
+{
+}
+
+UpstreamPool::~UpstreamPool()
+{
+    for (auto &[server, connections] : m_idle) {
+        for (Idle &it : connections) {
+            it.connection->close();
+        }
+    }
+}
+
+std::shared_ptr<Attempt> UpstreamPool::send(const Routing::BackendServer &server, UpstreamRequest request)
+{
+    auto attempt = std::make_shared<Attempt>();
+    m_retired.erase(server.id);
+    attempt->m_connection = takeIdle(server.id);
+    if (attempt->m_connection != nullptr) {
+        ++m_counters.reused;
+    } else {
+        ++m_counters.opened;
+        attempt->m_connection = std::make_shared<UpstreamConnection>(*this, server.id);
+        if (!attempt->m_connection->open(server.address)) {
+            attempt->m_connection.reset();
+            m_loop.defer([attempt] {
+                if (attempt->m_failure) {
+                    attempt->m_failure(AttemptFailure::NotSent);
+                }
+            });
+            return attempt;
+        }
+    }
+    const std::shared_ptr<UpstreamConnection> connection = attempt->m_connection;
+    // The callbacks are set by the caller after this call, so bytes are written when the caller is done.
+    m_loop.defer([weak = std::weak_ptr(attempt), connection, request = std::move(request)]() mutable {
+        const auto strong = weak.lock();
+        if (strong != nullptr && strong->m_connection == connection) {
+            connection->start(*strong, std::move(request));
+        }
+    });
+    return attempt;
+}
+
+void UpstreamPool::retire(const ServerId &server)
+{
+    m_retired.insert(server);
+    const auto it = m_idle.find(server);
+    if (it == m_idle.end()) {
+        return;
+    }
+    for (Idle &idle : it->second) {
+        idle.connection->close();
+    }
+    m_idle.erase(it);
+}
+
+const PoolCounters &UpstreamPool::counters() const
+{
+    return m_counters;
+}
+
+std::size_t UpstreamPool::idleCount() const
+{
+    std::size_t count = 0;
+    for (const auto &[server, connections] : m_idle) {
+        count += connections.size();
+    }
+    return count;
+}
+
+std::shared_ptr<UpstreamConnection> UpstreamPool::takeIdle(const ServerId &server)
+{
+    const auto it = m_idle.find(server);
+    if (it == m_idle.end()) {
+        return nullptr;
+    }
+    while (!it->second.empty()) {
+        // The one used last; others grow old and are closed.
+        const Idle idle = it->second.back();
+        it->second.pop_back();
+        if (idle.connection->isConnected() && m_loop.now() < idle.until) {
+            return idle.connection;
+        }
+        idle.connection->close();
+    }
+    return nullptr;
+}
+
+void UpstreamPool::keep(const std::shared_ptr<UpstreamConnection> &connection)
+{
+    std::list<Idle> &connections = m_idle[connection->server()];
+    if (m_retired.contains(connection->server()) || connections.size() >= MaxIdlePerServer) {
+        connection->close();
+        return;
+    }
+    connections.push_back(Idle { connection, m_loop.now() + connection->idleLimit() });
+    if (!m_isExpiryScheduled) {
+        m_isExpiryScheduled = true;
+        m_loop.after(ExpiryInterval, [this] { expireIdle(); });
+    }
+}
+
+void UpstreamPool::forget(UpstreamConnection &connection)
+{
+    const auto it = m_idle.find(connection.server());
+    if (it == m_idle.end()) {
+        return;
+    }
+    std::vector<std::shared_ptr<UpstreamConnection>> removed;
+    it->second.remove_if([&](const Idle &idle) {
+        const bool isIt = idle.connection.get() == &connection;
+        if (isIt) {
+            removed.push_back(idle.connection);
+        }
+        return isIt;
+    });
+    m_loop.defer([removed = std::move(removed)] {});
+}
+
+void UpstreamPool::expireIdle()
+{
+    m_isExpiryScheduled = false;
+    bool isEmpty = true;
+    for (auto &[server, connections] : m_idle) {
+        connections.remove_if([this](Idle &idle) {
+            const bool isOver = m_loop.now() >= idle.until || !idle.connection->isConnected();
+            if (isOver) {
+                idle.connection->close();
+            }
+            return isOver;
+        });
+        isEmpty = isEmpty && connections.empty();
+    }
+    if (!isEmpty) {
+        m_isExpiryScheduled = true;
+        m_loop.after(ExpiryInterval, [this] { expireIdle(); });
+    }
+}
+
+}
--- /dev/null
+++ b/packages/gateway/gateway/upstreampool.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "http/reader.h"
+#include "net/stream.h"
+#include "routing/model.h"
+
+namespace Galenabarrow::Gateway
+{
+
+/// Why an attempt ended without a response of its own.
+enum class AttemptFailure {
+    /// No connection was established: the request cannot have run.
+    NotSent,
+    /// The connection ended, or carried bytes that are not a response.
+    Broken,
+};
+
+/// A request on its way to one server.
+struct UpstreamRequest {
+    std::string bytes;
+    std::string requestId;
+    bool isHead = false;
+};
+
+class UpstreamConnection;
+
+/// One attempt at one server; keeps the connection while it lives.
+class Attempt
+{
+public:
+    using ResponseCallback = std::function<void(Http::Response)>;
+    using FailureCallback = std::function<void(AttemptFailure)>;
+
+    ~Attempt();
+    void onResponse(ResponseCallback callback);
+    void onFailure(FailureCallback callback);
+    /// Closes the connection, which most servers take as a cancellation. No callback follows.
+    void cancel();
+    /// The connection is established and the request handed to it.
+    bool isSent() const;
+
+private:
+    friend class UpstreamConnection;
+    friend class UpstreamPool;
+    std::shared_ptr<UpstreamConnection> m_connection;
+    ResponseCallback m_response;
+    FailureCallback m_failure;
+};
+
+/// Counters of a pool.
+struct PoolCounters {
+    std::uint64_t opened = 0;
+    std::uint64_t reused = 0;
+    /// Responses that belonged to no request, or to another one.
+    std::uint64_t strayResponses = 0;
+    /// Connections closed because of bytes that belong to no request.
+    std::uint64_t surplus = 0;
+};
+
+/// Connections to backend servers, kept open between requests.
+class UpstreamPool
+{
+public:
+    /// \p requestIdField: the header field that servers echo.
+    UpstreamPool(Net::EventLoop &loop, std::string requestIdField);
+    ~UpstreamPool();
+
+    /// Sends \p request on an idle connection, or on a new one.
+    std::shared_ptr<Attempt> send(const Routing::BackendServer &server, UpstreamRequest request);
+    /// Closes the idle connections to a server; those with a request finish it first.
+    void retire(const ServerId &server);
+    const PoolCounters &counters() const;
+    std::size_t idleCount() const;
+
+private:
+    friend class UpstreamConnection;
+    struct Idle {
+        std::shared_ptr<UpstreamConnection> connection;
+        Instant until {};
+    };
+    std::shared_ptr<UpstreamConnection> takeIdle(const ServerId &server);
+    void keep(const std::shared_ptr<UpstreamConnection> &connection);
+    void forget(UpstreamConnection &connection);
+    void expireIdle();
+
+    Net::EventLoop &m_loop;
+    std::string m_requestIdField;
+    std::map<ServerId, std::list<Idle>> m_idle;
+    std::set<ServerId> m_retired;
+    PoolCounters m_counters;
+    bool m_isExpiryScheduled = false;
+};
+
+}
--- /dev/null
+++ b/packages/http/http/message.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Galenabarrow::Http
+{
+
+/// A header field as it came.
+struct Field {
+    std::string name;
+    std::string value;
+};
+
+/// Header fields in their order; names are compared without case.
+class Fields
+{
+public:
+    void add(std::string_view name, std::string_view value);
+    /// Replaces all fields of this name.
+    void set(std::string_view name, std::string_view value);
+    void remove(std::string_view name);
+    /// The value of the first field of this name; null without one.
+    const std::string *find(std::string_view name) const;
+    const std::vector<Field> &all() const;
+    /// Removes the fields that concern one connection only (RFC 9110, section 7.6.1), those that Connection names, and
+    /// Content-Length.
+    void removeConnectionFields();
+
+private:
+    std::vector<Field> m_fields;
+};
+
+bool equalsWithoutCase(std::string_view a, std::string_view b);
+
+struct Request {
+    std::string method;
+    std::string target;
+    Fields fields;
+    std::string body;
+    bool keepsAlive = true;
+
+    /// The target without its query.
+    std::string_view path() const;
+    /// The value of a parameter of the query, decoded; empty without one.
+    std::string parameter(std::string_view name) const;
+};
+
+struct Response {
+    unsigned status = 200;
+    std::string reason;
+    Fields fields;
+    std::string body;
+    bool keepsAlive = true;
+    /// An answer without a length, which its sender ended by closing the connection.
+    bool endsWithConnection = false;
+};
+
+/// A response with an optional JSON body.
+Response makeResponse(unsigned status, std::string body = {});
+/// The standard reason phrase of \p status.
+std::string_view reasonPhrase(unsigned status);
+
+/// The bytes of a request, framed by Content-Length.
+std::string serialize(const Request &request);
+/// The bytes of a response, framed by Content-Length; a response to HEAD has no body.
+std::string serialize(const Response &response, bool isHead);
+
+}
--- /dev/null
+++ b/packages/http/http/reader.cpp
@@ -0,0 +1,225 @@
+#include "http/reader.h"
+
+#include <limits>
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+namespace Galenabarrow::Http
+{
+
+namespace beast = boost::beast::http;
+
+namespace
+{
+
+/// Larger response headers are refused.
+constexpr std::uint32_t MaxResponseHeader = 65536;
+/// Larger response bodies are refused; a response is held whole before it is passed on.
+constexpr std::uint64_t MaxResponseBody = std::uint64_t { 64 } * 1024 * 1024;
+
+template<typename Parser>
+std::size_t put(Parser &parser, const std::string &input, std::size_t used, boost::beast::error_code &ec)
+{
+    return parser.put(boost::asio::const_buffer(input.data() + used, input.size() - used), ec);
+}
+
+/// Feeds \p input until the message is complete or more bytes are needed. Removes what was read.
+template<typename Parser>
+ReadState advance(Parser &parser, std::string &input, boost::beast::error_code &ec)
+{
+    std::size_t used = 0;
+    while (used < input.size() && !parser.is_done()) {
+        const std::size_t size = put(parser, input, used, ec);
+        used += size;
+        if (ec == beast::error::need_more) {
+            ec = {};
+            break;
+        }
+        if (ec) {
+            return ReadState::Failed;
+        }
+        if (size == 0) {
+            break;
+        }
+    }
+    input.erase(0, used);
+    if (parser.is_done()) {
+        return ReadState::Complete;
+    }
+    return parser.got_some() || !input.empty() ? ReadState::Partial : ReadState::Idle;
+}
+
+template<typename From>
+Fields toFields(const From &from)
+{
+    Fields fields;
+    for (const auto &it : from) {
+        fields.add(std::string_view(it.name_string().data(), it.name_string().size()),
+                   std::string_view(it.value().data(), it.value().size()));
+    }
+    return fields;
+}
+
+}
+
+struct RequestReader::Parser {
+    beast::request_parser<beast::string_body> parser;
+};
+
+RequestReader::RequestReader(ReaderLimits limits)
+    : m_limits(limits)
+{
+}
+
+RequestReader::~RequestReader() = default;
+RequestReader::RequestReader(RequestReader &&) noexcept = default;
+
+void RequestReader::setLimits(ReaderLimits limits)
+{
+    m_limits = limits;
+}
+
+ReadState RequestReader::feed(std::string_view bytes)
+{
+    m_input.append(bytes);
+    return m_state == ReadState::Complete || m_state == ReadState::Failed ? m_state : parse();
+}
+
+ReadState RequestReader::state() const
+{
+    return m_state;
+}
+
+bool RequestReader::hasHeader() const
+{
+    return m_parser != nullptr && m_parser->parser.is_header_done();
+}
+
+bool RequestReader::takeExpectsContinue()
+{
+    if (!hasHeader() || m_hasContinued || m_state != ReadState::Partial) {
+        return false;
+    }
+    m_hasContinued = true;
+    const auto it = m_parser->parser.get().find(beast::field::expect);
+    return it != m_parser->parser.get().end() && boost::beast::iequals(it->value(), "100-continue");
+}
+
+ResultCode RequestReader::failure() const
+{
+    return m_failure;
+}
+
+Request RequestReader::take()
+{
+    Request request;
+    auto &message = m_parser->parser.get();
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    request.fields = toFields(message);
+    request.body = std::move(message.body());
+    request.keepsAlive = m_parser->parser.keep_alive();
+    m_parser.reset();
+    m_hasContinued = false;
+    m_state = ReadState::Idle;
+    parse();
+    return request;
+}
+
+ReadState RequestReader::parse()
+{
+    if (m_parser == nullptr) {
+        // Empty lines before a request are allowed (RFC 9112, section 2.2).
+        m_input.erase(0, m_input.find_first_not_of("\r\n"));
+        if (m_input.empty()) {
+            m_state = ReadState::Idle;
+            return m_state;
+        }
+        m_parser = std::make_unique<Parser>();
+        m_parser->parser.eager(true);
+        m_parser->parser.header_limit(static_cast<std::uint32_t>(m_limits.headerBytes));
+        m_parser->parser.body_limit(m_limits.bodyBytes);
+    }
+    boost::beast::error_code ec;
+    m_state = advance(m_parser->parser, m_input, ec);
+    if (m_state == ReadState::Failed) {
+        m_failure = ec == beast::error::header_limit ? ResultCode::HeaderTooLarge
+            : ec == beast::error::body_limit         ? ResultCode::BodyTooLarge
+                                                     : ResultCode::HeaderInvalid;
+    } else if (m_state == ReadState::Partial && !hasHeader() && m_input.size() > m_limits.headerBytes) {
+        m_failure = ResultCode::HeaderTooLarge;
+        m_state = ReadState::Failed;
+    }
+    return m_state;
+}
+
+struct ResponseReader::Parser {
+    beast::response_parser<beast::string_body> parser;
+};
+
+ResponseReader::ResponseReader() = default;
+ResponseReader::~ResponseReader() = default;
+
+void ResponseReader::expect(bool isHead)
+{
+    m_parser = std::make_unique<Parser>();
+    m_parser->parser.eager(true);
+    m_parser->parser.header_limit(MaxResponseHeader);
+    m_parser->parser.body_limit(MaxResponseBody);
+    m_parser->parser.skip(isHead);
+    m_state = ReadState::Idle;
+    if (!m_input.empty()) {
+        parse();
+    }
+}
+
+ReadState ResponseReader::feed(std::string_view bytes)
+{
+    m_input.append(bytes);
+    return m_state == ReadState::Complete || m_state == ReadState::Failed || m_parser == nullptr ? m_state : parse();
+}
+
+ReadState ResponseReader::finish()
+{
+    if (m_parser == nullptr || m_state != ReadState::Partial || !m_parser->parser.is_header_done()) {
+        return m_state;
+    }
+    boost::beast::error_code ec;
+    m_parser->parser.put_eof(ec);
+    m_state = ec || !m_parser->parser.is_done() ? ReadState::Failed : ReadState::Complete;
+    return m_state;
+}
+
+ReadState ResponseReader::state() const
+{
+    return m_state;
+}
+
+bool ResponseReader::hasSurplus() const
+{
+    return !m_input.empty() && (m_parser == nullptr || m_state == ReadState::Complete);
+}
+
+Response ResponseReader::take()
+{
+    Response response;
+    auto &message = m_parser->parser.get();
+    response.status = message.result_int();
+    response.reason = std::string(message.reason());
+    response.keepsAlive = m_parser->parser.keep_alive();
+    response.endsWithConnection = m_parser->parser.need_eof();
+    response.fields = toFields(message);
+    response.body = std::move(message.body());
+    m_parser.reset();
+    return response;
+}
+
+ReadState ResponseReader::parse()
+{
+    boost::beast::error_code ec;
+    m_state = advance(m_parser->parser, m_input, ec);
+    return m_state;
+}
+
+}
--- /dev/null
+++ b/packages/http/http/server.cpp
@@ -0,0 +1,314 @@
+#include "http/server.h"
+
+#include <algorithm>
+
+namespace Galenabarrow::Http
+{
+
+/// One connection of a caller.
+class ServerConnection : public std::enable_shared_from_this<ServerConnection>
+{
+public:
+    ServerConnection(Server &server, std::shared_ptr<Net::Stream> stream);
+    void start();
+    void respond(Response response);
+    void close();
+    bool hasRequest() const;
+
+private:
+    void receive(std::string_view bytes);
+    void proceed();
+    void refuse(ResultCode code);
+    void deliver();
+    void peerClosed();
+    void armTimer();
+    void timeOut();
+    void remove();
+
+    Server &m_server;
+    std::shared_ptr<Net::Stream> m_stream;
+    RequestReader m_reader;
+    ExchangePointer m_exchange;
+    /// The response that ends the connection was written.
+    bool m_isEnding = false;
+    Net::TimerId m_timer = 0;
+    ReadState m_timerState = ReadState::Idle;
+    bool m_timerForBody = false;
+};
+
+Exchange::Exchange(Request request, Instant receivedAt, std::string peer, std::weak_ptr<ServerConnection> connection)
+    : m_request(std::move(request))
+    , m_receivedAt(receivedAt)
+    , m_peer(std::move(peer))
+    , m_connection(std::move(connection))
+{
+}
+
+const Request &Exchange::request() const
+{
+    return m_request;
+}
+
+Instant Exchange::receivedAt() const
+{
+    return m_receivedAt;
+}
+
+const std::string &Exchange::peer() const
+{
+    return m_peer;
+}
+
+void Exchange::respond(Response response)
+{
+    if (m_isAnswered) {
+        return;
+    }
+    m_isAnswered = true;
+    m_gone = nullptr;
+    if (const auto connection = m_connection.lock()) {
+        connection->respond(std::move(response));
+    }
+}
+
+bool Exchange::isAnswered() const
+{
+    return m_isAnswered;
+}
+
+void Exchange::onGone(std::function<void()> callback)
+{
+    m_gone = std::move(callback);
+}
+
+ServerConnection::ServerConnection(Server &server, std::shared_ptr<Net::Stream> stream)
+    : m_server(server)
+    , m_stream(std::move(stream))
+    , m_reader(server.m_limits.reader)
+{
+}
+
+void ServerConnection::start()
+{
+    m_stream->onData([this](std::string_view bytes) { receive(bytes); });
+    m_stream->onEnd([this](Net::StreamEnd) { peerClosed(); });
+    armTimer();
+}
+
+bool ServerConnection::hasRequest() const
+{
+    return m_exchange != nullptr || m_reader.state() != ReadState::Idle;
+}
+
+void ServerConnection::receive(std::string_view bytes)
+{
+    const auto self = shared_from_this();
+    if (m_isEnding) {
+        return; // a request that crosses the end of the connection is not read
+    }
+    m_reader.feed(bytes);
+    proceed();
+}
+
+void ServerConnection::proceed()
+{
+    if (m_exchange != nullptr) {
+        return; // a pipelined request waits for the response before it
+    }
+    if (m_reader.state() == ReadState::Failed) {
+        refuse(m_reader.failure());
+        return;
+    }
+    if (m_reader.state() == ReadState::Complete) {
+        deliver();
+        return;
+    }
+    if (m_reader.takeExpectsContinue()) {
+        m_stream->write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    armTimer();
+}
+
+void ServerConnection::refuse(ResultCode code)
+{
+    const unsigned status = code == ResultCode::HeaderTooLarge ? 431 : code == ResultCode::BodyTooLarge ? 413 : 400;
+    Response response = makeResponse(status);
+    response.keepsAlive = false;
+    m_isEnding = true;
+    m_stream->write(serialize(response, false));
+    m_stream->closeAfterFlush();
+    remove();
+}
+
+void ServerConnection::deliver()
+{
+    m_server.m_loop.cancel(m_timer);
+    m_timer = 0;
+    m_reader.setLimits(m_server.m_limits.reader);
+    m_exchange = std::make_shared<Exchange>(m_reader.take(), m_server.m_loop.now(), m_stream->peer(), weak_from_this());
+    const ExchangePointer exchange = m_exchange;
+    m_server.m_handler(exchange);
+}
+
+void ServerConnection::respond(Response response)
+{
+    const auto self = shared_from_this();
+    const bool isHead = m_exchange->request().method == "HEAD";
+    response.keepsAlive = m_exchange->request().keepsAlive && !m_server.m_isClosing;
+    m_exchange.reset();
+    m_stream->write(serialize(response, isHead));
+    if (!m_stream->isOpen()) {
+        remove();
+        return;
+    }
+    if (!response.keepsAlive) {
+        m_isEnding = true;
+        m_stream->closeAfterFlush();
+        if (!m_stream->isOpen()) {
+            remove();
+        }
+        return;
+    }
+    armTimer();
+    if (m_reader.state() == ReadState::Complete || m_reader.state() == ReadState::Failed) {
+        m_server.m_loop.defer([self] { self->proceed(); });
+    }
+}
+
+void ServerConnection::close()
+{
+    m_stream->close();
+    remove();
+}
+
+void ServerConnection::peerClosed()
+{
+    const auto self = shared_from_this();
+    const ExchangePointer exchange = std::move(m_exchange);
+    m_exchange.reset();
+    m_stream->close();
+    remove();
+    if (exchange != nullptr && exchange->m_gone) {
+        const auto gone = std::move(exchange->m_gone);
+        exchange->m_isAnswered = true;
+        gone();
+    }
+}
+
+void ServerConnection::armTimer()
+{
+    const ReadState state = m_reader.state();
+    const bool isBody = m_reader.hasHeader();
+    if (m_timer != 0 && state == ReadState::Partial && m_timerState == state && isBody == m_timerForBody) {
+        return; // a slow sender does not get more time with each byte
+    }
+    m_server.m_loop.cancel(m_timer);
+    m_timerState = state;
+    m_timerForBody = isBody;
+    const ServerLimits &limits = m_server.m_limits;
+    const Duration timeout = state != ReadState::Partial ? limits.idleTimeout : isBody ? limits.bodyTimeout : limits.headerTimeout;
+    m_timer = m_server.m_loop.after(timeout, [self = weak_from_this()] {
+        if (const auto connection = self.lock()) {
+            connection->timeOut();
+        }
+    });
+}
+
+void ServerConnection::timeOut()
+{
+    const auto self = shared_from_this();
+    m_timer = 0;
+    if (m_exchange != nullptr) {
+        return;
+    }
+    if (m_reader.state() == ReadState::Partial) {
+        Response response = makeResponse(408);
+        response.keepsAlive = false;
+        m_stream->write(serialize(response, false));
+    }
+    m_isEnding = true;
+    m_stream->closeAfterFlush();
+    remove();
+}
+
+void ServerConnection::remove()
+{
+    m_server.m_loop.cancel(m_timer);
+    m_timer = 0;
+    if (m_stream->isOpen()) {
+        return; // the rest of the response is still on its way
+    }
+    m_server.m_connections.erase(shared_from_this());
+}
+
+Server::Server(Net::EventLoop &loop, Handler handler)
+    : m_loop(loop)
+    , m_handler(std::move(handler))
+    , m_listener(loop, [this](std::shared_ptr<Net::Stream> stream) {
+        auto connection = std::make_shared<ServerConnection>(*this, std::move(stream));
+        m_connections.insert(connection);
+        connection->start();
+    })
+{
+}
+
+Server::~Server()
+{
+    const auto connections = m_connections;
+    for (const auto &it : connections) {
+        it->close();
+    }
+}
+
+bool Server::listen(const Net::SocketAddress &address)
+{
+    return m_listener.listen(address);
+}
+
+void Server::stopListening()
+{
+    m_listener.close();
+}
+
+void Server::setLimits(const ServerLimits &limits)
+{
+    m_limits = limits;
+}
+
+const ServerLimits &Server::limits() const
+{
+    return m_limits;
+}
+
+void Server::startClosing()
+{
+    m_isClosing = true;
+}
+
+bool Server::isClosing() const
+{
+    return m_isClosing;
+}
+
+void Server::closeIdle()
+{
+    const auto connections = m_connections;
+    for (const auto &it : connections) {
+        if (!it->hasRequest()) {
+            it->close();
+        }
+    }
+}
+
+std::size_t Server::connectionCount() const
+{
+    return m_connections.size();
+}
+
+std::size_t Server::pendingCount() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_connections.begin(), m_connections.end(), [](const auto &it) { return it->hasRequest(); }));
+}
+
+}
--- /dev/null
+++ b/packages/net/net/eventloop.cpp
@@ -0,0 +1,157 @@
+#include "net/eventloop.h"
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <system_error>
+
+#include <sys/epoll.h>
+#include <unistd.h>
+
+namespace Galenabarrow::Net
+{
+
+namespace
+{
+constexpr int MaxEvents = 64;
+constexpr int MaxSleepMilliseconds = 1000;
+}
+
+EventLoop::EventLoop()
+    : m_epoll(epoll_create1(EPOLL_CLOEXEC))
+    , m_now(m_clock.now())
+{
+    if (m_epoll < 0) {
+        throw std::system_error(errno, std::generic_category(), "epoll_create1");
+    }
+}
+
+EventLoop::~EventLoop()
+{
+    close(m_epoll);
+}
+
+Instant EventLoop::now() const
+{
+    return m_now;
+}
+
+void EventLoop::watch(int fd, std::uint32_t events, IoCallback callback)
+{
+    auto watch = std::make_shared<Watch>(Watch { ++m_lastGeneration, std::move(callback) });
+    m_watches[fd] = watch;
+    epoll_event event {};
+    event.events = events;
+    event.data.fd = fd;
+    if (epoll_ctl(m_epoll, EPOLL_CTL_ADD, fd, &event) != 0) {
+        throw std::system_error(errno, std::generic_category(), "epoll_ctl");
+    }
+}
+
+void EventLoop::modify(int fd, std::uint32_t events)
+{
+    epoll_event event {};
+    event.events = events;
+    event.data.fd = fd;
+    epoll_ctl(m_epoll, EPOLL_CTL_MOD, fd, &event);
+}
+
+void EventLoop::unwatch(int fd)
+{
+    if (m_watches.erase(fd) > 0) {
+        epoll_ctl(m_epoll, EPOLL_CTL_DEL, fd, nullptr);
+    }
+}
+
+TimerId EventLoop::after(Duration delay, Callback callback)
+{
+    const TimerId timer = ++m_lastTimer;
+    const Instant at = m_now + std::max(delay, Duration {});
+    m_timers.emplace(TimerKey { at, timer }, std::move(callback));
+    m_timerTimes.emplace(timer, at);
+    return timer;
+}
+
+void EventLoop::cancel(TimerId timer)
+{
+    const auto it = m_timerTimes.find(timer);
+    if (it == m_timerTimes.end()) {
+        return;
+    }
+    m_timers.erase(TimerKey { it->second, timer });
+    m_timerTimes.erase(it);
+}
+
+void EventLoop::defer(Callback callback)
+{
+    m_deferred.push_back(std::move(callback));
+}
+
+void EventLoop::run()
+{
+    m_isRunning = true;
+    std::array<epoll_event, MaxEvents> events {};
+    while (m_isRunning) {
+        runDeferred();
+        if (!m_isRunning) {
+            break;
+        }
+        const int count = epoll_wait(m_epoll, events.data(), MaxEvents, sleepMilliseconds());
+        m_now = m_clock.now();
+        // Keeps the watches alive while callbacks remove some of them.
+        for (int n = 0; n < count; ++n) {
+            const auto &event = events[static_cast<std::size_t>(n)];
+            const auto it = m_watches.find(event.data.fd);
+            if (it == m_watches.end()) {
+                continue;
+            }
+            const std::shared_ptr<Watch> watch = it->second;
+            watch->callback(event.events);
+        }
+        runTimers();
+    }
+}
+
+void EventLoop::stop()
+{
+    m_isRunning = false;
+}
+
+void EventLoop::runDeferred()
+{
+    while (!m_deferred.empty()) {
+        std::vector<Callback> callbacks;
+        callbacks.swap(m_deferred);
+        for (Callback &it : callbacks) {
+            it();
+        }
+    }
+}
+
+void EventLoop::runTimers()
+{
+    while (!m_timers.empty() && m_timers.begin()->first.first <= m_now) {
+        const auto first = m_timers.begin();
+        Callback callback = std::move(first->second);
+        m_timerTimes.erase(first->first.second);
+        m_timers.erase(first);
+        callback();
+        runDeferred();
+    }
+}
+
+int EventLoop::sleepMilliseconds() const
+{
+    if (m_timers.empty()) {
+        return MaxSleepMilliseconds;
+    }
+    const Duration left = m_timers.begin()->first.first - m_clock.now();
+    if (left <= Duration {}) {
+        return 0;
+    }
+    // Rounded up: waking early would only sleep again.
+    const auto milliseconds = std::chrono::ceil<std::chrono::milliseconds>(left).count();
+    return static_cast<int>(std::min<std::int64_t>(milliseconds, MaxSleepMilliseconds));
+}
+
+}
--- /dev/null
+++ b/packages/net/net/eventloop.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include "base/clock.h"
+
+namespace Galenabarrow::Net
+{
+
+/// Names a timer of an event loop; 0 names none.
+using TimerId = std::uint64_t;
+
+/// Waits for sockets and timers on one thread and calls back on it. It sleeps until the next event; there is no tick.
+class EventLoop
+{
+public:
+    using Callback = std::function<void()>;
+    /// Takes the epoll events of a socket.
+    using IoCallback = std::function<void(std::uint32_t events)>;
+
+    EventLoop();
+    ~EventLoop();
+    EventLoop(const EventLoop &) = delete;
+    EventLoop &operator=(const EventLoop &) = delete;
+
+    /// The time of the current wake-up.
+    Instant now() const;
+    /// Calls \p callback for the epoll events \p events of \p fd, level-triggered.
+    void watch(int fd, std::uint32_t events, IoCallback callback);
+    void modify(int fd, std::uint32_t events);
+    void unwatch(int fd);
+    TimerId after(Duration delay, Callback callback);
+    /// Ignores timers that have fired and 0.
+    void cancel(TimerId timer);
+    /// Calls \p callback after the current callbacks, before the loop sleeps again.
+    void defer(Callback callback);
+    void run();
+    void stop();
+
+private:
+    struct Watch {
+        std::uint64_t generation = 0;
+        IoCallback callback;
+    };
+    using TimerKey = std::pair<Instant, TimerId>;
+
+    void runDeferred();
+    void runTimers();
+    int sleepMilliseconds() const;
+
+    SteadyClock m_clock;
+    int m_epoll = -1;
+    bool m_isRunning = false;
+    Instant m_now {};
+    TimerId m_lastTimer = 0;
+    std::uint64_t m_lastGeneration = 0;
+    std::map<TimerKey, Callback> m_timers;
+    std::unordered_map<TimerId, Instant> m_timerTimes;
+    std::unordered_map<int, std::shared_ptr<Watch>> m_watches;
+    std::vector<Callback> m_deferred;
+};
+
+}
--- /dev/null
+++ b/packages/net/net/stream.cpp
@@ -0,0 +1,321 @@
+#include "net/stream.h"
+
+#include <array>
+#include <cerrno>
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace Galenabarrow::Net
+{
+
+namespace
+{
+
+constexpr std::size_t ReadSize = std::size_t { 64 } * 1024;
+constexpr int Backlog = 1024;
+/// Reads of one wake-up, so that a fast sender cannot starve the other connections.
+constexpr int MaxReads = 8;
+/// Unacknowledged bytes end a connection after this time in milliseconds: a peer behind a partition never answers.
+constexpr unsigned UserTimeoutMilliseconds = 4000;
+
+void configure(int fd)
+{
+    const int on = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &UserTimeoutMilliseconds, sizeof(UserTimeoutMilliseconds));
+}
+
+}
+
+Stream::Stream(EventLoop &loop, int fd, bool isConnected)
+    : m_loop(loop)
+    , m_fd(fd)
+    , m_isConnected(isConnected)
+{
+}
+
+Stream::~Stream()
+{
+    close();
+}
+
+std::shared_ptr<Stream> Stream::adopt(EventLoop &loop, int fd, std::string peer)
+{
+    configure(fd);
+    std::shared_ptr<Stream> stream(new Stream(loop, fd, true));
+    stream->m_peer = std::move(peer);
+    stream->start();
+    return stream;
+}
+
+std::shared_ptr<Stream> Stream::connect(EventLoop &loop, const SocketAddress &address)
+{
+    const std::optional<sockaddr_in> native = address.toNative();
+    const int fd = native ? socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0) : -1;
+    if (fd < 0) {
+        return nullptr;
+    }
+    configure(fd);
+    const int done = ::connect(fd, reinterpret_cast<const sockaddr *>(&*native), sizeof(*native));
+    if (done != 0 && errno != EINPROGRESS) {
+        ::close(fd);
+        return nullptr;
+    }
+    std::shared_ptr<Stream> stream(new Stream(loop, fd, false));
+    stream->start();
+    return stream;
+}
+
+void Stream::start()
+{
+    m_isWaitingToWrite = !m_isConnected;
+    const std::uint32_t events = EPOLLIN | (m_isWaitingToWrite ? static_cast<std::uint32_t>(EPOLLOUT) : 0U);
+    m_loop.watch(m_fd, events, [self = weak_from_this()](std::uint32_t ready) {
+        if (const auto stream = self.lock()) {
+            stream->handle(ready);
+        }
+    });
+}
+
+void Stream::onData(DataCallback callback)
+{
+    m_data = std::move(callback);
+}
+
+void Stream::onEnd(EndCallback callback)
+{
+    m_end = std::move(callback);
+}
+
+void Stream::onConnected(EventLoop::Callback callback)
+{
+    m_connected = std::move(callback);
+}
+
+void Stream::write(std::string_view bytes)
+{
+    if (!isOpen() || m_isClosing) {
+        return;
+    }
+    m_output.append(bytes);
+    if (m_isConnected && !m_isWaitingToWrite) {
+        flush();
+    }
+}
+
+void Stream::close()
+{
+    if (m_fd < 0) {
+        return;
+    }
+    m_loop.unwatch(m_fd);
+    ::close(m_fd);
+    m_fd = -1;
+    // A callback may be running; it is released after it has returned.
+    m_loop.defer([data = std::move(m_data), end = std::move(m_end), connected = std::move(m_connected)] {});
+    m_data = nullptr;
+    m_end = nullptr;
+    m_connected = nullptr;
+}
+
+void Stream::closeAfterFlush()
+{
+    m_isClosing = true;
+    if (isOpen() && unsent() == 0) {
+        close();
+    }
+}
+
+bool Stream::isOpen() const
+{
+    return m_fd >= 0;
+}
+
+bool Stream::isConnected() const
+{
+    return m_isConnected && isOpen();
+}
+
+bool Stream::wasConnected() const
+{
+    return m_isConnected;
+}
+
+std::size_t Stream::unsent() const
+{
+    return m_output.size() - m_sent;
+}
+
+const std::string &Stream::peer() const
+{
+    return m_peer;
+}
+
+void Stream::handle(std::uint32_t events)
+{
+    const auto self = shared_from_this();
+    if (!m_isConnected) {
+        finishConnect();
+        return;
+    }
+    if ((events & EPOLLOUT) != 0) {
+        flush();
+    }
+    if (isOpen() && (events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0) {
+        readAvailable();
+    }
+}
+
+void Stream::finishConnect()
+{
+    int error = 0;
+    socklen_t length = sizeof(error);
+    getsockopt(m_fd, SOL_SOCKET, SO_ERROR, &error, &length);
+    if (error != 0) {
+        end(StreamEnd::Failed);
+        return;
+    }
+    m_isConnected = true;
+    if (m_connected) {
+        m_connected();
+    }
+    if (isOpen()) {
+        flush();
+    }
+}
+
+void Stream::readAvailable()
+{
+    static thread_local std::array<char, ReadSize> buf;
+    for (int n = 0; n < MaxReads && isOpen(); ++n) {
+        const ssize_t size = recv(m_fd, buf.data(), buf.size(), 0);
+        if (size > 0) {
+            if (m_data) {
+                m_data(std::string_view(buf.data(), static_cast<std::size_t>(size)));
+            }
+            if (static_cast<std::size_t>(size) < buf.size()) {
+                return; // the socket is empty; a level-triggered event reports what comes later
+            }
+            continue;
+        }
+        if (size == 0) {
+            end(StreamEnd::Closed);
+            return;
+        }
+        if (errno == EINTR) {
+            continue;
+        }
+        if (errno != EAGAIN && errno != EWOULDBLOCK) {
+            end(StreamEnd::Failed);
+        }
+        return;
+    }
+}
+
+void Stream::flush()
+{
+    while (unsent() > 0) {
+        const ssize_t size = send(m_fd, m_output.data() + m_sent, unsent(), MSG_NOSIGNAL);
+        if (size >= 0) {
+            m_sent += static_cast<std::size_t>(size);
+            continue;
+        }
+        if (errno == EINTR) {
+            continue;
+        }
+        if (errno != EAGAIN && errno != EWOULDBLOCK) {
+            end(StreamEnd::Failed);
+            return;
+        }
+        break;
+    }
+    if (unsent() == 0) {
+        m_output.clear();
+        m_sent = 0;
+        if (m_isClosing) {
+            end(StreamEnd::Closed);
+            return;
+        }
+    }
+    updateEvents();
+}
+
+void Stream::updateEvents()
+{
+    const bool isWaiting = unsent() > 0;
+    if (isWaiting == m_isWaitingToWrite) {
+        return;
+    }
+    m_isWaitingToWrite = isWaiting;
+    m_loop.modify(m_fd, EPOLLIN | (isWaiting ? static_cast<std::uint32_t>(EPOLLOUT) : 0U));
+}
+
+void Stream::end(StreamEnd reason)
+{
+    const EndCallback callback = std::move(m_end);
+    close();
+    if (callback) {
+        callback(reason);
+    }
+}
+
+Listener::Listener(EventLoop &loop, AcceptCallback callback)
+    : m_loop(loop)
+    , m_callback(std::move(callback))
+{
+}
+
+Listener::~Listener()
+{
+    close();
+}
+
+bool Listener::listen(const SocketAddress &address)
+{
+    const std::optional<sockaddr_in> native = address.toNative();
+    m_fd = native ? socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0) : -1;
+    if (m_fd < 0) {
+        return false;
+    }
+    const int on = 1;
+    setsockopt(m_fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    if (bind(m_fd, reinterpret_cast<const sockaddr *>(&*native), sizeof(*native)) != 0 || ::listen(m_fd, Backlog) != 0) {
+        const int error = errno;
+        ::close(m_fd);
+        m_fd = -1;
+        errno = error;
+        return false;
+    }
+    m_loop.watch(m_fd, EPOLLIN, [this](std::uint32_t) { acceptAll(); });
+    return true;
+}
+
+void Listener::close()
+{
+    if (m_fd >= 0) {
+        m_loop.unwatch(m_fd);
+        ::close(m_fd);
+        m_fd = -1;
+    }
+}
+
+void Listener::acceptAll()
+{
+    while (m_fd >= 0) {
+        sockaddr_in peer {};
+        socklen_t length = sizeof(peer);
+        const int fd = accept4(m_fd, reinterpret_cast<sockaddr *>(&peer), &length, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (fd < 0) {
+            return; // EAGAIN, or a connection that ended before it was accepted
+        }
+        std::array<char, INET_ADDRSTRLEN> host {};
+        inet_ntop(AF_INET, &peer.sin_addr, host.data(), host.size());
+        m_callback(Stream::adopt(m_loop, fd, host.data()));
+    }
+}
+
+}
--- /dev/null
+++ b/packages/net/net/stream.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "net/eventloop.h"
+#include "net/socketaddress.h"
+
+namespace Galenabarrow::Net
+{
+
+/// Why a stream ended.
+enum class StreamEnd {
+    /// The peer closed its side.
+    Closed,
+    /// A reset, a refused connection or another error of the socket.
+    Failed,
+};
+
+/// A TCP connection on an event loop. Callbacks are not called after close().
+class Stream : public std::enable_shared_from_this<Stream>
+{
+public:
+    using DataCallback = std::function<void(std::string_view)>;
+    using EndCallback = std::function<void(StreamEnd)>;
+
+    /// Takes a connected socket.
+    static std::shared_ptr<Stream> adopt(EventLoop &loop, int fd, std::string peer = {});
+    /// Starts to connect; null when no socket could be made. The end callback reports a failed connection.
+    static std::shared_ptr<Stream> connect(EventLoop &loop, const SocketAddress &address);
+    ~Stream();
+    Stream(const Stream &) = delete;
+    Stream &operator=(const Stream &) = delete;
+
+    void onData(DataCallback callback);
+    void onEnd(EndCallback callback);
+    void onConnected(EventLoop::Callback callback);
+
+    /// Queues bytes and sends what the socket takes at once.
+    void write(std::string_view bytes);
+    /// Ends the connection at once.
+    void close();
+    /// Ends the connection after all queued bytes were sent.
+    void closeAfterFlush();
+    bool isOpen() const;
+    bool isConnected() const;
+    /// The connection was established, even when it has ended since.
+    bool wasConnected() const;
+    /// Bytes that the socket has not taken yet.
+    std::size_t unsent() const;
+    /// The host of the peer of an accepted connection.
+    const std::string &peer() const;
+
+private:
+    Stream(EventLoop &loop, int fd, bool isConnected);
+    void start();
+    void handle(std::uint32_t events);
+    void finishConnect();
+    void readAvailable();
+    void flush();
+    void updateEvents();
+    void end(StreamEnd reason);
+
+    EventLoop &m_loop;
+    int m_fd;
+    bool m_isConnected;
+    std::string m_peer;
+    bool m_isClosing = false;
+    bool m_isWaitingToWrite = false;
+    std::string m_output;
+    std::size_t m_sent = 0;
+    DataCallback m_data;
+    EndCallback m_end;
+    EventLoop::Callback m_connected;
+};
+
+/// A listening socket.
+class Listener
+{
+public:
+    using AcceptCallback = std::function<void(std::shared_ptr<Stream>)>;
+
+    Listener(EventLoop &loop, AcceptCallback callback);
+    ~Listener();
+    Listener(const Listener &) = delete;
+    Listener &operator=(const Listener &) = delete;
+
+    /// False when the address cannot be had; errno tells why.
+    bool listen(const SocketAddress &address);
+    void close();
+
+private:
+    void acceptAll();
+
+    EventLoop &m_loop;
+    int m_fd = -1;
+    AcceptCallback m_callback;
+};
+
+}
--- /dev/null
+++ b/packages/routing/routing/codec.cpp
@@ -0,0 +1,197 @@
+#include "routing/codec.h"
+
+#include <algorithm>
+
+namespace Galenabarrow::Routing
+{
+
+namespace
+{
+
+std::unique_ptr<Fb::RouteT> pack(const Route &route)
+{
+    auto to = std::make_unique<Fb::RouteT>();
+    to->name = route.name;
+    to->host = route.host;
+    to->prefix = route.prefix;
+    to->is_safe = route.repeatability == Repeatability::Safe;
+    to->objective = route.objective.count();
+    to->timeout = route.timeout.count();
+    to->attempts = route.maxAttempts;
+    to->priority = route.priority;
+    to->extra = route.extra;
+    for (const SplitPart &it : route.split) {
+        auto part = std::make_unique<Fb::SplitPartT>();
+        part->service = it.service.value();
+        part->weight = it.weight;
+        to->split.push_back(std::move(part));
+    }
+    return to;
+}
+
+Route unpack(const Fb::RouteT &from)
+{
+    Route route;
+    route.name = from.name;
+    route.host = from.host;
+    route.prefix = from.prefix;
+    route.repeatability = from.is_safe ? Repeatability::Safe : Repeatability::Unsafe;
+    route.objective = Duration(from.objective);
+    route.timeout = Duration(from.timeout);
+    route.maxAttempts = from.attempts;
+    route.priority = from.priority;
+    route.extra = from.extra;
+    for (const auto &it : from.split) {
+        route.split.push_back(SplitPart { ServiceId(it->service), it->weight });
+    }
+    return route;
+}
+
+std::unique_ptr<Fb::ChangeT> pack(const ConfigChange &change)
+{
+    auto to = std::make_unique<Fb::ChangeT>();
+    to->digest_high = change.digest.high;
+    to->digest_low = change.digest.low;
+    to->version = change.version.value();
+    to->base = change.base.value();
+    to->is_patch = change.isPatch;
+    to->has_limits = change.hasLimits;
+    to->config = Routing::pack(change.config);
+    to->removed_routes = change.removedRoutes;
+    to->removed_services = change.removedServices;
+    return to;
+}
+
+ConfigChange unpack(const Fb::ChangeT &from)
+{
+    ConfigChange change;
+    change.digest = OrderDigest { from.digest_high, from.digest_low };
+    change.version = Version(from.version);
+    change.base = Version(from.base);
+    change.isPatch = from.is_patch;
+    change.hasLimits = from.has_limits;
+    if (from.config != nullptr) {
+        change.config = Routing::unpack(*from.config);
+    }
+    change.removedRoutes = from.removed_routes;
+    change.removedServices = from.removed_services;
+    return change;
+}
+
+}
+
+std::unique_ptr<Fb::ConfigT> pack(const RoutingConfig &config)
+{
+    auto to = std::make_unique<Fb::ConfigT>();
+    to->version = config.version.value();
+    to->extra = config.extra;
+    to->limits = std::make_unique<Fb::LimitsT>();
+    to->limits->header_bytes = config.limits.headerBytes;
+    to->limits->body_bytes = config.limits.bodyBytes;
+    to->limits->header_timeout = config.limits.headerTimeout.count();
+    to->limits->idle_timeout = config.limits.idleTimeout.count();
+    to->limits->extra = config.limits.extra;
+    for (const Route &it : config.routes) {
+        to->routes.push_back(pack(it));
+    }
+    for (const Service &it : config.services) {
+        auto service = std::make_unique<Fb::ServiceT>();
+        service->name = it.name.value();
+        service->health_path = it.healthPath;
+        service->max_connections = it.maxConnections;
+        service->extra = it.extra;
+        to->services.push_back(std::move(service));
+    }
+    return to;
+}
+
+RoutingConfig unpack(const Fb::ConfigT &from)
+{
+    RoutingConfig config;
+    config.version = Version(from.version);
+    config.extra = from.extra;
+    if (from.limits != nullptr) {
+        config.limits.headerBytes = from.limits->header_bytes;
+        config.limits.bodyBytes = from.limits->body_bytes;
+        config.limits.headerTimeout = Duration(from.limits->header_timeout);
+        config.limits.idleTimeout = Duration(from.limits->idle_timeout);
+        config.limits.extra = from.limits->extra;
+    }
+    for (const auto &it : from.routes) {
+        config.routes.push_back(unpack(*it));
+    }
+    for (const auto &it : from.services) {
+        config.services.push_back(Service { ServiceId(it->name), it->health_path, it->max_connections, it->extra });
+    }
+    return config;
+}
+
+std::unique_ptr<Fb::ServerT> pack(const BackendServer &server)
+{
+    auto to = std::make_unique<Fb::ServerT>();
+    to->id = server.id.value();
+    to->address = server.address;
+    to->service = server.service.value();
+    to->data_centre = server.dataCentre.value();
+    to->software = server.software;
+    to->slots = server.slots;
+    to->state = static_cast<std::uint8_t>(server.state);
+    to->born = server.born;
+    to->sequence = server.sequence;
+    to->cold_left = server.coldLeft.count();
+    to->changed_at = server.changedAt.value();
+    return to;
+}
+
+BackendServer unpack(const Fb::ServerT &from)
+{
+    BackendServer server;
+    server.id = ServerId(from.id);
+    server.address = from.address;
+    server.service = ServiceId(from.service);
+    server.dataCentre = DataCentreId(from.data_centre);
+    server.software = from.software;
+    server.slots = std::max(1U, from.slots);
+    server.state = from.state == 0 ? ServerState::Ready : from.state == 1 ? ServerState::Draining : ServerState::Gone;
+    server.born = from.born;
+    server.sequence = from.sequence;
+    server.coldLeft = Duration(from.cold_left);
+    server.changedAt = LogIndex(from.changed_at);
+    return server;
+}
+
+std::vector<std::uint8_t> encode(const Command &command)
+{
+    Fb::CommandT to;
+    if (command.change) {
+        to.change = pack(*command.change);
+    }
+    if (command.update) {
+        to.update = pack(*command.update);
+    }
+    if (command.withdrawal) {
+        to.withdrawal = pack(*command.withdrawal);
+    }
+    return encodeTable<Fb::Command>(to);
+}
+
+Result<Command> decodeCommand(std::span<const std::uint8_t> bytes)
+{
+    const auto from = decodeTable<Fb::Command>(bytes);
+    if (from == nullptr) {
+        return failure(ResultCode::FrameMalformed, "the command does not verify");
+    }
+    Command command;
+    if (from->change != nullptr) {
+        command.change = unpack(*from->change);
+    }
+    if (from->update != nullptr) {
+        command.update = unpack(*from->update);
+    }
+    if (from->withdrawal != nullptr) {
+        command.withdrawal = unpack(*from->withdrawal);
+    }
+    return command;
+}
+
+}
--- /dev/null
+++ b/packages/routing/routing/routingstate.cpp
@@ -0,0 +1,213 @@
+#include "routing/routingstate.h"
+
+#include <algorithm>
+
+#include "routing/codec.h"
+#include "routing/rules.h"
+
+namespace Galenabarrow::Routing
+{
+
+Result<void> RoutingState::apply(const Command &command, LogIndex index)
+{
+    if (command.change) {
+        return applyChange(*command.change, index);
+    }
+    if (command.update) {
+        applyUpdate(*command.update, index);
+    }
+    if (command.withdrawal) {
+        applyWithdrawal(*command.withdrawal, index);
+    }
+    return {};
+}
+
+Result<void> RoutingState::applyChange(const ConfigChange &change, LogIndex index)
+{
+    const AcceptedChange key { change.version, change.base, change.digest };
+    if (m_accepted.contains(key)) {
+        return {};
+    }
+    if (change.base != m_config.version) {
+        return failure(ResultCode::VersionConflict, "version " + std::to_string(m_config.version.value()) + " is current");
+    }
+    if (change.version <= m_config.version) {
+        return failure(ResultCode::VersionConflict, "the new version is not above " + std::to_string(m_config.version.value()));
+    }
+    RoutingConfig config = Routing::apply(change, m_config);
+    if (Result<void> valid = validate(config); !valid) {
+        return valid;
+    }
+    m_config = std::move(config);
+    m_configAt = index;
+    m_changedAt = index;
+    m_accepted.insert(key);
+    return {};
+}
+
+bool RoutingState::wouldChange(const BackendServer &update) const
+{
+    const auto it = m_servers.find(update.id);
+    if (it == m_servers.end()) {
+        return !isAddressTaken(update);
+    }
+    const BackendServer &known = it->second;
+    if (update.born != known.born) {
+        return update.born > known.born && !isAddressTaken(update);
+    }
+    // An incarnation that drains or has left does not come back, whatever arrives late.
+    const bool isOld = update.sequence <= known.sequence || known.state == ServerState::Gone || update.state < known.state;
+    if (isOld) {
+        return false;
+    }
+    // Place and service are fixed for an incarnation; an announcement that names others comes from another writer.
+    const bool isSamePlace = update.address == known.address && update.service == known.service && update.dataCentre == known.dataCentre;
+    return isSamePlace && update.state != known.state;
+}
+
+bool RoutingState::wouldWithdraw(const BackendServer &withdrawal) const
+{
+    const auto it = m_servers.find(withdrawal.id);
+    return it != m_servers.end() && it->second.state != ServerState::Gone && (withdrawal.born == 0 || withdrawal.born >= it->second.born);
+}
+
+void RoutingState::applyUpdate(const BackendServer &update, LogIndex index)
+{
+    if (!wouldChange(update)) {
+        return;
+    }
+    releaseAddress(update, index);
+    BackendServer &server = m_servers[update.id];
+    server = update;
+    server.changedAt = index;
+    m_changedAt = index;
+}
+
+void RoutingState::applyWithdrawal(const BackendServer &withdrawal, LogIndex index)
+{
+    if (!wouldWithdraw(withdrawal)) {
+        return;
+    }
+    BackendServer &server = m_servers[withdrawal.id];
+    server.state = ServerState::Gone;
+    server.changedAt = index;
+    m_changedAt = index;
+    pruneGone();
+}
+
+bool RoutingState::isAddressTaken(const BackendServer &update) const
+{
+    // An announcement that was held up must not displace the incarnation that has its address now.
+    return std::any_of(m_servers.begin(), m_servers.end(), [&update](const auto &row) {
+        const BackendServer &other = row.second;
+        return other.id != update.id && other.address == update.address && other.state != ServerState::Gone && other.born > update.born;
+    });
+}
+
+void RoutingState::releaseAddress(const BackendServer &update, LogIndex index)
+{
+    for (auto &[id, other] : m_servers) {
+        if (id != update.id && other.address == update.address && other.state != ServerState::Gone) {
+            other.state = ServerState::Gone;
+            other.changedAt = index;
+        }
+    }
+    pruneGone();
+}
+
+void RoutingState::pruneGone()
+{
+    std::vector<std::pair<LogIndex, ServerId>> gone;
+    for (const auto &[id, server] : m_servers) {
+        if (server.state == ServerState::Gone) {
+            gone.emplace_back(server.changedAt, id);
+        }
+    }
+    if (gone.size() <= MaxGone) {
+        return;
+    }
+    std::sort(gone.begin(), gone.end());
+    const std::size_t excess = gone.size() - MaxGone;
+    for (std::size_t n = 0; n < excess; ++n) {
+        m_prunedUpTo = std::max(m_prunedUpTo, gone[n].first);
+        m_servers.erase(gone[n].second);
+    }
+}
+
+const RoutingConfig &RoutingState::config() const
+{
+    return m_config;
+}
+
+LogIndex RoutingState::configAt() const
+{
+    return m_configAt;
+}
+
+const std::map<ServerId, BackendServer> &RoutingState::servers() const
+{
+    return m_servers;
+}
+
+LogIndex RoutingState::changedAt() const
+{
+    return m_changedAt;
+}
+
+StateChanges RoutingState::changesAfter(LogIndex index) const
+{
+    StateChanges changes;
+    changes.isWhole = index < m_prunedUpTo || index == LogIndex();
+    changes.hasConfig = m_configAt > index;
+    for (const auto &[id, server] : m_servers) {
+        const bool isNew = server.changedAt > index;
+        if (changes.isWhole ? server.state != ServerState::Gone : isNew) {
+            changes.servers.push_back(server);
+        }
+    }
+    return changes;
+}
+
+Bytes RoutingState::encodeImage() const
+{
+    Fb::StateT image;
+    image.config = pack(m_config);
+    image.config_at = m_configAt.value();
+    image.pruned_up_to = m_prunedUpTo.value();
+    for (const AcceptedChange &it : m_accepted) {
+        auto row = std::make_unique<Fb::AcceptedChangeT>();
+        row->version = it.version.value();
+        row->base = it.base.value();
+        row->digest_high = it.digest.high;
+        row->digest_low = it.digest.low;
+        image.accepted.push_back(std::move(row));
+    }
+    for (const auto &[id, server] : m_servers) {
+        image.servers.push_back(pack(server));
+    }
+    return encodeTable<Fb::State>(image);
+}
+
+Result<void> RoutingState::restoreImage(ByteView image)
+{
+    const auto table = decodeTable<Fb::State>(image);
+    if (table == nullptr || table->config == nullptr) {
+        return failure(ResultCode::FrameMalformed, "the image of the routing state does not verify");
+    }
+    *this = RoutingState();
+    m_config = unpack(*table->config);
+    m_configAt = LogIndex(table->config_at);
+    m_prunedUpTo = LogIndex(table->pruned_up_to);
+    m_changedAt = std::max(m_configAt, m_prunedUpTo);
+    for (const auto &it : table->accepted) {
+        m_accepted.insert(AcceptedChange { Version(it->version), Version(it->base), { it->digest_high, it->digest_low } });
+    }
+    for (const auto &it : table->servers) {
+        BackendServer server = unpack(*it);
+        m_changedAt = std::max(m_changedAt, server.changedAt);
+        m_servers.emplace(server.id, std::move(server));
+    }
+    return {};
+}
+
+}
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -5,7 +5,7 @@
 packages=(
     g++ cmake ninja-build make clang-format clang-tidy curl jq
     libpoco-dev libflatbuffers-dev libboost-dev libtomlplusplus-dev libgflags-dev
-    liblog4cxx-dev libexpected-dev libtrompeloeil-cpp-dev catch2 libxxhash-dev
+    liblog4cxx-dev libexpected-dev libtrompeloeil-cpp-dev catch2 libxxhash-dev nlohmann-json3-dev
 )
 
 missing=()
--- a/scripts/sources.sh
+++ b/scripts/sources.sh
@@ -2,4 +2,4 @@
 # Prints all hand-written C++ files.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-find packages -name '*.cpp' -o -name '*.h' | grep -v '/generated/' | LC_ALL=C sort
+find packages platform -name '*.cpp' -o -name '*.h' | grep -v '/generated/' | LC_ALL=C sort
