Probe servers for their load right before a request is sent

Cause: neighbours disturb a server for about 150 ms at a time and make the requests that start then five times slower; an entry hears of a server too seldom to know that when it chooses.

Ruled out: reports that responses carry, pooled or not: at these rates a server answers fewer than three requests in 150 ms.

Change: LoadProber asks up to three servers, twice at most, shares probes and bounds their number; ServerTable says which server is known free.

--- a/packages/gateway/gateway/requestrunner.cpp
+++ b/packages/gateway/gateway/requestrunner.cpp
@@ -78,7 +78,7 @@
                 self->deadlinePassed();
             }
         });
-        attempt();
+        select();
     }
 
 private:
@@ -87,6 +87,50 @@
         return m_route->repeatability == Routing::Repeatability::Safe;
     }
 
+    /// Probes the servers that look best, and sends the request when one of them is known to be free.
+    void select()
+    {
+        const Instant now = m_runner.m_loop.now();
+        const ChoiceInput input { m_service, m_route->objective, m_tried };
+        const std::vector<ServerId> candidates = m_runner.m_servers.candidates(input, ProbesPerRound, now);
+        const bool isBestFree = !candidates.empty() && m_runner.m_servers.isKnownFree(candidates.front(), now);
+        if (isBestFree || m_rounds >= MaxRounds) {
+            attempt();
+            return;
+        }
+        ++m_rounds;
+        m_openProbes = 0;
+        const unsigned round = ++m_selection;
+        for (const ServerId &it : candidates) {
+            if (m_runner.m_servers.isFresh(it, now)) {
+                continue;
+            }
+            const bool isStarted = m_runner.m_prober.probe(it, [weak = weak_from_this(), round, it](bool) {
+                if (const auto self = weak.lock()) {
+                    self->probed(round, it);
+                }
+            });
+            m_openProbes += isStarted ? 1 : 0;
+        }
+        if (m_openProbes == 0) {
+            attempt();
+        }
+    }
+
+    void probed(unsigned selection, const ServerId &server)
+    {
+        if (selection != m_selection || m_isFinished || m_attempt != nullptr) {
+            return;
+        }
+        --m_openProbes;
+        if (m_runner.m_servers.isKnownFree(server, m_runner.m_loop.now())) {
+            ++m_selection;
+            attempt();
+        } else if (m_openProbes == 0) {
+            select();
+        }
+    }
+
     void attempt()
     {
         const Instant now = m_runner.m_loop.now();
@@ -233,7 +277,8 @@
     {
         m_reason = reason;
         ++m_runner.m_counters.furtherAttempts;
-        attempt();
+        m_rounds = 0;
+        select();
     }
 
     void endAttempt(AttemptResult result)
@@ -313,6 +358,7 @@
     {
         m_runner.m_loop.cancel(m_deadlineTimer);
         m_runner.m_loop.cancel(m_patienceTimer);
+        m_isFinished = true;
         const Instant now = m_runner.m_loop.now();
         const bool isGood = status >= 200 && status < 300 && m_tried.size() == 1 && now - m_startedAt <= m_route->objective;
         if (m_runner.m_log.admit(isGood, now)) {
@@ -343,6 +389,9 @@
         });
     }
 
+    /// Servers that are probed at a time, and how often before the best one gets the request as it is.
+    static constexpr std::size_t ProbesPerRound = 3;
+    static constexpr unsigned MaxRounds = 2;
     /// Connections that are tried for one request when none is established.
     static constexpr std::size_t MaxConnectTries = 4;
 
@@ -361,6 +410,12 @@
     const char *m_reason = "none";
     bool m_mayHaveRun = false;
     bool m_isGone = false;
+    bool m_isFinished = false;
+    /// Rounds of probes for this attempt, and the probes of the newest that are not answered.
+    unsigned m_rounds = 0;
+    unsigned m_openProbes = 0;
+    /// Numbers the rounds; answers to older ones do not count.
+    unsigned m_selection = 0;
     Net::TimerId m_deadlineTimer = 0;
     Net::TimerId m_patienceTimer = 0;
 };
@@ -372,6 +427,7 @@
     , m_budgetSettings(budget)
     , m_servers(servers)
     , m_pool(loop, m_dialect.requestId)
+    , m_prober(loop, m_dialect, ProbeSettings {}, servers, m_pool)
     , m_splits(random)
     , m_log(RequestLogSettings {})
 {
@@ -384,6 +440,11 @@
     m_routes = std::make_unique<Routing::RouteTable>(config);
     m_version = config.version;
     m_splits.reset();
+    std::map<ServiceId, std::string> paths;
+    for (const Routing::Service &it : config.services) {
+        paths[it.name] = it.healthPath;
+    }
+    m_prober.setPaths(std::move(paths));
 }
 
 bool RequestRunner::hasConfig() const
@@ -394,6 +455,7 @@
 void RequestRunner::setEntryCount(unsigned count)
 {
     m_entryCount = count;
+    m_prober.setEntryCount(count);
 }
 
 void RequestRunner::handle(const Http::ExchangePointer &exchange)
--- a/packages/gateway/gateway/requestrunner.h
+++ b/packages/gateway/gateway/requestrunner.h
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "gateway/dialect.h"
+#include "gateway/loadprober.h"
 #include "gateway/requestlog.h"
 #include "gateway/retrybudget.h"
 #include "gateway/servertable.h"
@@ -63,6 +64,7 @@
     RetryBudgetSettings m_budgetSettings;
     ServerTable &m_servers;
     UpstreamPool m_pool;
+    LoadProber m_prober;
     SplitChooser m_splits;
     std::unique_ptr<Routing::RouteTable> m_routes;
     Version m_version;
--- a/packages/gateway/gateway/servertable.cpp
+++ b/packages/gateway/gateway/servertable.cpp
@@ -15,6 +15,12 @@
 /// Weight of the newest sample in the moving averages.
 constexpr double AverageWeight = 0.05;
 constexpr double HealthWeight = 0.25;
+/// A report of this age needs no probe: a disturbance lasts several times as long.
+constexpr Duration FreshReport = std::chrono::milliseconds(20);
+/// A machine with this slowness or less is undisturbed.
+constexpr double UndisturbedSlowness = 1.3;
+/// Unanswered probes in a row after which a server is avoided.
+constexpr unsigned MaxSilentProbes = 2;
 /// Usual slowness of shared machines, expected where no fresh report says more.
 constexpr double UsualSlowness = 1.5;
 /// Occupancy from which servers slow down, and by how much when full; see the platform's notes on nearly full servers.
@@ -159,6 +165,44 @@
     return choice;
 }
 
+std::vector<ServerId> ServerTable::candidates(const ChoiceInput &input, std::size_t most, Instant now) const
+{
+    const auto service = m_services.find(input.service);
+    if (service == m_services.end()) {
+        return {};
+    }
+    std::vector<std::pair<double, ServerId>> scored;
+    for (const ServerId &id : service->second.servers) {
+        if (std::find(input.tried.begin(), input.tried.end(), id) == input.tried.end()) {
+            const double noise = m_random.unit() * EqualScoreSeconds;
+            scored.emplace_back(score(m_rows.at(id), service->second, input, now) + noise, id);
+        }
+    }
+    const std::size_t count = std::min(most, scored.size());
+    std::partial_sort(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(count), scored.end());
+    std::vector<ServerId> best;
+    for (std::size_t n = 0; n < count; ++n) {
+        best.push_back(scored[n].second);
+    }
+    return best;
+}
+
+bool ServerTable::isFresh(const ServerId &server, Instant now) const
+{
+    const ServerRow *row = find(server);
+    return row != nullptr && row->load && now - row->load->at <= FreshReport;
+}
+
+bool ServerTable::isKnownFree(const ServerId &server, Instant now) const
+{
+    const ServerRow *row = find(server);
+    if (!isFresh(server, now) || now < row->avoidedUntil) {
+        return false;
+    }
+    const double others = std::max(0.0, static_cast<double>(row->load->running) + row->load->waiting - row->inFlightAtLoad);
+    return row->load->slowness <= UndisturbedSlowness && row->inFlight + others + 1 <= row->server.slots;
+}
+
 double ServerTable::expectedOthers(const ServerRow &row, const ServiceRow &service, Instant now) const
 {
     if (!row.load) {
@@ -272,6 +316,19 @@
     average(m_services[row.server.service].othersPerServer, others, AverageWeight);
 }
 
+void ServerTable::noteProbe(const ServerId &server, bool hasAnswered, Instant now)
+{
+    const auto it = m_rows.find(server);
+    if (it == m_rows.end()) {
+        return;
+    }
+    ServerRow &row = it->second;
+    row.consecutiveSilentProbes = hasAnswered ? 0 : row.consecutiveSilentProbes + 1;
+    if (row.consecutiveSilentProbes >= MaxSilentProbes) {
+        avoid(row, now);
+    }
+}
+
 Duration ServerTable::workTime(const ServiceId &service) const
 {
     const auto it = m_services.find(service);
--- a/packages/gateway/gateway/servertable.h
+++ b/packages/gateway/gateway/servertable.h
@@ -41,6 +41,7 @@
     double failureShare = 0;
     double rejectionShare = 0;
     unsigned consecutiveBroken = 0;
+    unsigned consecutiveSilentProbes = 0;
     unsigned samples = 0;
     /// Gets no requests before that time, while others can take them.
     Instant avoidedUntil {};
@@ -77,6 +78,12 @@
     void apply(const Coordination::FeedUpdate &update, Instant now);
     /// The best server for a request; absent when the service has none that may take one.
     std::optional<ServerChoice> choose(const ChoiceInput &input, Instant now) const;
+    /// The servers with the best scores, best first, at most \p most of them.
+    std::vector<ServerId> candidates(const ChoiceInput &input, std::size_t most, Instant now) const;
+    /// Whether a fresh report says that the server is undisturbed and has a free slot.
+    bool isKnownFree(const ServerId &server, Instant now) const;
+    /// Whether the newest report is recent enough to need no probe.
+    bool isFresh(const ServerId &server, Instant now) const;
     /// Null for a server that is not known, or left.
     const ServerRow *find(const ServerId &server) const;
     /// A request was sent to the server.
@@ -84,6 +91,8 @@
     /// An attempt ended after \p took at the server.
     void noteEnd(const ServerId &server, AttemptResult result, Duration took, Instant now);
     void noteLoad(const ServerId &server, const LoadReport &report);
+    /// A probe was answered, or not.
+    void noteProbe(const ServerId &server, bool hasAnswered, Instant now);
     /// The usual duration of work at the service.
     Duration workTime(const ServiceId &service) const;
     /// Ready servers of the service.
