Send requests to servers known free only, and reject early otherwise

Cause: above capacity, requests queued at servers until all of them were late, and a server that starts its last slot or is disturbed takes so much longer that it serves fewer requests in all.

Change: a request goes to a server that reported a free slot within 20 ms and is undisturbed. Otherwise it waits for an eighth of its objective: a slot that becomes free here goes to the most urgent one that waits. Then it is rejected with a time to come back that grows with the time it has left. Whether the last slot is worth using is measured for each service.

--- a/packages/coordination/coordination/corelink.cpp
+++ b/packages/coordination/coordination/corelink.cpp
@@ -24,7 +24,6 @@
 CoreLink::CoreLink(Net::EventLoop &loop, const Wire::FrameCodec &codec, RandomSource &random, std::vector<InstanceId> seeds, EntryInfo self)
     : m_loop(loop)
     , m_codec(codec)
-    , m_random(random)
     , m_log("corelink")
     , m_seeds(std::move(seeds))
     , m_self(std::move(self))
--- a/packages/coordination/coordination/corelink.h
+++ b/packages/coordination/coordination/corelink.h
@@ -21,7 +21,7 @@
 public:
     using UpdateCallback = std::function<void(const FeedUpdate &)>;
 
-    /// \p seeds are the instances that are tried first. Codec, loop and random must outlive the link.
+    /// \p seeds are the instances that are tried first. Codec and loop must outlive the link.
     CoreLink(Net::EventLoop &loop, const Wire::FrameCodec &codec, RandomSource &random, std::vector<InstanceId> seeds, EntryInfo self);
 
     void onUpdate(UpdateCallback callback);
@@ -44,7 +44,6 @@
 
     Net::EventLoop &m_loop;
     const Wire::FrameCodec &m_codec;
-    RandomSource &m_random;
     Log m_log;
     std::vector<InstanceId> m_seeds;
     EntryInfo m_self;
--- a/packages/gateway/gateway/requestrunner.cpp
+++ b/packages/gateway/gateway/requestrunner.cpp
@@ -59,6 +59,7 @@
     {
         const Http::Request &request = m_exchange->request();
         m_startedAt = m_runner.m_loop.now();
+        m_number = ++m_runner.m_lastNumber;
         m_requestId = *request.fields.find(m_runner.m_dialect.requestId);
         m_service = m_runner.m_splits.choose(*m_route);
         m_runner.budgetOf(m_service).noteRequest(m_startedAt);
@@ -94,10 +95,14 @@
         const ChoiceInput input { m_service, m_route->objective, m_tried };
         const std::vector<ServerId> candidates = m_runner.m_servers.candidates(input, ProbesPerRound, now);
         const bool isBestFree = !candidates.empty() && m_runner.m_servers.isKnownFree(candidates.front(), now);
-        if (isBestFree || m_rounds >= MaxRounds) {
+        if (isBestFree) {
             attempt();
             return;
         }
+        if (m_rounds >= MaxRounds) {
+            waitOrGiveUp();
+            return;
+        }
         ++m_rounds;
         m_openProbes = 0;
         const unsigned round = ++m_selection;
@@ -113,10 +118,66 @@
             m_openProbes += isStarted ? 1 : 0;
         }
         if (m_openProbes == 0) {
+            waitOrGiveUp();
+        }
+    }
+
+    /// No server is known to be free. The request waits a little: a slot may become free at a server that works for this
+    /// entry, or probes find one. Then it is rejected, unless nobody knows whether the service is busy.
+    void waitOrGiveUp()
+    {
+        const Instant now = m_runner.m_loop.now();
+        if (!m_runner.m_servers.hasFreshReports(m_service, now)) {
             attempt();
+            return;
+        }
+        const Instant until = std::min(m_startedAt + m_route->objective / HoldDivisor, m_giveUpAt);
+        if (now >= until) {
+            leaveQueue();
+            reject("busy");
+            return;
+        }
+        if (!m_isWaiting) {
+            m_isWaiting = true;
+            ++m_runner.m_counters.waited;
+            m_runner.m_waiting[m_service].emplace(waitKey(), weak_from_this());
+        }
+        m_rounds = MaxRounds - 1;
+        const unsigned round = ++m_selection;
+        m_runner.m_loop.cancel(m_waitTimer);
+        m_waitTimer = m_runner.m_loop.after(std::min<Duration>(ProbeAgain, until - now), [weak = weak_from_this(), round] {
+            const auto self = weak.lock();
+            if (self != nullptr && self->m_selection == round && !self->m_isFinished && self->m_attempt == nullptr) {
+                self->select();
+            }
+        });
+    }
+
+    WaitKey waitKey() const
+    {
+        return WaitKey { m_route->priority, m_startedAt, m_number };
+    }
+
+    void leaveQueue()
+    {
+        m_runner.m_loop.cancel(m_waitTimer);
+        m_waitTimer = 0;
+        if (m_isWaiting) {
+            m_isWaiting = false;
+            m_runner.m_waiting[m_service].erase(waitKey());
         }
     }
 
+public:
+    /// A slot is free at \p server.
+    void takeSlot()
+    {
+        ++m_selection;
+        leaveQueue();
+        attempt();
+    }
+
+private:
     void probed(unsigned selection, const ServerId &server)
     {
         if (selection != m_selection || m_isFinished || m_attempt != nullptr) {
@@ -124,8 +185,7 @@
         }
         --m_openProbes;
         if (m_runner.m_servers.isKnownFree(server, m_runner.m_loop.now())) {
-            ++m_selection;
-            attempt();
+            takeSlot();
         } else if (m_openProbes == 0) {
             select();
         }
@@ -133,6 +193,7 @@
 
     void attempt()
     {
+        leaveQueue();
         const Instant now = m_runner.m_loop.now();
         if (now >= m_giveUpAt) {
             deadlinePassed();
@@ -149,7 +210,7 @@
         m_tried.push_back(choice->server);
         ++m_runner.m_counters.attempts;
         m_attemptAt = now;
-        m_runner.m_servers.noteStart(choice->server);
+        m_start = m_runner.m_servers.noteStart(choice->server, now);
         m_attempt = m_runner.m_pool.send(row->server, makeRequest(now));
         m_attempt->onResponse([this](Http::Response response) { responded(std::move(response)); });
         m_attempt->onFailure([this](AttemptFailure failure) { failed(failure); });
@@ -286,13 +347,14 @@
         m_runner.m_loop.cancel(m_patienceTimer);
         m_patienceTimer = 0;
         const Instant now = m_runner.m_loop.now();
-        m_runner.m_servers.noteEnd(m_choice.server, result, now - m_attemptAt, now);
+        m_runner.m_servers.noteEnd(m_choice.server, result, m_start, now - m_attemptAt, now);
         if (m_attempt != nullptr) {
             m_attempt->cancel();
             // Its callback may be running.
             m_runner.m_loop.defer([attempt = std::move(m_attempt)] {});
             m_attempt = nullptr;
         }
+        m_runner.m_loop.defer([&runner = m_runner, service = m_service, server = m_choice.server] { runner.offer(service, server); });
     }
 
     void callerGone()
@@ -349,16 +411,24 @@
             return;
         }
         ++m_runner.m_counters.rejected;
-        m_exchange->respond(m_runner.makeRejection(DefaultComeBack));
+        m_exchange->respond(m_runner.makeRejection(comeBack()));
         m_reason = reason;
         finish("rejected", 503);
     }
 
+    /// When a rejected caller should return: the longer it can wait, the likelier there is room by then.
+    Duration comeBack() const
+    {
+        const Duration left = m_giveUpAt - m_runner.m_loop.now();
+        return std::clamp(left / ComeBackDivisor, MinComeBack, MaxComeBack);
+    }
+
     void finish(const char *outcome, unsigned status)
     {
         m_runner.m_loop.cancel(m_deadlineTimer);
         m_runner.m_loop.cancel(m_patienceTimer);
         m_isFinished = true;
+        leaveQueue();
         const Instant now = m_runner.m_loop.now();
         const bool isGood = status >= 200 && status < 300 && m_tried.size() == 1 && now - m_startedAt <= m_route->objective;
         if (m_runner.m_log.admit(isGood, now)) {
@@ -391,7 +461,16 @@
 
     /// Servers that are probed at a time, and how often before the best one gets the request as it is.
     static constexpr std::size_t ProbesPerRound = 3;
-    static constexpr unsigned MaxRounds = 2;
+    static constexpr unsigned MaxRounds = 3;
+    /// Time between two rounds of probes of a request that waits.
+    static constexpr Duration ProbeAgain = std::chrono::milliseconds(12);
+    /// A request is held for this part of its objective at most: a caller that is told early can still be served in time
+    /// elsewhere.
+    static constexpr int HoldDivisor = 8;
+    /// Part of the time left after which a rejected caller returns; callers wait for a third of it at most.
+    static constexpr int ComeBackDivisor = 5;
+    static constexpr Duration MinComeBack = std::chrono::milliseconds(100);
+    static constexpr Duration MaxComeBack = std::chrono::milliseconds(1000);
     /// Connections that are tried for one request when none is established.
     static constexpr std::size_t MaxConnectTries = 4;
 
@@ -405,6 +484,7 @@
     Instant m_deadline {};
     Instant m_attemptAt {};
     ServerChoice m_choice;
+    AttemptStart m_start;
     std::vector<ServerId> m_tried;
     std::shared_ptr<Attempt> m_attempt;
     const char *m_reason = "none";
@@ -418,6 +498,9 @@
     unsigned m_selection = 0;
     Net::TimerId m_deadlineTimer = 0;
     Net::TimerId m_patienceTimer = 0;
+    Net::TimerId m_waitTimer = 0;
+    bool m_isWaiting = false;
+    std::uint64_t m_number = 0;
 };
 
 RequestRunner::RequestRunner(Net::EventLoop &loop, RandomSource &random, Dialect dialect, RetryBudgetSettings budget, ServerTable &servers)
@@ -518,6 +601,17 @@
     return m_budgets.try_emplace(service, m_budgetSettings, m_loop.now()).first->second;
 }
 
+void RequestRunner::offer(const ServiceId &service, const ServerId &server)
+{
+    const auto it = m_waiting.find(service);
+    if (it == m_waiting.end() || it->second.empty() || !m_servers.isKnownFree(server, m_loop.now())) {
+        return;
+    }
+    if (const auto run = it->second.begin()->second.lock()) {
+        run->takeSlot();
+    }
+}
+
 bool RequestRunner::takeBudget(const ServiceId &service)
 {
     if (budgetOf(service).take(m_entryCount, m_loop.now())) {
--- a/packages/gateway/gateway/requestrunner.h
+++ b/packages/gateway/gateway/requestrunner.h
@@ -29,6 +29,8 @@
     std::uint64_t attempts = 0;
     std::uint64_t furtherAttempts = 0;
     std::uint64_t budgetSpent = 0;
+    /// Requests that waited for a free server.
+    std::uint64_t waited = 0;
 };
 
 /// Runs the requests of callers: finds the route, chooses servers, sends attempts within the limits of the route and the
@@ -57,6 +59,8 @@
     Http::Response makeRejection(Duration comeBack) const;
     bool takeBudget(const ServiceId &service);
     RetryBudget &budgetOf(const ServiceId &service);
+    /// A slot may have become free at \p server: hands it to the request that waits for it, if any.
+    void offer(const ServiceId &service, const ServerId &server);
 
     Net::EventLoop &m_loop;
     RandomSource &m_random;
@@ -73,6 +77,16 @@
     RequestLog m_log;
     RequestCounters m_counters;
     std::set<std::shared_ptr<Run>> m_runs;
+    /// Requests that wait for a free server, by service; the most urgent first, then the oldest.
+    struct WaitKey {
+        int priority = 0;
+        Instant since {};
+        std::uint64_t number = 0;
+
+        auto operator<=>(const WaitKey &) const = default; // NOLINT(modernize-use-nullptr): clang-tidy 14 reports the rewritten comparison
+    };
+    std::map<ServiceId, std::map<WaitKey, std::weak_ptr<Run>>> m_waiting;
+    std::uint64_t m_lastNumber = 0;
 };
 
 }
--- a/packages/gateway/gateway/servertable.cpp
+++ b/packages/gateway/gateway/servertable.cpp
@@ -17,6 +17,10 @@
 constexpr double HealthWeight = 0.25;
 /// A report of this age needs no probe: a disturbance lasts several times as long.
 constexpr Duration FreshReport = std::chrono::milliseconds(20);
+/// Reports that are newer than this tell whether a service is busy.
+constexpr Duration BusyReport = std::chrono::milliseconds(60);
+/// Samples before the use of the last slot is judged.
+constexpr unsigned MinSlotSamples = 20;
 /// A machine with this slowness or less is undisturbed.
 constexpr double UndisturbedSlowness = 1.3;
 /// Unanswered probes in a row after which a server is avoided.
@@ -200,7 +204,7 @@
         return false;
     }
     const double others = std::max(0.0, static_cast<double>(row->load->running) + row->load->waiting - row->inFlightAtLoad);
-    return row->load->slowness <= UndisturbedSlowness && row->inFlight + others + 1 <= row->server.slots;
+    return row->load->slowness <= UndisturbedSlowness && row->inFlight + others + 1 <= usableSlots(*row);
 }
 
 double ServerTable::expectedOthers(const ServerRow &row, const ServiceRow &service, Instant now) const
@@ -252,15 +256,50 @@
     return it == m_rows.end() ? nullptr : &it->second;
 }
 
-void ServerTable::noteStart(const ServerId &server)
+bool ServerTable::hasFreshReports(const ServiceId &service, Instant now) const
 {
+    const auto it = m_services.find(service);
+    if (it == m_services.end()) {
+        return false;
+    }
+    return std::any_of(it->second.servers.begin(), it->second.servers.end(), [&](const ServerId &server) {
+        const ServerRow &row = m_rows.at(server);
+        return row.load && now - row.load->at <= BusyReport;
+    });
+}
+
+unsigned ServerTable::usableSlots(const ServerRow &row) const
+{
+    const unsigned slots = row.server.slots;
+    const auto it = m_services.find(row.server.service);
+    if (slots < 2 || it == m_services.end()) {
+        return slots;
+    }
+    const ServiceRow &service = it->second;
+    const bool isMeasured = service.workSamples >= MinSlotSamples && service.fullSamples >= MinSlotSamples;
+    const double worthwhile = service.workSeconds * slots / (slots - 1);
+    return isMeasured && service.fullSeconds > worthwhile ? slots - 1 : slots;
+}
+
+AttemptStart ServerTable::noteStart(const ServerId &server, Instant now)
+{
+    AttemptStart start;
     const auto it = m_rows.find(server);
-    if (it != m_rows.end()) {
-        ++it->second.inFlight;
+    if (it == m_rows.end()) {
+        return start;
     }
+    ServerRow &row = it->second;
+    start.isKnown = isFresh(server, now);
+    if (start.isKnown) {
+        const double others = std::max(0.0, static_cast<double>(row.load->running) + row.load->waiting - row.inFlightAtLoad);
+        start.isUndisturbed = row.load->slowness <= UndisturbedSlowness;
+        start.fillsServer = row.inFlight + others + 1 >= row.server.slots;
+    }
+    ++row.inFlight;
+    return start;
 }
 
-void ServerTable::noteEnd(const ServerId &server, AttemptResult result, Duration took, Instant now)
+void ServerTable::noteEnd(const ServerId &server, AttemptResult result, const AttemptStart &start, Duration took, Instant now)
 {
     const auto it = m_rows.find(server);
     if (it == m_rows.end()) {
@@ -278,7 +317,7 @@
     average(row.rejectionShare, result == AttemptResult::Rejected ? 1 : 0, HealthWeight);
     row.consecutiveBroken = isBroken ? row.consecutiveBroken + 1 : 0;
     if (result == AttemptResult::Served) {
-        average(m_services[row.server.service].workSeconds, seconds(took), AverageWeight);
+        noteWork(m_services[row.server.service], start, seconds(took));
         row.avoidance = row.failureShare < MaxFailureShare / 2 ? Duration {} : row.avoidance;
     }
     const bool isUnhealthy = row.samples >= MinSamples && row.failureShare > MaxFailureShare;
@@ -287,6 +326,18 @@
     }
 }
 
+void ServerTable::noteWork(ServiceRow &service, const AttemptStart &start, double took)
+{
+    if (!start.isKnown || !start.isUndisturbed) {
+        return;
+    }
+    double &value = start.fillsServer ? service.fullSeconds : service.workSeconds;
+    unsigned &samples = start.fillsServer ? service.fullSamples : service.workSamples;
+    ++samples;
+    // The first samples count fully, so that the default is soon forgotten.
+    average(value, took, std::max(AverageWeight, 1.0 / samples));
+}
+
 void ServerTable::avoid(ServerRow &row, Instant now)
 {
     if (now < row.avoidedUntil || !mayAvoid(m_services[row.server.service], now)) {
--- a/packages/gateway/gateway/servertable.h
+++ b/packages/gateway/gateway/servertable.h
@@ -52,6 +52,14 @@
     bool isSilent = false;
 };
 
+/// The state of a server when an attempt started there, as far as a fresh report told it.
+struct AttemptStart {
+    bool isKnown = false;
+    bool isUndisturbed = false;
+    /// The request took the last free slot.
+    bool fillsServer = false;
+};
+
 /// What a choice of server was based on, for the log.
 struct ServerChoice {
     ServerId server;
@@ -86,10 +94,14 @@
     bool isFresh(const ServerId &server, Instant now) const;
     /// Null for a server that is not known, or left.
     const ServerRow *find(const ServerId &server) const;
+    /// Whether any server of the service reported its load lately: without that, nobody knows that it is busy.
+    bool hasFreshReports(const ServiceId &service, Instant now) const;
     /// A request was sent to the server.
-    void noteStart(const ServerId &server);
-    /// An attempt ended after \p took at the server.
-    void noteEnd(const ServerId &server, AttemptResult result, Duration took, Instant now);
+    AttemptStart noteStart(const ServerId &server, Instant now);
+    /// An attempt that began with \p start ended after \p took at the server.
+    void noteEnd(const ServerId &server, AttemptResult result, const AttemptStart &start, Duration took, Instant now);
+    /// Slots of a server that are worth using: all, or all but one where the last one slows the others down by more than it adds.
+    unsigned usableSlots(const ServerRow &row) const;
     void noteLoad(const ServerId &server, const LoadReport &report);
     /// A probe was answered, or not.
     void noteProbe(const ServerId &server, bool hasAnswered, Instant now);
@@ -104,8 +116,12 @@
 private:
     struct ServiceRow {
         std::vector<ServerId> servers;
-        /// Moving average of the duration of served requests.
+        /// Moving average of the duration of served requests on undisturbed servers with a slot to spare.
         double workSeconds = DefaultWorkSeconds;
+        /// The same of those that took the last slot.
+        double fullSeconds = DefaultWorkSeconds;
+        unsigned workSamples = 0;
+        unsigned fullSamples = 0;
         /// Moving average of the requests of other entries at a server.
         double othersPerServer = 0;
     };
@@ -118,6 +134,7 @@
     double expectedSlowness(const ServerRow &row, Instant now) const;
     double score(const ServerRow &row, const ServiceRow &service, const ChoiceInput &input, Instant now) const;
     bool mayAvoid(const ServiceRow &service, Instant now) const;
+    static void noteWork(ServiceRow &service, const AttemptStart &start, double took);
     void avoid(ServerRow &row, Instant now);
 
     DataCentreId m_own;
