Choose among the servers known to be free

Change: the choice is among the servers with a fresh report of a free slot; estimates count only when there is none.

--- a/packages/gateway/gateway/requestrunner.cpp
+++ b/packages/gateway/gateway/requestrunner.cpp
@@ -92,7 +92,7 @@
     void select()
     {
         const Instant now = m_runner.m_loop.now();
-        const ChoiceInput input { m_service, m_route->objective, m_tried };
+        const ChoiceInput input { m_service, m_route->objective, m_tried, false };
         const std::vector<ServerId> candidates = m_runner.m_servers.candidates(input, ProbesPerRound, now);
         const bool isBestFree = !candidates.empty() && m_runner.m_servers.isKnownFree(candidates.front(), now);
         if (isBestFree) {
@@ -199,8 +199,12 @@
             deadlinePassed();
             return;
         }
-        ChoiceInput input { m_service, m_route->objective, m_tried };
-        const std::optional<ServerChoice> choice = m_runner.m_servers.choose(input, now);
+        ChoiceInput input { m_service, m_route->objective, m_tried, true };
+        std::optional<ServerChoice> choice = m_runner.m_servers.choose(input, now);
+        if (!choice) {
+            input.onlyFree = false;
+            choice = m_runner.m_servers.choose(input, now);
+        }
         if (!choice) {
             reject(m_tried.empty() ? "no_server" : "no_other_server");
             return;
--- a/packages/gateway/gateway/servertable.cpp
+++ b/packages/gateway/gateway/servertable.cpp
@@ -145,6 +145,9 @@
         if (std::find(input.tried.begin(), input.tried.end(), id) != input.tried.end()) {
             continue;
         }
+        if (input.onlyFree && !isKnownFree(id, now)) {
+            continue;
+        }
         const ServerRow &row = m_rows.at(id);
         const double value = score(row, service->second, input, now);
         const bool isEqual = best != nullptr && std::abs(value - bestScore) < EqualScoreSeconds;
--- a/packages/gateway/gateway/servertable.h
+++ b/packages/gateway/gateway/servertable.h
@@ -74,6 +74,8 @@
     Duration objective {};
     /// Servers that were tried for this request.
     std::vector<ServerId> tried;
+    /// Only servers that are known to be free.
+    bool onlyFree = false;
 };
 
 /// The backend servers known to an entry, and the choice among them. No sockets; deterministic for a seed.
