Use lastingly slow servers before rejecting; end stops within the grace

By the rule, a request taken later than 3 s after SIGTERM is not excused when the process ends; entries took requests for 3.5 s and ended after 5.2 s, so a request with a timeout of 2 s could be cut.

Change: an entry takes requests for 0.45 of the grace and ends 0.3 s before its end; ServerTable tells lasting slowness from disturbances, and slow servers with a free slot get what would be rejected.

--- a/packages/gateway/gateway/gatewaynode.cpp
+++ b/packages/gateway/gateway/gatewaynode.cpp
@@ -6,8 +6,11 @@
 namespace
 {
 
-/// Time after a stop was asked for during which new connections are still taken: callers keep the addresses they were told.
-constexpr Duration AcceptAfterStop = std::chrono::milliseconds(3500);
+/// Part of the grace during which requests are still taken: callers keep the addresses they were told for some seconds,
+/// and what is taken last must still be answered within the rest.
+constexpr double AcceptingPart = 0.45;
+/// The process ends this long before it would be ended by force.
+constexpr Duration StopMargin = std::chrono::milliseconds(300);
 constexpr Duration StopCheckInterval = std::chrono::milliseconds(50);
 
 }
@@ -91,12 +94,13 @@
 void GatewayNode::checkStopped()
 {
     const Duration since = m_loop.now() - m_stopAt;
-    if (since >= AcceptAfterStop) {
+    const auto accepting = std::chrono::duration_cast<Duration>(m_settings.grace * AcceptingPart);
+    if (since >= accepting) {
         m_server.stopListening();
         m_server.closeIdle();
     }
-    const bool isDone = since >= AcceptAfterStop && m_runner.running() == 0 && m_server.pendingCount() == 0;
-    if (isDone || since >= m_settings.stopLimit) {
+    const bool isDone = since >= accepting && m_runner.running() == 0 && m_server.pendingCount() == 0;
+    if (isDone || since >= m_settings.grace - StopMargin) {
         m_log.info("stopped", { { "running", std::to_string(m_runner.running()) } });
         m_stopped();
         return;
--- a/packages/gateway/gateway/gatewaynode.h
+++ b/packages/gateway/gateway/gatewaynode.h
@@ -16,8 +16,8 @@
     Net::SocketAddress listen;
     RetryBudgetSettings budget;
     Dialect dialect;
-    /// Time after a stop was asked for within which the process must have ended.
-    Duration stopLimit = std::chrono::seconds(5);
+    /// Time between a stop and the end of the process by force.
+    Duration grace = std::chrono::seconds(6);
 };
 
 /// An entry instance: takes the requests of callers, with the state that the core feeds it.
--- a/packages/gateway/gateway/requestrunner.cpp
+++ b/packages/gateway/gateway/requestrunner.cpp
@@ -92,7 +92,7 @@
     void select()
     {
         const Instant now = m_runner.m_loop.now();
-        const ChoiceInput input { m_service, m_route->objective, m_tried, false };
+        const ChoiceInput input { m_service, m_route->objective, m_tried, ChoiceInput::Need::Any };
         const std::vector<ServerId> candidates = m_runner.m_servers.candidates(input, ProbesPerRound, now);
         const bool isBestFree = !candidates.empty() && m_runner.m_servers.isKnownFree(candidates.front(), now);
         if (isBestFree) {
@@ -134,7 +134,11 @@
         const Instant until = std::min(m_startedAt + m_route->objective / HoldDivisor, m_giveUpAt);
         if (now >= until) {
             leaveQueue();
-            reject("busy");
+            if (chooseWith(ChoiceInput::Need::FreeButSlow, now)) {
+                attempt();
+            } else {
+                reject("busy");
+            }
             return;
         }
         if (!m_isWaiting) {
@@ -191,6 +195,22 @@
         }
     }
 
+    std::optional<ServerChoice> chooseWith(ChoiceInput::Need need, Instant now) const
+    {
+        return m_runner.m_servers.choose(ChoiceInput { m_service, m_route->objective, m_tried, need }, now);
+    }
+
+    /// The best server that is as free as can be had.
+    std::optional<ServerChoice> choose(Instant now) const
+    {
+        for (const auto need : { ChoiceInput::Need::Free, ChoiceInput::Need::FreeButSlow }) {
+            if (const auto choice = chooseWith(need, now)) {
+                return choice;
+            }
+        }
+        return chooseWith(ChoiceInput::Need::Any, now);
+    }
+
     void attempt()
     {
         leaveQueue();
@@ -199,12 +219,7 @@
             deadlinePassed();
             return;
         }
-        ChoiceInput input { m_service, m_route->objective, m_tried, true };
-        std::optional<ServerChoice> choice = m_runner.m_servers.choose(input, now);
-        if (!choice) {
-            input.onlyFree = false;
-            choice = m_runner.m_servers.choose(input, now);
-        }
+        const std::optional<ServerChoice> choice = choose(now);
         if (!choice) {
             reject(m_tried.empty() ? "no_server" : "no_other_server");
             return;
--- a/packages/gateway/gateway/servertable.cpp
+++ b/packages/gateway/gateway/servertable.cpp
@@ -23,6 +23,8 @@
 constexpr unsigned MinSlotSamples = 20;
 /// A machine with this slowness or less is undisturbed.
 constexpr double UndisturbedSlowness = 1.3;
+/// Time in which a lasting slowness is told from a disturbance, which ends after some tenths of a second.
+constexpr double SlownessLifeSeconds = 3;
 /// Unanswered probes in a row after which a server is avoided.
 constexpr unsigned MaxSilentProbes = 2;
 /// Usual slowness of shared machines, expected where no fresh report says more.
@@ -145,7 +147,9 @@
         if (std::find(input.tried.begin(), input.tried.end(), id) != input.tried.end()) {
             continue;
         }
-        if (input.onlyFree && !isKnownFree(id, now)) {
+        const bool isExcluded = (input.need == ChoiceInput::Need::Free && !isKnownFree(id, now))
+            || (input.need == ChoiceInput::Need::FreeButSlow && !isKnownSlowButFree(id, now));
+        if (isExcluded) {
             continue;
         }
         const ServerRow &row = m_rows.at(id);
@@ -200,14 +204,23 @@
     return row != nullptr && row->load && now - row->load->at <= FreshReport;
 }
 
+bool ServerTable::hasFreeSlot(const ServerRow &row) const
+{
+    const double others = std::max(0.0, static_cast<double>(row.load->running) + row.load->waiting - row.inFlightAtLoad);
+    return row.inFlight + others + 1 <= usableSlots(row);
+}
+
 bool ServerTable::isKnownFree(const ServerId &server, Instant now) const
 {
     const ServerRow *row = find(server);
-    if (!isFresh(server, now) || now < row->avoidedUntil) {
-        return false;
-    }
-    const double others = std::max(0.0, static_cast<double>(row->load->running) + row->load->waiting - row->inFlightAtLoad);
-    return row->load->slowness <= UndisturbedSlowness && row->inFlight + others + 1 <= usableSlots(*row);
+    return isFresh(server, now) && now >= row->avoidedUntil && row->load->slowness <= UndisturbedSlowness && hasFreeSlot(*row);
+}
+
+bool ServerTable::isKnownSlowButFree(const ServerId &server, Instant now) const
+{
+    const ServerRow *row = find(server);
+    return isFresh(server, now) && now >= row->avoidedUntil && row->load->slowness <= UndisturbedSlowness * row->lastingSlowness
+        && hasFreeSlot(*row);
 }
 
 double ServerTable::expectedOthers(const ServerRow &row, const ServiceRow &service, Instant now) const
@@ -364,7 +377,10 @@
         return;
     }
     ServerRow &row = it->second;
+    const double elapsed = row.load ? seconds(report.at - row.load->at) : SlownessLifeSeconds;
     row.load = report;
+    row.lastingSlowness += (report.slowness - row.lastingSlowness) * (1 - std::exp(-elapsed / SlownessLifeSeconds));
+    row.lastingSlowness = std::min(row.lastingSlowness, report.slowness);
     row.inFlightAtLoad = row.inFlight;
     const double others = std::max(0.0, static_cast<double>(report.running) + report.waiting - row.inFlight);
     average(m_services[row.server.service].othersPerServer, others, AverageWeight);
--- a/packages/gateway/gateway/servertable.h
+++ b/packages/gateway/gateway/servertable.h
@@ -36,6 +36,8 @@
     unsigned inFlight = 0;
     /// The newest report, and the requests of this entry when it came.
     std::optional<LoadReport> load;
+    /// Slowness without short disturbances: the least that was reported lately.
+    double lastingSlowness = 1;
     unsigned inFlightAtLoad = 0;
     /// Moving shares of attempts that failed, and that were rejected.
     double failureShare = 0;
@@ -74,8 +76,14 @@
     Duration objective {};
     /// Servers that were tried for this request.
     std::vector<ServerId> tried;
-    /// Only servers that are known to be free.
-    bool onlyFree = false;
+    enum class Need {
+        /// Only servers that are known to be free and undisturbed.
+        Free,
+        /// Servers that have a free slot, although they are slow for longer.
+        FreeButSlow,
+        Any,
+    };
+    Need need = Need::Any;
 };
 
 /// The backend servers known to an entry, and the choice among them. No sockets; deterministic for a seed.
@@ -92,6 +100,8 @@
     std::vector<ServerId> candidates(const ChoiceInput &input, std::size_t most, Instant now) const;
     /// Whether a fresh report says that the server is undisturbed and has a free slot.
     bool isKnownFree(const ServerId &server, Instant now) const;
+    /// Whether a fresh report says that the server has a free slot and is no slower than it has been for a while.
+    bool isKnownSlowButFree(const ServerId &server, Instant now) const;
     /// Whether the newest report is recent enough to need no probe.
     bool isFresh(const ServerId &server, Instant now) const;
     /// Null for a server that is not known, or left.
@@ -135,6 +145,7 @@
     double expectedOthers(const ServerRow &row, const ServiceRow &service, Instant now) const;
     double expectedSlowness(const ServerRow &row, Instant now) const;
     double score(const ServerRow &row, const ServiceRow &service, const ChoiceInput &input, Instant now) const;
+    bool hasFreeSlot(const ServerRow &row) const;
     bool mayAvoid(const ServiceRow &service, Instant now) const;
     static void noteWork(ServiceRow &service, const AttemptStart &start, double took);
     void avoid(ServerRow &row, Instant now);
