--- a/packages/gateway/gateway/gatewaynode.cpp
+++ b/packages/gateway/gateway/gatewaynode.cpp
@@ -20,7 +20,7 @@
     , m_settings(std::move(settings))
     , m_log("entry")
     , m_servers(m_settings.self.dataCentre, random)
-    , m_runner(loop, random, m_settings.dialect, m_settings.budget, m_servers)
+    , m_runner(loop, random, m_settings.dialect, m_settings.budget, m_settings.probes, m_servers)
     , m_server(loop, [this](const Http::ExchangePointer &exchange) { m_runner.handle(exchange); })
     , m_link(loop, codec, random, m_settings.seeds, m_settings.self)
 {
--- a/packages/gateway/gateway/gatewaynode.h
+++ b/packages/gateway/gateway/gatewaynode.h
@@ -15,6 +15,7 @@
     /// Where callers connect.
     Net::SocketAddress listen;
     RetryBudgetSettings budget;
+    ProbeSettings probes;
     Dialect dialect;
     /// Time between a stop and the end of the process by force.
     Duration grace = std::chrono::seconds(6);
--- a/packages/gateway/gateway/loadprober.h
+++ b/packages/gateway/gateway/loadprober.h
@@ -15,8 +15,8 @@
 
 /// Bounds of the load probes of one entry.
 struct ProbeSettings {
-    /// Probes to one backend server in a second, over all entries.
-    double perServerAndSecond = 15;
+    /// Probes to one backend server in a second, over all entries; two thirds of what the platform allows by default.
+    double perServerAndSecond = 40;
     /// A server that has not answered in this time is busy or gone. A health check takes some milliseconds, and a round
     /// trip between data centres two.
     Duration limit = std::chrono::milliseconds(25);
--- a/packages/gateway/gateway/requestrunner.cpp
+++ b/packages/gateway/gateway/requestrunner.cpp
@@ -137,7 +137,7 @@
             if (chooseWith(ChoiceInput::Need::FreeButSlow, now)) {
                 attempt();
             } else {
-                reject("busy");
+                reject("busy", true);
             }
             return;
         }
@@ -423,14 +423,15 @@
         finish("failed", status);
     }
 
-    void reject(const char *reason)
+    /// \p isBusy: there was no free server. Otherwise another attempt has a fair chance at once.
+    void reject(const char *reason, bool isBusy = false)
     {
         if (m_mayHaveRun) {
             fail(502, reason);
             return;
         }
         ++m_runner.m_counters.rejected;
-        m_exchange->respond(m_runner.makeRejection(comeBack()));
+        m_exchange->respond(m_runner.makeRejection(isBusy ? comeBack() : SoonComeBack));
         m_reason = reason;
         finish("rejected", 503);
     }
@@ -489,6 +490,7 @@
     /// Part of the time left after which a rejected caller returns; callers wait for a third of it at most.
     static constexpr int ComeBackDivisor = 5;
     static constexpr Duration MinComeBack = std::chrono::milliseconds(100);
+    static constexpr Duration SoonComeBack = std::chrono::milliseconds(25);
     static constexpr Duration MaxComeBack = std::chrono::milliseconds(1000);
     /// Connections that are tried for one request when none is established.
     static constexpr std::size_t MaxConnectTries = 4;
@@ -522,14 +524,15 @@
     std::uint64_t m_number = 0;
 };
 
-RequestRunner::RequestRunner(Net::EventLoop &loop, RandomSource &random, Dialect dialect, RetryBudgetSettings budget, ServerTable &servers)
+RequestRunner::RequestRunner(Net::EventLoop &loop, RandomSource &random, Dialect dialect, RetryBudgetSettings budget, ProbeSettings probes,
+                             ServerTable &servers)
     : m_loop(loop)
     , m_random(random)
     , m_dialect(std::move(dialect))
     , m_budgetSettings(budget)
     , m_servers(servers)
     , m_pool(loop, m_dialect.requestId)
-    , m_prober(loop, m_dialect, ProbeSettings {}, servers, m_pool)
+    , m_prober(loop, m_dialect, probes, servers, m_pool)
     , m_splits(random)
     , m_log(RequestLogSettings {})
 {
--- a/packages/gateway/gateway/requestrunner.h
+++ b/packages/gateway/gateway/requestrunner.h
@@ -38,7 +38,8 @@
 class RequestRunner
 {
 public:
-    RequestRunner(Net::EventLoop &loop, RandomSource &random, Dialect dialect, RetryBudgetSettings budget, ServerTable &servers);
+    RequestRunner(Net::EventLoop &loop, RandomSource &random, Dialect dialect, RetryBudgetSettings budget, ProbeSettings probes,
+                  ServerTable &servers);
     ~RequestRunner();
     RequestRunner(const RequestRunner &) = delete;
     RequestRunner &operator=(const RequestRunner &) = delete;
