--- a/packages/coordination/coordination/corelink.cpp
+++ b/packages/coordination/coordination/corelink.cpp
@@ -16,6 +16,8 @@
 constexpr Duration SilenceLimit = std::chrono::milliseconds(1250);
 /// Another instance is tried when this one was not sure for this time: an election takes at most 1.2 s.
 constexpr Duration UnsureLimit = std::chrono::milliseconds(1600);
+/// The same while nothing is known yet: another instance may know the state.
+constexpr Duration FirstUnsureLimit = std::chrono::milliseconds(300);
 /// Time before the own data centre's instance is tried again after it failed.
 constexpr Duration PreferDelay = std::chrono::seconds(3);
 
@@ -72,7 +74,7 @@
         connectNext("connect_timeout");
     } else if (isConnected && now - std::max(m_heardAt, m_connectedAt) > SilenceLimit) {
         connectNext("silent");
-    } else if (isConnected && now - sureAt > UnsureLimit) {
+    } else if (isConnected && now - sureAt > (m_known == LogIndex() ? FirstUnsureLimit : UnsureLimit)) {
         connectNext("unsure");
     } else if (now - m_reportedAt >= ReportInterval) {
         report();
