--- a/packages/coordination/tests/replicatest.cpp
+++ b/packages/coordination/tests/replicatest.cpp
@@ -266,7 +266,8 @@
     REQUIRE(cluster.put(1, 0) == ResultCode::Ok);
     const std::string wiped = cluster.leader();
     REQUIRE(cluster.put(2, 1) == ResultCode::Ok);
-    for (const auto &[name, node] : std::map<std::string, int> { { Cluster::nameOf(0), 0 }, { Cluster::nameOf(1), 0 }, { Cluster::nameOf(2), 0 } }) {
+    for (const auto &[name, node] :
+         std::map<std::string, int> { { Cluster::nameOf(0), 0 }, { Cluster::nameOf(1), 0 }, { Cluster::nameOf(2), 0 } }) {
         (void)node;
         cluster.losePower(name);
     }
--- /dev/null
+++ b/packages/gateway/tests/requestrunnertest.cpp
@@ -0,0 +1,334 @@
+#include "gateway/requestrunner.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Galenabarrow;
+using namespace Galenabarrow::Gateway;
+
+namespace
+{
+
+constexpr std::uint16_t FirstPort = 28500;
+
+Dialect testDialect()
+{
+    return Dialect { "x-id", "x-wait", "x-sign", "x-for", "x-load", "x-not-run", "x-server", "retry-after" };
+}
+
+/// What a scripted server does with a request.
+enum class Behaviour {
+    Answer,
+    /// States that it did not run the request.
+    Shed,
+    /// Fails after it ran the request.
+    Fail,
+    /// Closes the connection without an answer.
+    Break,
+    Hang,
+    /// Answers without its signature.
+    Unsigned,
+    /// Answers with the id of another request.
+    OtherId,
+    /// Answers with a promise that only the entry may make.
+    UnmarkedPromise,
+};
+
+/// A backend server on the test's event loop.
+class ScriptedServer
+{
+public:
+    ScriptedServer(Net::EventLoop &loop, std::size_t number)
+        : address { "127.0.0.1", static_cast<std::uint16_t>(FirstPort + number) }
+        , name("s" + std::to_string(number))
+        , m_server(loop, [this](const Http::ExchangePointer &it) { handle(it); })
+    {
+        REQUIRE(m_server.listen(address));
+    }
+
+    std::size_t requests() const
+    {
+        return received.size();
+    }
+
+    Net::SocketAddress address;
+    std::string name;
+    Behaviour behaviour = Behaviour::Answer;
+    std::string load = "0,0,2,100";
+    std::vector<Http::Request> received;
+    std::vector<Http::ExchangePointer> hanging;
+    std::size_t cancelled = 0;
+
+private:
+    void handle(const Http::ExchangePointer &exchange)
+    {
+        if (exchange->request().path() == "/health") {
+            Http::Response response = Http::makeResponse(200);
+            response.fields.add("x-server", name);
+            response.fields.add("x-load", load);
+            exchange->respond(std::move(response));
+            return;
+        }
+        received.push_back(exchange->request());
+        if (behaviour == Behaviour::Hang || behaviour == Behaviour::Break) {
+            hanging.push_back(exchange);
+            exchange->onGone([this] { ++cancelled; });
+            if (behaviour == Behaviour::Break) {
+                exchange->abort();
+            }
+            return;
+        }
+        exchange->respond(makeAnswer(exchange->request()));
+    }
+
+    Http::Response makeAnswer(const Http::Request &request) const
+    {
+        Http::Response response = Http::makeResponse(200, "whole");
+        if (behaviour == Behaviour::Shed || behaviour == Behaviour::UnmarkedPromise) {
+            response = Http::makeResponse(503);
+        } else if (behaviour == Behaviour::Fail) {
+            response = Http::makeResponse(500, "bad");
+        }
+        if (behaviour == Behaviour::Shed) {
+            response.fields.add("x-not-run", "1");
+        }
+        if (behaviour != Behaviour::Unsigned) {
+            response.fields.add("x-sign", name);
+        }
+        response.fields.add("x-id", behaviour == Behaviour::OtherId ? "another" : *request.fields.find("x-id"));
+        return response;
+    }
+
+    Http::Server m_server;
+};
+
+constexpr std::uint16_t EntryPort = 28490;
+
+/// An entry with scripted servers and one caller.
+struct Fixture {
+    explicit Fixture(std::size_t serverCount, double retryFloor = 1e8)
+        : servers(DataCentreId("north"), random)
+        , runner(loop, random, testDialect(), RetryBudgetSettings { 0.2, retryFloor, std::chrono::seconds(10), 1 }, ProbeSettings { 1000 },
+                 servers)
+        , entry(loop, [this](const Http::ExchangePointer &it) { runner.handle(it); })
+    {
+        REQUIRE(entry.listen({ "127.0.0.1", EntryPort }));
+        Coordination::FeedUpdate update;
+        update.isWhole = true;
+        update.index = LogIndex(1);
+        for (std::size_t n = 0; n < serverCount; ++n) {
+            backends.push_back(std::make_unique<ScriptedServer>(loop, n));
+            Routing::BackendServer server;
+            server.id = ServerId(backends.back()->name);
+            server.address = backends.back()->address.text();
+            server.service = ServiceId("desk");
+            server.dataCentre = DataCentreId("north");
+            server.slots = 2;
+            server.changedAt = LogIndex(1);
+            update.servers.push_back(server);
+        }
+        servers.apply(update, loop.now());
+        runFor(20);
+    }
+
+    void configure(Routing::Repeatability repeatability, unsigned attempts = 2, int timeout = 300)
+    {
+        Routing::Route route;
+        route.name = "r";
+        route.host = "h";
+        route.prefix = "/";
+        route.repeatability = repeatability;
+        route.maxAttempts = attempts;
+        route.objective = std::chrono::milliseconds(200);
+        route.timeout = std::chrono::milliseconds(timeout);
+        route.split = { { ServiceId("desk"), 1 } };
+        Routing::RoutingConfig config;
+        config.version = Version(1);
+        config.routes = { route };
+        config.services = { { ServiceId("desk"), "/health", 0, "" } };
+        runner.setConfig(config);
+    }
+
+    void runFor(int milliseconds)
+    {
+        loop.after(std::chrono::milliseconds(milliseconds), [this] { loop.stop(); });
+        loop.run();
+    }
+
+    /// Sends a request and returns the bytes of the response.
+    std::string call(int milliseconds = 150, const std::string &wait = "2000")
+    {
+        received.clear();
+        client = Net::Stream::connect(loop, { "127.0.0.1", EntryPort });
+        client->onData([this](std::string_view bytes) { received.append(bytes); });
+        client->write("POST /a HTTP/1.1\r\nHost: h\r\nx-id: id1\r\nx-wait: " + wait + "\r\nX-Own: kept\r\nContent-Length: 2\r\n\r\nok");
+        runFor(milliseconds);
+        return received;
+    }
+
+    void setAll(Behaviour behaviour)
+    {
+        for (auto &it : backends) {
+            it->behaviour = behaviour;
+        }
+    }
+
+    std::size_t requests() const
+    {
+        std::size_t count = 0;
+        for (const auto &it : backends) {
+            count += it->requests();
+        }
+        return count;
+    }
+
+    Net::EventLoop loop;
+    SeededRandom random { 4 };
+    ServerTable servers;
+    RequestRunner runner;
+    Http::Server entry;
+    std::vector<std::unique_ptr<ScriptedServer>> backends;
+    std::shared_ptr<Net::Stream> client;
+    std::string received;
+};
+
+bool hasStatus(const std::string &response, const char *status)
+{
+    return response.starts_with(std::string("HTTP/1.1 ") + status);
+}
+
+}
+
+TEST_CASE("a request reaches one server as it came and its answer comes back whole")
+{
+    Fixture fixture(3);
+    fixture.configure(Routing::Repeatability::Unsafe);
+    const std::string response = fixture.call();
+    CHECK(hasStatus(response, "200"));
+    CHECK(response.find("whole") != std::string::npos);
+    REQUIRE(fixture.requests() == 1);
+    for (const auto &it : fixture.backends) {
+        for (const Http::Request &request : it->received) {
+            CHECK(request.method == "POST");
+            CHECK(request.body == "ok");
+            CHECK(*request.fields.find("X-Own") == "kept");
+            CHECK(*request.fields.find("x-for") == it->name);
+            const int wait = std::stoi(*request.fields.find("x-wait"));
+            CHECK(wait <= 300);
+            CHECK(wait > 200);
+        }
+    }
+}
+
+TEST_CASE("what may have run is sent to one server only, unless it may be repeated")
+{
+    struct Row {
+        Behaviour behaviour;
+        Routing::Repeatability repeatability;
+        std::size_t requests;
+        const char *status;
+    };
+    using enum Routing::Repeatability;
+    const Row row = GENERATE(Row { Behaviour::Break, Unsafe, 1, "502" }, Row { Behaviour::Break, Safe, 2, "502" },
+                             Row { Behaviour::Fail, Unsafe, 1, "500" }, Row { Behaviour::Fail, Safe, 2, "500" },
+                             Row { Behaviour::Unsigned, Unsafe, 1, "502" }, Row { Behaviour::Unsigned, Safe, 2, "502" },
+                             Row { Behaviour::Shed, Unsafe, 2, "503" }, Row { Behaviour::Shed, Safe, 2, "503" },
+                             Row { Behaviour::UnmarkedPromise, Unsafe, 1, "502" }, Row { Behaviour::OtherId, Unsafe, 1, "504" });
+    Fixture fixture(3);
+    fixture.configure(row.repeatability);
+    fixture.setAll(row.behaviour);
+    const std::string response = fixture.call(400);
+    INFO(static_cast<int>(row.behaviour) << " " << response);
+    CHECK(fixture.requests() == row.requests);
+    CHECK(hasStatus(response, row.status));
+    const bool isPromise = hasStatus(response, "503");
+    CHECK((response.find("retry-after") != std::string::npos) == isPromise);
+}
+
+TEST_CASE("a spent retry budget ends in an honest rejection")
+{
+    Fixture fixture(3, 0);
+    fixture.configure(Routing::Repeatability::Unsafe);
+    fixture.setAll(Behaviour::Shed);
+    CHECK(hasStatus(fixture.call(), "503"));
+    CHECK(fixture.requests() == 1);
+}
+
+TEST_CASE("the route's timeout and the caller's deadline end a request that hangs")
+{
+    const std::string wait = GENERATE("2000", "200");
+    Fixture fixture(2);
+    fixture.configure(Routing::Repeatability::Unsafe);
+    fixture.setAll(Behaviour::Hang);
+    CHECK(fixture.call(100, wait).empty());
+    fixture.runFor(wait == "200" ? 110 : 260);
+    CHECK(hasStatus(fixture.received, "504"));
+}
+
+TEST_CASE("a safe request is cancelled when its caller leaves, another one is left to finish")
+{
+    const auto repeatability = GENERATE(Routing::Repeatability::Safe, Routing::Repeatability::Unsafe);
+    Fixture fixture(1);
+    fixture.configure(repeatability, 1, 2000);
+    fixture.setAll(Behaviour::Hang);
+    fixture.call(50);
+    REQUIRE(fixture.requests() == 1);
+    fixture.client->close();
+    fixture.runFor(50);
+    CHECK(fixture.backends[0]->cancelled == (repeatability == Routing::Repeatability::Safe ? 1 : 0));
+    fixture.runFor(50);
+    CHECK(fixture.requests() == 1);
+}
+
+TEST_CASE("an entry without a configuration says so, and one with it knows what is not there")
+{
+    Fixture fixture(1);
+    CHECK(hasStatus(fixture.call(50), "503"));
+    Routing::RoutingConfig empty;
+    empty.version = Version(1);
+    fixture.runner.setConfig(empty);
+    CHECK(hasStatus(fixture.call(50), "404"));
+}
+
+TEST_CASE("a service without servers rejects at once")
+{
+    Fixture fixture(0);
+    fixture.configure(Routing::Repeatability::Safe);
+    CHECK(hasStatus(fixture.call(60), "503"));
+}
+
+// Pattern: overload. All servers are full: the request waits for an eighth of its objective and is rejected with a time.
+TEST_CASE("a request is rejected soon when all servers are full")
+{
+    Fixture fixture(2);
+    fixture.configure(Routing::Repeatability::Unsafe);
+    for (auto &it : fixture.backends) {
+        it->load = "2,1,2,100";
+    }
+    CHECK(hasStatus(fixture.call(80), "503"));
+    CHECK(fixture.requests() == 0);
+}
+
+// Pattern: noisy neighbours. One server is undisturbed: it gets the request.
+TEST_CASE("an undisturbed server is found among disturbed ones")
+{
+    Fixture fixture(3);
+    fixture.configure(Routing::Repeatability::Unsafe);
+    fixture.backends[0]->load = "0,0,2,500";
+    fixture.backends[1]->load = "0,0,2,500";
+    for (int n = 0; n < 5; ++n) {
+        CHECK(hasStatus(fixture.call(60), "200"));
+    }
+    CHECK(fixture.backends[2]->requests() == 5);
+}
+
+// Pattern: partial outage. A server whose address belongs to another one by now is not used.
+TEST_CASE("a probe that another server answers is no answer")
+{
+    Fixture fixture(2);
+    fixture.configure(Routing::Repeatability::Unsafe);
+    fixture.backends[0]->name = "successor";
+    for (int n = 0; n < 4; ++n) {
+        CHECK(hasStatus(fixture.call(60), "200"));
+    }
+    CHECK(fixture.backends[1]->requests() == 4);
+}
--- a/packages/http/http/server.cpp
+++ b/packages/http/http/server.cpp
@@ -76,6 +76,15 @@
     return m_isAnswered;
 }
 
+void Exchange::abort()
+{
+    m_isAnswered = true;
+    m_gone = nullptr;
+    if (const auto connection = m_connection.lock()) {
+        connection->close();
+    }
+}
+
 void Exchange::onGone(std::function<void()> callback)
 {
     m_gone = std::move(callback);
--- a/packages/http/http/server.h
+++ b/packages/http/http/server.h
@@ -37,6 +37,8 @@
     /// Sends the response; only the first one counts.
     void respond(Response response);
     bool isAnswered() const;
+    /// Ends the connection without a response.
+    void abort();
     /// Called when the caller closes its connection before the response.
     void onGone(std::function<void()> callback);
 
--- a/packages/http/tests/readertest.cpp
+++ b/packages/http/tests/readertest.cpp
@@ -7,7 +7,8 @@
 
 TEST_CASE("a request is read whole in whatever pieces it comes")
 {
-    const std::string text = "POST /a/b?x=1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nX-Own: v\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+    const std::string text =
+        "POST /a/b?x=1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nX-Own: v\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
     const std::size_t piece = GENERATE(1U, 2U, 7U, 1000U);
     RequestReader reader({});
     for (std::size_t n = 0; n < text.size(); n += piece) {
@@ -42,14 +43,15 @@
         std::string text;
         ResultCode code;
     };
-    const Row row = GENERATE(
-        Row { "no request line", "this is no request\r\n\r\n", ResultCode::HeaderInvalid },
-        Row { "long header", "GET / HTTP/1.1\r\nX: " + std::string(5000, 'x') + "\r\n\r\n", ResultCode::HeaderTooLarge },
-        Row { "endless header", std::string("GET /") + std::string(5000, 'x'), ResultCode::HeaderTooLarge },
-        Row { "long body", "POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n" + std::string(5000, 'x'), ResultCode::BodyTooLarge },
-        Row { "two framings", "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", ResultCode::HeaderInvalid },
-        Row { "bad length", "POST / HTTP/1.1\r\nContent-Length: 3x\r\n\r\nabc", ResultCode::HeaderInvalid },
-        Row { "bad chunk", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n", ResultCode::HeaderInvalid });
+    const Row row =
+        GENERATE(Row { "no request line", "this is no request\r\n\r\n", ResultCode::HeaderInvalid },
+                 Row { "long header", "GET / HTTP/1.1\r\nX: " + std::string(5000, 'x') + "\r\n\r\n", ResultCode::HeaderTooLarge },
+                 Row { "endless header", std::string("GET /") + std::string(5000, 'x'), ResultCode::HeaderTooLarge },
+                 Row { "long body", "POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n" + std::string(5000, 'x'), ResultCode::BodyTooLarge },
+                 Row { "two framings", "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                       ResultCode::HeaderInvalid },
+                 Row { "bad length", "POST / HTTP/1.1\r\nContent-Length: 3x\r\n\r\nabc", ResultCode::HeaderInvalid },
+                 Row { "bad chunk", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n", ResultCode::HeaderInvalid });
     INFO(row.what);
     RequestReader reader(ReaderLimits { 4096, 4096 });
     reader.feed(row.text);
@@ -71,8 +73,9 @@
 
 TEST_CASE("a response that ends early is not complete")
 {
-    const std::string text = GENERATE("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
-                                      "HTTP/1.1 200 OK\r\nContent-Le", "");
+    const std::string text =
+        GENERATE("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+                 "HTTP/1.1 200 OK\r\nContent-Le", "");
     ResponseReader reader;
     reader.expect(false);
     reader.feed(text);
--- a/packages/http/tests/servertest.cpp
+++ b/packages/http/tests/servertest.cpp
@@ -85,7 +85,8 @@
         const char *sent;
         const char *status;
     };
-    const Row row = GENERATE(Row { "", "" }, Row { "GET / HT", "408" }, Row { "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nabc", "408" });
+    const Row row =
+        GENERATE(Row { "", "" }, Row { "GET / HT", "408" }, Row { "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nabc", "408" });
     Fixture fixture(answerOk);
     fixture.client->write(row.sent);
     fixture.runFor(200);
--- a/packages/routing/tests/routingstatetest.cpp
+++ b/packages/routing/tests/routingstatetest.cpp
@@ -138,17 +138,19 @@
         const char *what;
         void (*spoil)(RoutingConfig &);
     };
-    const Row row = GENERATE(
-        Row { "unknown service", [](RoutingConfig &it) { it.routes[0].split[0].service = ServiceId("nobody"); } },
-        Row { "no timeout", [](RoutingConfig &it) { it.routes[0].timeout = {}; } },
-        Row { "no host", [](RoutingConfig &it) { it.routes[0].host.clear(); } },
-        Row { "weights add up to 0", [](RoutingConfig &it) { it.routes[0].split[0].weight = 0; } },
-        Row { "negative weight", [](RoutingConfig &it) { it.routes[0].split.push_back(SplitPart { ServiceId("desk"), -1 }); } },
-        Row { "no service at all", [](RoutingConfig &it) { it.routes[0].split.clear(); } },
-        Row { "same place twice", [](RoutingConfig &it) { it.routes.push_back(makeRoute("r2", "/a/")); } },
-        Row { "same name twice", [](RoutingConfig &it) { it.routes.push_back(makeRoute("r1", "/b/")); } },
-        Row { "prefix without slash", [](RoutingConfig &it) { it.routes[0].prefix = "/a"; } },
-        Row { "service twice", [](RoutingConfig &it) { it.services.push_back(it.services[0]); } });
+    const Row row = GENERATE(Row { "unknown service", [](RoutingConfig &it) { it.routes[0].split[0].service = ServiceId("nobody"); } },
+                             Row { "no timeout", [](RoutingConfig &it) { it.routes[0].timeout = {}; } },
+                             Row { "no host", [](RoutingConfig &it) { it.routes[0].host.clear(); } },
+                             Row { "weights add up to 0", [](RoutingConfig &it) { it.routes[0].split[0].weight = 0; } },
+                             Row { "negative weight",
+                                   [](RoutingConfig &it) {
+                                       it.routes[0].split.push_back(SplitPart { ServiceId("desk"), -1 });
+                                   } },
+                             Row { "no service at all", [](RoutingConfig &it) { it.routes[0].split.clear(); } },
+                             Row { "same place twice", [](RoutingConfig &it) { it.routes.push_back(makeRoute("r2", "/a/")); } },
+                             Row { "same name twice", [](RoutingConfig &it) { it.routes.push_back(makeRoute("r1", "/b/")); } },
+                             Row { "prefix without slash", [](RoutingConfig &it) { it.routes[0].prefix = "/a"; } },
+                             Row { "service twice", [](RoutingConfig &it) { it.services.push_back(it.services[0]); } });
     INFO(row.what);
     Log log;
     REQUIRE(log.change(makeChange(3, 0)) == ResultCode::Ok);
