Probe servers that are not known to be busy; value staying in the data centre more

Cause: later rounds of probes went to servers that a fresh report had just called busy, so servers in other data centres were found late in overload; and a crossing weighed half an objective while its bytes cost more.

Change: candidates leave out servers known busy; CrossingShare 0.5 -> 2; links acknowledge after 400 ms.

--- a/packages/coordination/coordination/peerlinks.h
+++ b/packages/coordination/coordination/peerlinks.h
@@ -19,9 +19,9 @@
 {
 public:
     /// Time after which a receiver tells that something came.
-    static constexpr Duration AcknowledgeDelay = std::chrono::milliseconds(150);
+    static constexpr Duration AcknowledgeDelay = std::chrono::milliseconds(400);
     /// A connection without the acknowledgement for this time is dead; several times the delay and a slow disk's sync.
-    static constexpr Duration SilenceLimit = std::chrono::milliseconds(900);
+    static constexpr Duration SilenceLimit = std::chrono::milliseconds(1000);
     /// Many round trips; a machine that has no power yet does not answer, and may do so with the next attempt.
     static constexpr Duration ConnectLimit = std::chrono::milliseconds(120);
     /// Time between two attempts to connect.
--- a/packages/gateway/gateway/servertable.cpp
+++ b/packages/gateway/gateway/servertable.cpp
@@ -33,7 +33,7 @@
 constexpr double KneeOccupancy = 0.8;
 constexpr double KneeSlowdown = 0.7;
 /// Share of the objective that a request may take longer to stay in the own data centre.
-constexpr double CrossingShare = 0.5;
+constexpr double CrossingShare = 2;
 /// A server that starts takes about twice as long.
 constexpr double ColdSlowdown = 1.0;
 /// Failures in a row after which a server is avoided, and the share of failures.
@@ -184,7 +184,9 @@
     }
     std::vector<std::pair<double, ServerId>> scored;
     for (const ServerId &id : service->second.servers) {
-        if (std::find(input.tried.begin(), input.tried.end(), id) == input.tried.end()) {
+        const bool isTried = std::find(input.tried.begin(), input.tried.end(), id) != input.tried.end();
+        const bool isKnownBusy = isFresh(id, now) && !isKnownFree(id, now);
+        if (!isTried && !isKnownBusy) {
             const double noise = m_random.unit() * EqualScoreSeconds;
             scored.emplace_back(score(m_rows.at(id), service->second, input, now) + noise, id);
         }
--- a/packages/gateway/gateway/servertable.h
+++ b/packages/gateway/gateway/servertable.h
@@ -96,7 +96,7 @@
     void apply(const Coordination::FeedUpdate &update, Instant now);
     /// The best server for a request; absent when the service has none that may take one.
     std::optional<ServerChoice> choose(const ChoiceInput &input, Instant now) const;
-    /// The servers with the best scores, best first, at most \p most of them.
+    /// The servers with the best scores, best first, at most \p most of them; without those that a fresh report says are busy.
     std::vector<ServerId> candidates(const ChoiceInput &input, std::size_t most, Instant now) const;
     /// Whether a fresh report says that the server is undisturbed and has a free slot.
     bool isKnownFree(const ServerId &server, Instant now) const;
