--- a/packages/ctl/ctl/commands.cpp
+++ b/packages/ctl/ctl/commands.cpp
@@ -10,6 +10,7 @@
 #include "contract/operatorsapi.h"
 #include "ctl/contractcommands.h"
 #include "ctl/exitcode.h"
+#include "ctl/explain.h"
 #include "ctl/reportcommands.h"
 #include "settings/loader.h"
 #include "settings/secretfile.h"
@@ -56,7 +57,7 @@
     return {};
 }
 
-constexpr std::array<Command, 9> Commands = { {
+constexpr std::array<Command, 10> Commands = { {
     { "contract list", "", 0, true, contractList, "list all contracts with their versions" },
     { "contract show", "<customer>", 1, true, contractShow, "print a contract as JSON, in the form that put reads" },
     { "contract put", "<file>", 1, true, contractPut, "create or replace a contract" },
@@ -65,6 +66,7 @@
     { "drain", "<server>", 1, true, drain, "stop giving new work to a server" },
     { "burn", "", 0, true, burn, "show how fast each contract uses up its error budget" },
     { "check", "<settings file>", 1, false, check, "check a settings file of galenabarrowd" },
+    { "explain", "<request id> <log>", 2, false, explain, "print what the log (- for standard input) says of a request" },
     { "codes", "", 0, false, codes, "list all result codes with their exit statuses" },
 } };
 
--- /dev/null
+++ b/packages/ctl/ctl/explain.cpp
@@ -0,0 +1,114 @@
+#include "ctl/explain.h"
+
+#include <algorithm>
+#include <array>
+#include <fstream>
+#include <iostream>
+#include <optional>
+#include <vector>
+
+#include "ctl/call.h"
+
+namespace Galenabarrow::Ctl
+{
+
+namespace
+{
+
+/// Events that change what an instance believes.
+constexpr std::array<std::string_view, 9> BeliefEvents {
+    "config_in_force", "core_instance_chosen", "leader_changed",   "change_decided", "started", "stopping",
+    "stopped",         "lines_dropped",        "settings_reloaded"
+};
+
+/// The value of a field of a line; empty without it. Values with spaces are quoted.
+std::string_view fieldOf(std::string_view line, std::string_view key)
+{
+    const std::string pattern = std::string(key) + "=";
+    std::size_t at = line.find(pattern);
+    while (at != std::string_view::npos && at > 0 && line[at - 1] != ' ') {
+        at = line.find(pattern, at + 1);
+    }
+    if (at == std::string_view::npos) {
+        return {};
+    }
+    std::string_view value = line.substr(at + pattern.size());
+    if (value.starts_with('"')) {
+        value.remove_prefix(1);
+        return value.substr(0, value.find('"'));
+    }
+    return value.substr(0, value.find(' '));
+}
+
+bool isBelief(std::string_view line)
+{
+    const std::string_view event = fieldOf(line, "event");
+    return std::find(BeliefEvents.begin(), BeliefEvents.end(), event) != BeliefEvents.end();
+}
+
+/// What stands before the time: the name of the instance, where the log collector adds one.
+std::string_view sourceOf(std::string_view line)
+{
+    const std::string_view before = line.substr(0, line.find("time="));
+    const std::size_t end = before.find_last_not_of(' ');
+    const std::string_view trimmed = end == std::string_view::npos ? std::string_view() : before.substr(0, end + 1);
+    const std::size_t space = trimmed.rfind(' ');
+    return space == std::string_view::npos ? trimmed : trimmed.substr(space + 1);
+}
+
+}
+
+Result<void> explainRequest(std::string_view id, std::istream &in, std::ostream &out)
+{
+    std::vector<std::string> own;
+    std::vector<std::string> beliefs;
+    for (std::string line; std::getline(in, line);) {
+        if (fieldOf(line, "time").empty()) {
+            continue;
+        }
+        if (fieldOf(line, "id") == id) {
+            own.push_back(line);
+        } else if (isBelief(line)) {
+            beliefs.push_back(line);
+        }
+    }
+    if (own.empty()) {
+        return failure(ResultCode::Unreachable, "no line names the request " + std::string(id));
+    }
+    const auto byTime = [](const std::string &a, const std::string &b) { return fieldOf(a, "time") < fieldOf(b, "time"); };
+    std::stable_sort(own.begin(), own.end(), byTime);
+    const std::string last(fieldOf(own.back(), "time"));
+    // Of each kind, only the newest belief of an instance counts at the time of the request.
+    std::vector<std::string> story;
+    std::stable_sort(beliefs.begin(), beliefs.end(), byTime);
+    for (auto it = beliefs.rbegin(); it != beliefs.rend(); ++it) {
+        const auto isSameKind = [&it](const std::string &other) {
+            return sourceOf(other) == sourceOf(*it) && fieldOf(other, "event") == fieldOf(*it, "event");
+        };
+        const bool isBefore = fieldOf(*it, "time") <= last;
+        if (isBefore && std::none_of(story.begin(), story.end(), isSameKind)) {
+            story.push_back(*it);
+        }
+    }
+    story.insert(story.end(), own.begin(), own.end());
+    std::stable_sort(story.begin(), story.end(), byTime);
+    for (const std::string &line : story) {
+        out << (fieldOf(line, "id") == id ? "> " : "  ") << line << '\n';
+    }
+    return {};
+}
+
+Result<void> explain(const Call &call)
+{
+    const std::string &name = call.arguments[1];
+    if (name == "-") {
+        return explainRequest(call.arguments[0], std::cin, call.out);
+    }
+    std::ifstream file(name);
+    if (!file) {
+        return failure(ResultCode::UsageError, "cannot read " + name);
+    }
+    return explainRequest(call.arguments[0], file, call.out);
+}
+
+}
--- a/packages/gateway/gateway/gatewaynode.cpp
+++ b/packages/gateway/gateway/gatewaynode.cpp
@@ -1,5 +1,7 @@
 #include "gateway/gatewaynode.h"
 
+#include "report/metricstext.h"
+
 namespace Galenabarrow::Gateway
 {
 
@@ -57,9 +59,14 @@
     m_link.setSeeds(std::move(seeds));
 }
 
-const RequestCounters &GatewayNode::counters() const
+std::string GatewayNode::metrics() const
 {
-    return m_runner.counters();
+    Report::MetricsText text;
+    text.family("galenabarrow_gateway_state_age_seconds", Report::MetricsText::Kind::Gauge,
+                "Time since the state was known to be complete; -1 before the first time.");
+    const std::optional<Instant> confirmedAt = m_link.confirmedAt();
+    text.sample({}, confirmedAt ? std::chrono::duration<double>(m_loop.now() - *confirmedAt).count() : -1.0);
+    return m_runner.metrics() + text.text();
 }
 
 void GatewayNode::apply(const Coordination::FeedUpdate &update)
--- a/packages/gateway/gateway/gatewaynode.h
+++ b/packages/gateway/gateway/gatewaynode.h
@@ -34,7 +34,8 @@
     /// Takes no more callers, finishes the requests that run, then calls \p done.
     void stop(std::function<void()> done);
     void setSeeds(std::vector<InstanceId> seeds);
-    const RequestCounters &counters() const;
+    /// The metrics page of this entry, with the age of what it believes.
+    std::string metrics() const;
 
 private:
     void apply(const Coordination::FeedUpdate &update);
--- a/packages/gateway/gateway/requestrunner.cpp
+++ b/packages/gateway/gateway/requestrunner.cpp
@@ -3,6 +3,8 @@
 #include <charconv>
 #include <cstdio>
 
+#include "report/metricstext.h"
+
 namespace Galenabarrow::Gateway
 {
 
@@ -450,6 +452,7 @@
         m_isFinished = true;
         leaveQueue();
         const Instant now = m_runner.m_loop.now();
+        m_runner.m_latencies[outcome].record(now - m_startedAt);
         const bool isGood = status >= 200 && status < 300 && m_tried.size() == 1 && now - m_startedAt <= m_route->objective;
         if (m_runner.m_log.admit(isGood, now)) {
             writeLine(outcome, status, now);
@@ -618,6 +621,52 @@
     return response;
 }
 
+std::string RequestRunner::metrics() const
+{
+    using Kind = Report::MetricsText::Kind;
+    struct Row {
+        std::string_view event;
+        std::uint64_t value;
+    };
+    const Row rows[] = {
+        { "received", m_counters.received },
+        { "answered", m_counters.answered },
+        { "rejected", m_counters.rejected },
+        { "failed", m_counters.failed },
+        { "timed_out", m_counters.timedOut },
+        { "caller_gone", m_counters.callerGone },
+        { "no_config", m_counters.noConfig },
+        { "no_route", m_counters.noRoute },
+        { "waited", m_counters.waited },
+        { "attempt", m_counters.attempts },
+        { "further_attempt", m_counters.furtherAttempts },
+        { "retry_budget_spent", m_counters.budgetSpent },
+        { "probe", m_prober.sent() },
+        { "probe_refused", m_prober.refused() },
+        { "connection_opened", m_pool.counters().opened },
+        { "connection_reused", m_pool.counters().reused },
+        { "stray_response", m_pool.counters().strayResponses },
+        { "surplus_bytes", m_pool.counters().surplus },
+        { "log_line_dropped", m_log.dropped() },
+    };
+    Report::MetricsText text;
+    text.family("galenabarrow_gateway_events_total", Kind::Counter, "Decisions and events of this entry.");
+    for (const Row &it : rows) {
+        text.sample({ { "event", it.event } }, it.value);
+    }
+    text.family("galenabarrow_gateway_requests_running", Kind::Gauge, "Requests without a final response.");
+    text.sample({}, std::uint64_t { m_runs.size() });
+    text.family("galenabarrow_gateway_servers", Kind::Gauge, "Backend servers known.");
+    text.sample({}, std::uint64_t { m_servers.size() });
+    text.family("galenabarrow_gateway_config_version", Kind::Gauge, "Version of the routing configuration in force.");
+    text.sample({}, m_version.value());
+    text.family("galenabarrow_gateway_latency_seconds", Kind::Histogram, "Time to the final response by outcome.");
+    for (const auto &[outcome, histogram] : m_latencies) {
+        text.histogram({ { "outcome", outcome } }, histogram);
+    }
+    return text.text();
+}
+
 RetryBudget &RequestRunner::budgetOf(const ServiceId &service)
 {
     return m_budgets.try_emplace(service, m_budgetSettings, m_loop.now()).first->second;
--- a/packages/gateway/gateway/requestrunner.h
+++ b/packages/gateway/gateway/requestrunner.h
@@ -11,6 +11,7 @@
 #include "gateway/splitchooser.h"
 #include "gateway/upstreampool.h"
 #include "http/server.h"
+#include "report/latencyhistogram.h"
 #include "routing/routetable.h"
 
 namespace Galenabarrow::Gateway
@@ -53,6 +54,8 @@
     void retire(const std::vector<ServerId> &servers);
     std::size_t running() const;
     const RequestCounters &counters() const;
+    /// The counters and gauges of this entry in the Prometheus text format.
+    std::string metrics() const;
 
 private:
     class Run;
@@ -76,6 +79,8 @@
     std::map<ServiceId, RetryBudget> m_budgets;
     unsigned m_entryCount = 1;
     RequestLog m_log;
+    /// Time to the final response, by what became of the request; the outcomes are few and fixed.
+    std::map<std::string_view, Report::LatencyHistogram> m_latencies;
     RequestCounters m_counters;
     std::set<std::shared_ptr<Run>> m_runs;
     /// Requests that wait for a free server, by service; the most urgent first, then the oldest.
--- a/packages/gateway/tests/requestrunnertest.cpp
+++ b/packages/gateway/tests/requestrunnertest.cpp
@@ -204,6 +204,7 @@
     fixture.configure(Routing::Repeatability::Unsafe);
     const std::string response = fixture.call();
     CHECK(hasStatus(response, "200"));
+    CHECK(fixture.runner.metrics().find("events_total{event=\"answered\"} 1") != std::string::npos);
     CHECK(response.find("whole") != std::string::npos);
     REQUIRE(fixture.requests() == 1);
     for (const auto &it : fixture.backends) {
