--- /dev/null
+++ b/packages/gateway/gateway/requestfields.cpp
@@ -0,0 +1,39 @@
+#include "gateway/requestfields.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace Galenabarrow::Gateway
+{
+
+namespace
+{
+/// Longest deadline that is believed.
+constexpr Duration MaxDeadline = std::chrono::minutes(10);
+}
+
+std::string toMilliseconds(Duration duration)
+{
+    return std::to_string(std::chrono::floor<std::chrono::milliseconds>(duration).count());
+}
+
+std::optional<Duration> parseMilliseconds(const std::string *field)
+{
+    if (field == nullptr) {
+        return std::nullopt;
+    }
+    std::int64_t value = 0;
+    const auto [end, ec] = std::from_chars(field->data(), field->data() + field->size(), value);
+    if (ec != std::errc() || end != field->data() + field->size() || value < 0) {
+        return std::nullopt;
+    }
+    constexpr std::int64_t Most = std::chrono::duration_cast<std::chrono::milliseconds>(MaxDeadline).count();
+    return std::chrono::milliseconds(std::min(value, Most));
+}
+
+bool isPromise(unsigned status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+}
