--- a/packages/coordination/coordination/entrydirectory.cpp
+++ b/packages/coordination/coordination/entrydirectory.cpp
@@ -74,11 +74,6 @@
     return isNews;
 }
 
-void EntryDirectory::forget(const InstanceId &name)
-{
-    m_rows.erase(name);
-}
-
 std::vector<EntryInfo> EntryDirectory::live(Instant now) const
 {
     std::vector<EntryInfo> entries;
--- a/packages/coordination/coordination/entrydirectory.h
+++ b/packages/coordination/coordination/entrydirectory.h
@@ -33,7 +33,6 @@
 
     /// Notes an entry that was alive at \p heardAt. True when callers are told something else from now on.
     bool note(const EntryInfo &entry, Instant heardAt);
-    void forget(const InstanceId &name);
     std::vector<EntryInfo> live(Instant now) const;
     std::size_t liveCount(Instant now) const;
 
--- a/packages/coordination/coordination/replica.cpp
+++ b/packages/coordination/coordination/replica.cpp
@@ -55,7 +55,7 @@
         return;
     }
     retireExcess();
-    absorb(m_raft.tick(now), now);
+    absorb(m_raft.tick(now));
     runJoin(now);
     finishUndecided();
 }
@@ -70,7 +70,7 @@
         return {};
     }
     if (message->kind != RaftKind::JoinRequest && message->kind != RaftKind::JoinReply) {
-        absorb(m_raft.receive(*message, now), now);
+        absorb(m_raft.receive(*message, now));
         return {};
     }
     for (const RaftMessage &reply : m_join.receive(*message, joinView(), now)) {
@@ -94,7 +94,7 @@
         ticket = Ticket(++m_lastTicket);
         m_pending[position->index] = Pending { *ticket, position->term };
     }
-    absorb(output, now);
+    absorb(output);
     return ticket;
 }
 
@@ -104,7 +104,7 @@
         const WriteNumber number = *std::exchange(m_unsynced, std::nullopt);
         check(m_store->sync());
         if (!m_storeFailure) {
-            absorb(m_raft.persisted(number, now), now);
+            absorb(m_raft.persisted(number, now));
         }
     }
     std::vector<RaftEnvelope> outgoing = std::exchange(m_outgoing, {});
@@ -164,7 +164,7 @@
     return confirmation->madeAt;
 }
 
-void Replica::absorb(const RaftOutput &output, Instant)
+void Replica::absorb(const RaftOutput &output)
 {
     write(output);
     if (m_storeFailure) {
@@ -258,7 +258,7 @@
         sendRaft(message);
     }
     if (m_join.mayBootstrap(joinView(), now)) {
-        absorb(m_raft.bootstrap(m_settings.voters, m_state.encodeImage(), m_settings.instance.value(), now), now);
+        absorb(m_raft.bootstrap(m_settings.voters, m_state.encodeImage(), m_settings.instance.value(), now));
     }
 }
 
--- a/packages/coordination/coordination/replica.h
+++ b/packages/coordination/coordination/replica.h
@@ -89,7 +89,7 @@
 
     Replica(ReplicaSettings settings, std::unique_ptr<Control::LogStore> store, RandomSource &random,
             const Control::StoreContents &contents, Instant now);
-    void absorb(const Control::RaftOutput &output, Instant now);
+    void absorb(const Control::RaftOutput &output);
     void write(const Control::RaftOutput &output);
     void applyEntry(const Control::LogEntry &entry);
     void finishUndecided();
--- a/packages/gateway/gateway/requestrun.h
+++ b/packages/gateway/gateway/requestrun.h
@@ -26,12 +26,10 @@
         m_number = ++m_runner.m_lastNumber;
         m_requestId = *request.fields.find(m_runner.m_dialect.requestId);
         m_service = m_runner.m_splits.choose(*m_route);
-        m_runner.budgetOf(m_service).noteRequest(m_startedAt);
+        m_runner.budgetOf(m_service).noteRequest();
         m_giveUpAt = m_startedAt + m_route->timeout;
-        m_deadline = m_giveUpAt;
         if (const auto stated = parseMilliseconds(request.fields.find(m_runner.m_dialect.deadlineMilliseconds))) {
-            m_deadline = std::min(m_deadline, m_startedAt + *stated - CallerMargin);
-            m_giveUpAt = m_deadline;
+            m_giveUpAt = std::min(m_giveUpAt, m_startedAt + *stated - CallerMargin);
         }
         m_exchange->onGone([weak = weak_from_this()] {
             if (const auto self = weak.lock()) {
@@ -98,7 +96,8 @@
         const Instant until = std::min(m_startedAt + m_route->objective / HoldDivisor, m_giveUpAt);
         if (now >= until) {
             leaveQueue();
-            if (chooseWith(ChoiceInput::Need::FreeButSlow, now)) {
+            // What may have run cannot be rejected honestly; it takes the best server there is.
+            if (m_mayHaveRun || chooseWith(ChoiceInput::Need::FreeButSlow, now)) {
                 attempt();
             } else {
                 reject("busy", true);
@@ -137,7 +136,12 @@
     }
 
 public:
-    /// A slot is free at \p server.
+    bool hasTried(const ServerId &server) const
+    {
+        return std::find(m_tried.begin(), m_tried.end(), server) != m_tried.end();
+    }
+
+    /// A server is free.
     void takeSlot()
     {
         ++m_selection;
@@ -471,7 +475,6 @@
     std::string m_requestId;
     Instant m_startedAt {};
     Instant m_giveUpAt {};
-    Instant m_deadline {};
     Instant m_attemptAt {};
     ServerChoice m_choice;
     AttemptStart m_start;
--- a/packages/gateway/gateway/requestrunner.cpp
+++ b/packages/gateway/gateway/requestrunner.cpp
@@ -169,8 +169,12 @@
     if (it == m_waiting.end() || it->second.empty() || !m_servers.isKnownFree(server, m_loop.now())) {
         return;
     }
-    if (const auto run = it->second.begin()->second.lock()) {
-        run->takeSlot();
+    for (const auto &[key, waiting] : it->second) {
+        const auto run = waiting.lock();
+        if (run != nullptr && !run->hasTried(server)) {
+            run->takeSlot(); // changes the queue
+            return;
+        }
     }
 }
 
--- a/packages/gateway/gateway/retrybudget.cpp
+++ b/packages/gateway/gateway/retrybudget.cpp
@@ -27,7 +27,7 @@
 {
 }
 
-void RetryBudget::noteRequest(Instant)
+void RetryBudget::noteRequest()
 {
     m_byRequests = std::min(m_byRequests + m_settings.ratio * m_settings.share, MaxByRequests);
 }
--- a/packages/gateway/gateway/retrybudget.h
+++ b/packages/gateway/gateway/retrybudget.h
@@ -23,7 +23,7 @@
 public:
     RetryBudget(RetryBudgetSettings settings, Instant now);
 
-    void noteRequest(Instant now);
+    void noteRequest();
     /// Takes one attempt; false when the budget is spent. \p entryCount entries share the floor.
     bool take(unsigned entryCount, Instant now);
     double tokens() const;
--- a/packages/gateway/gateway/splitchooser.h
+++ b/packages/gateway/gateway/splitchooser.h
@@ -18,7 +18,7 @@
 
     /// The service of the next request of \p route, which has a part with a weight above 0.
     ServiceId choose(const Routing::Route &route);
-    /// Forgets the routes whose configuration changed.
+    /// Starts anew, after a change of the configuration.
     void reset();
 
 private:
--- a/packages/gateway/tests/partstest.cpp
+++ b/packages/gateway/tests/partstest.cpp
@@ -45,7 +45,7 @@
     for (int tick = 0; tick < 4000; ++tick) {
         now += std::chrono::milliseconds(10);
         for (int n = 0; n < requestsPerTick; ++n) {
-            budgets[static_cast<std::size_t>(tick + n) % Entries].noteRequest(now);
+            budgets[static_cast<std::size_t>(tick + n) % Entries].noteRequest();
             events.emplace_back(now, false);
         }
         for (RetryBudget &it : budgets) {
--- a/packages/gateway/tests/requestrunnertest.cpp
+++ b/packages/gateway/tests/requestrunnertest.cpp
@@ -309,6 +309,18 @@
     CHECK(fixture.requests() == 0);
 }
 
+// Pattern: overload. A safe request that failed at a server goes to a busy one rather than nowhere.
+TEST_CASE("a request that may have run is not given up because the others are busy")
+{
+    Fixture fixture(2);
+    fixture.configure(Routing::Repeatability::Safe);
+    fixture.backends[0]->behaviour = Behaviour::Break;
+    fixture.backends[1]->load = "2,0,2,100";
+    CHECK(hasStatus(fixture.call(250), "200"));
+    CHECK(fixture.backends[0]->requests() == 1);
+    CHECK(fixture.backends[1]->requests() == 1);
+}
+
 // Pattern: noisy neighbours. One server is undisturbed: it gets the request.
 TEST_CASE("an undisturbed server is found among disturbed ones")
 {
