Run the tests of sockets on a paused clock

Cause: tests with sockets waited in real time; beside load, a stall longer than a probe's 25 ms would have changed their outcome.

Change: an event loop with a ManualClock moves it to the next timer when all sockets are quiet. The retry budget of the fixture comes from requests, so no time has to pass.

--- a/packages/gateway/tests/requestrunnertest.cpp
+++ b/packages/gateway/tests/requestrunnertest.cpp
@@ -105,9 +105,9 @@
 
 /// An entry with scripted servers and one caller.
 struct Fixture {
-    explicit Fixture(std::size_t serverCount, double retryFloor = 1e8)
+    explicit Fixture(std::size_t serverCount, double retryRatio = 3)
         : servers(DataCentreId("north"), random)
-        , runner(loop, random, testDialect(), RetryBudgetSettings { 0.2, retryFloor, std::chrono::seconds(10), 1 }, ProbeSettings { 1000 },
+        , runner(loop, random, testDialect(), RetryBudgetSettings { retryRatio, 0, std::chrono::seconds(10), 1 }, ProbeSettings { 1000 },
                  servers)
         , entry(loop, [this](const Http::ExchangePointer &it) { runner.handle(it); })
     {
@@ -181,7 +181,8 @@
         return count;
     }
 
-    Net::EventLoop loop;
+    ManualClock clock;
+    Net::EventLoop loop { clock };
     SeededRandom random { 4 };
     ServerTable servers;
     RequestRunner runner;
--- a/packages/http/tests/servertest.cpp
+++ b/packages/http/tests/servertest.cpp
@@ -33,7 +33,8 @@
         loop.run();
     }
 
-    Net::EventLoop loop;
+    ManualClock clock;
+    Net::EventLoop loop { clock };
     Server server;
     std::shared_ptr<Net::Stream> client;
     std::string received;
--- a/packages/net/net/eventloop.cpp
+++ b/packages/net/net/eventloop.cpp
@@ -5,7 +5,6 @@
 #include <cassert>
 #include <system_error>
 
-#include <sys/epoll.h>
 #include <unistd.h>
 
 namespace Galenabarrow::Net
@@ -15,10 +14,24 @@
 {
 constexpr int MaxEvents = 64;
 constexpr int MaxSleepMilliseconds = 1000;
+/// Real time without an event after which sockets on loopback are quiet, in tests.
+constexpr int QuietMilliseconds = 2;
 }
 
 EventLoop::EventLoop()
-    : m_epoll(epoll_create1(EPOLL_CLOEXEC))
+    : EventLoop(m_steady, nullptr)
+{
+}
+
+EventLoop::EventLoop(ManualClock &clock)
+    : EventLoop(clock, &clock)
+{
+}
+
+EventLoop::EventLoop(const Clock &clock, ManualClock *manual)
+    : m_clock(clock)
+    , m_manual(manual)
+    , m_epoll(epoll_create1(EPOLL_CLOEXEC))
     , m_now(m_clock.now())
 {
     if (m_epoll < 0) {
@@ -96,7 +109,7 @@
         if (!m_isRunning) {
             break;
         }
-        const int count = epoll_wait(m_epoll, events.data(), MaxEvents, sleepMilliseconds());
+        const int count = waitForEvents(events);
         m_now = m_clock.now();
         // Keeps the watches alive while callbacks remove some of them.
         for (int n = 0; n < count; ++n) {
@@ -112,6 +125,16 @@
     }
 }
 
+int EventLoop::waitForEvents(std::span<epoll_event> events)
+{
+    const int sleep = m_manual == nullptr ? sleepMilliseconds() : QuietMilliseconds;
+    const int count = epoll_wait(m_epoll, events.data(), MaxEvents, sleep);
+    if (m_manual != nullptr && count == 0 && !m_timers.empty()) {
+        m_manual->advance(std::max(m_timers.begin()->first.first - m_clock.now(), Duration {}));
+    }
+    return count;
+}
+
 void EventLoop::stop()
 {
     m_isRunning = false;
--- a/packages/net/net/eventloop.h
+++ b/packages/net/net/eventloop.h
@@ -4,9 +4,12 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <span>
 #include <unordered_map>
 #include <vector>
 
+#include <sys/epoll.h>
+
 #include "base/clock.h"
 
 namespace Galenabarrow::Net
@@ -16,6 +19,9 @@
 using TimerId = std::uint64_t;
 
 /// Waits for sockets and timers on one thread and calls back on it. It sleeps until the next event; there is no tick.
+///
+/// With a ManualClock, time passes only when all sockets are quiet: the loop then moves the clock to the next timer. Tests on
+/// loopback get the same times on a busy machine as on an idle one.
 class EventLoop
 {
 public:
@@ -24,6 +30,8 @@
     using IoCallback = std::function<void(std::uint32_t events)>;
 
     EventLoop();
+    /// \p clock must outlive the loop.
+    explicit EventLoop(ManualClock &clock);
     ~EventLoop();
     EventLoop(const EventLoop &) = delete;
     EventLoop &operator=(const EventLoop &) = delete;
@@ -53,7 +61,12 @@
     void runTimers();
     int sleepMilliseconds() const;
 
-    SteadyClock m_clock;
+    EventLoop(const Clock &clock, ManualClock *manual);
+    int waitForEvents(std::span<epoll_event> events);
+
+    SteadyClock m_steady;
+    const Clock &m_clock;
+    ManualClock *m_manual;
     int m_epoll = -1;
     bool m_isRunning = false;
     Instant m_now {};
--- /dev/null
+++ b/packages/net/tests/eventlooptest.cpp
@@ -0,0 +1,75 @@
+#include "net/eventloop.h"
+
+#include <catch2/catch.hpp>
+
+#include "net/framestream.h"
+
+using namespace Galenabarrow;
+using namespace Galenabarrow::Net;
+
+TEST_CASE("timers fire in order of their times, and cancelled ones do not")
+{
+    ManualClock clock;
+    EventLoop loop(clock);
+    std::vector<int> fired;
+    loop.after(std::chrono::milliseconds(30), [&] { fired.push_back(3); });
+    const TimerId cancelled = loop.after(std::chrono::milliseconds(20), [&] { fired.push_back(2); });
+    loop.after(std::chrono::milliseconds(10), [&] {
+        fired.push_back(1);
+        loop.cancel(cancelled);
+    });
+    loop.after(std::chrono::milliseconds(40), [&] { loop.stop(); });
+    loop.run();
+    CHECK(fired == std::vector<int> { 1, 3 });
+    CHECK(clock.now() == Instant {} + std::chrono::milliseconds(40));
+}
+
+TEST_CASE("addresses are read only in the form host:port")
+{
+    CHECK(parseSocketAddress("10.0.0.1:80")->port == 80);
+    for (const char *text : { "", "10.0.0.1", "10.0.0.1:", "10.0.0.1:0", "10.0.0.1:70000", "10.0.0.1:8x", "name:80", ":80", "10.0.0:80" }) {
+        INFO(text);
+        CHECK_FALSE(parseSocketAddress(text));
+    }
+}
+
+TEST_CASE("a refused connection ends without having been established")
+{
+    ManualClock clock;
+    EventLoop loop(clock);
+    const auto stream = Stream::connect(loop, { "127.0.0.1", 28461 });
+    bool isEnded = false;
+    stream->onEnd([&](StreamEnd reason) {
+        isEnded = reason == StreamEnd::Failed;
+        loop.stop();
+    });
+    loop.after(std::chrono::seconds(5), [&] { loop.stop(); });
+    loop.run();
+    CHECK(isEnded);
+    CHECK_FALSE(stream->wasConnected());
+}
+
+TEST_CASE("garbage in place of a frame ends that stream and no other")
+{
+    ManualClock clock;
+    EventLoop loop(clock);
+    const Wire::FrameCodec codec("test", "key");
+    std::vector<std::unique_ptr<FrameStream>> accepted;
+    std::vector<std::uint8_t> received;
+    int refused = 0;
+    Listener listener(loop, [&](std::shared_ptr<Stream> stream) {
+        accepted.push_back(std::make_unique<FrameStream>(std::move(stream), codec));
+        accepted.back()->onFrame([&](std::vector<std::uint8_t> frame) { received = std::move(frame); });
+        accepted.back()->onEnd([&](const Error &error) { refused += error.code != ResultCode::Unreachable ? 1 : 0; });
+    });
+    REQUIRE(listener.listen({ "127.0.0.1", 28462 }));
+    const auto bad = Stream::connect(loop, { "127.0.0.1", 28462 });
+    bad->write(std::string(100, 'x'));
+    FrameStream good(Stream::connect(loop, { "127.0.0.1", 28462 }), codec);
+    good.send({ 1, 2, 3 });
+    loop.after(std::chrono::milliseconds(50), [&] { loop.stop(); });
+    loop.run();
+    CHECK(refused == 1);
+    CHECK(received == std::vector<std::uint8_t> { 1, 2, 3 });
+    CHECK(good.isOpen());
+}
