Never pass on a server's unmarked promise that a request has not run

Cause: found while reading the change: a server's 408 or 429 without its own mark was passed on; callers take these for a promise, and the request may have run. And a request that runs once at most went on to another server when the connection failed after its caller had left.

Change: such answers are treated like an unmarked 503; after the caller has left, no other server is tried. New row in the table of attempts, failing before.

--- a/packages/gateway/gateway/requestrun.h
+++ b/packages/gateway/gateway/requestrun.h
@@ -254,7 +254,6 @@
             return;
         }
         m_mayHaveRun = true;
-        const bool isSuccess = response.status >= 200 && response.status < 300;
         const bool hasStamp = response.fields.find(dialect.serverStamp) != nullptr;
         const bool hasId = response.fields.find(dialect.requestId) != nullptr;
         if (!hasStamp || !hasId) {
@@ -262,7 +261,9 @@
             unknown("unsigned_response", nullptr);
             return;
         }
-        if (isSuccess || response.status < 500) {
+        // Only an entry may promise that a request has not run; a server says so with a field of its own.
+        const bool isFinal = response.status < 500 && !isPromise(response.status);
+        if (isFinal) {
             endAttempt(AttemptResult::Served);
             pass(std::move(response));
             return;
@@ -276,7 +277,9 @@
         endAttempt(AttemptResult::Broken);
         if (failure == AttemptFailure::NotSent) {
             // Nothing reached the server, so another try costs it nothing.
-            if (m_tried.size() < MaxConnectTries) {
+            if (m_isGone) {
+                finish("caller_gone", 0);
+            } else if (m_tried.size() < MaxConnectTries) {
                 again("not_connected");
             } else {
                 reject("not_connected");
--- a/packages/gateway/tests/requestrunnertest.cpp
+++ b/packages/gateway/tests/requestrunnertest.cpp
@@ -31,6 +31,7 @@
     OtherId,
     /// Answers with a promise that only the entry may make.
     UnmarkedPromise,
+    UnmarkedTooMany,
 };
 
 /// A backend server on the test's event loop.
@@ -85,6 +86,8 @@
         Http::Response response = Http::makeResponse(200, "whole");
         if (behaviour == Behaviour::Shed || behaviour == Behaviour::UnmarkedPromise) {
             response = Http::makeResponse(503);
+        } else if (behaviour == Behaviour::UnmarkedTooMany) {
+            response = Http::makeResponse(429);
         } else if (behaviour == Behaviour::Fail) {
             response = Http::makeResponse(500, "bad");
         }
@@ -234,7 +237,8 @@
                              Row { Behaviour::Fail, Unsafe, 1, "500" }, Row { Behaviour::Fail, Safe, 2, "500" },
                              Row { Behaviour::Unsigned, Unsafe, 1, "502" }, Row { Behaviour::Unsigned, Safe, 2, "502" },
                              Row { Behaviour::Shed, Unsafe, 2, "503" }, Row { Behaviour::Shed, Safe, 2, "503" },
-                             Row { Behaviour::UnmarkedPromise, Unsafe, 1, "502" }, Row { Behaviour::OtherId, Unsafe, 1, "504" });
+                             Row { Behaviour::UnmarkedPromise, Unsafe, 1, "502" }, Row { Behaviour::UnmarkedTooMany, Unsafe, 1, "502" },
+                             Row { Behaviour::OtherId, Unsafe, 1, "504" });
     Fixture fixture(3);
     fixture.configure(row.repeatability);
     fixture.setAll(row.behaviour);
