--- a/packages/gateway/tests/partstest.cpp
+++ b/packages/gateway/tests/partstest.cpp
@@ -80,7 +80,7 @@
     SeededRandom random(7);
     SplitChooser chooser(random);
     Routing::Route route;
-    route.name = "r";
+    route.name = std::string("r");
     route.split = { { ServiceId("a"), 90 }, { ServiceId("b"), 10 }, { ServiceId("c"), 0 } };
     std::array<int, 3> counts {};
     for (int n = 0; n < 300; ++n) {
--- a/packages/gateway/tests/requestrunnertest.cpp
+++ b/packages/gateway/tests/requestrunnertest.cpp
@@ -136,7 +136,7 @@
     void configure(Routing::Repeatability repeatability, unsigned attempts = 2, int timeout = 300)
     {
         Routing::Route route;
-        route.name = "r";
+        route.name = std::string("r");
         route.host = "h";
         route.prefix = "/";
         route.repeatability = repeatability;
