--- a/packages/gateway/tests/partstest.cpp
+++ b/packages/gateway/tests/partstest.cpp
@@ -53,7 +53,7 @@
                 events.emplace_back(now, true);
             }
         }
-        while (now - events.front().first > settings.window) {
+        while (!events.empty() && now - events.front().first > settings.window) {
             events.pop_front();
         }
         const auto further = std::count_if(events.begin(), events.end(), [](const auto &it) { return it.second; });
