--- a/packages/coordination/coordination/corelink.cpp
+++ b/packages/coordination/coordination/corelink.cpp
@@ -108,7 +108,9 @@
         chosen = names[m_nextCandidate++ % names.size()];
     }
     m_log.info("core_instance_chosen", { { "instance", chosen.value() }, { "reason", reason }, { "before", m_current.value() } });
-    m_preferAt = m_loop.now() + PreferDelay;
+    if (isInOwnDataCentre(m_current)) {
+        m_preferAt = m_loop.now() + PreferDelay;
+    }
     connect(chosen);
 }
 
@@ -131,17 +133,21 @@
     report();
 }
 
+bool CoreLink::isInOwnDataCentre(const InstanceId &core) const
+{
+    return std::any_of(m_core.begin(), m_core.end(),
+                       [&](const CoreInstance &it) { return it.name == core && it.dataCentre == m_self.dataCentre; });
+}
+
 void CoreLink::preferOwnDataCentre()
 {
     if (m_loop.now() < m_preferAt) {
         return;
     }
-    const auto isOwn = [this](const CoreInstance &it) { return it.dataCentre == m_self.dataCentre; };
-    const auto isCurrent = [this](const CoreInstance &it) { return it.name == m_current; };
-    const auto current = std::find_if(m_core.begin(), m_core.end(), isCurrent);
-    if (current != m_core.end() && isOwn(*current)) {
+    if (isInOwnDataCentre(m_current)) {
         return;
     }
+    const auto isOwn = [this](const CoreInstance &it) { return it.dataCentre == m_self.dataCentre; };
     const auto own = std::find_if(m_core.begin(), m_core.end(), isOwn);
     if (own != m_core.end()) {
         m_preferAt = m_loop.now() + PreferDelay;
--- a/packages/coordination/coordination/corelink.h
+++ b/packages/coordination/coordination/corelink.h
@@ -40,6 +40,7 @@
     void report();
     void receive(const std::vector<std::uint8_t> &frame);
     void preferOwnDataCentre();
+    bool isInOwnDataCentre(const InstanceId &core) const;
     std::vector<InstanceId> candidates() const;
 
     Net::EventLoop &m_loop;
--- a/packages/coordination/coordination/corenode.cpp
+++ b/packages/coordination/coordination/corenode.cpp
@@ -14,8 +14,6 @@
 constexpr Duration TickInterval = std::chrono::milliseconds(40);
 /// Time between two signs of life to an entry. An entry changes its core instance after three times that.
 constexpr Duration FeedInterval = std::chrono::milliseconds(400);
-/// Time between two reports to the other core instances, unless an entry comes or goes.
-constexpr Duration ReportInterval = std::chrono::milliseconds(1000);
 /// A caller of the control API moves on after a second without a response.
 constexpr Duration ForwardTimeout = std::chrono::milliseconds(850);
 constexpr Duration ReadTimeout = std::chrono::milliseconds(850);
@@ -77,7 +75,7 @@
     m_replica->tick(m_loop.now());
     m_links.tick();
     noteLeader();
-    if (m_isReportDue || m_loop.now() - m_lastReport >= ReportInterval) {
+    if (m_reporter.isDue(m_loop.now())) {
         reportToCore();
     }
     pump();
@@ -149,7 +147,8 @@
         done(failure(ResultCode::NoQuorum, "no confirmation by a quorum lately"));
         return;
     }
-    noteHeard(update.id);
+    m_heard[update.id] = m_loop.now();
+    m_reporter.noteServer(update.id);
     if (!m_replica->state().wouldChange(update)) {
         done({});
         return;
@@ -347,7 +346,7 @@
     peer->heardAt = m_loop.now();
     peer->knownIndex = isFirst ? report->knownIndex : std::max(peer->knownIndex, report->knownIndex);
     if (m_entries.note(report->entry, m_loop.now())) {
-        m_isReportDue = true;
+        m_reporter.noteEntryChange();
     }
     if (isFirst) {
         feed(*peer);
@@ -362,19 +361,17 @@
         return;
     }
     m_coreDataCentres[report->core.name] = report->core.dataCentre;
-    for (const CoreReport::Heard &it : report->heard) {
-        Instant &heardAt = m_heard[it.server];
-        heardAt = std::max(heardAt, m_loop.now() - it.age);
+    m_reporter.notePeer(report->core.name, envelope.incarnation);
+    for (const ServerId &it : report->heard) {
+        // Up to the time between two reports too late, by which a silent server is found later.
+        m_heard[it] = m_loop.now();
     }
     for (const CoreReport::Entry &it : report->entries) {
         m_entries.note(it.info, m_loop.now() - it.age);
     }
-}
-
-void CoreNode::noteHeard(const ServerId &server)
-{
-    m_heard[server] = m_loop.now();
-    m_freshlyHeard[server] = m_loop.now();
+    for (const CoreReport::Alive &it : report->alive) {
+        m_entries.noteAlive(it.name, m_loop.now() - it.age);
+    }
 }
 
 void CoreNode::feedAll(bool isPeriodic)
@@ -454,19 +451,14 @@
 
 void CoreNode::reportToCore()
 {
-    m_lastReport = m_loop.now();
-    m_isReportDue = false;
-    CoreReport report;
-    report.core = CoreInstance { m_settings.replica.instance, m_settings.dataCentre };
-    for (const auto &[server, at] : std::exchange(m_freshlyHeard, {})) {
-        report.heard.push_back(CoreReport::Heard { server, m_loop.now() - at });
-    }
+    std::vector<CoreReporter::FedEntry> fed;
     for (const auto &it : m_peers) {
-        if (it->entry && m_loop.now() - it->heardAt <= EntryDirectory::Lifetime) {
-            report.entries.push_back(CoreReport::Entry { *it->entry, m_loop.now() - it->heardAt });
+        if (it->entry) {
+            fed.push_back(CoreReporter::FedEntry { *it->entry, it->heardAt });
         }
     }
-    const std::vector<std::uint8_t> payload = encode(report);
+    const CoreInstance self { m_settings.replica.instance, m_settings.dataCentre };
+    const std::vector<std::uint8_t> payload = encode(m_reporter.take(self, fed, m_loop.now()));
     for (const Control::Member &it : m_replica->membership().members) {
         if (it.id.instance != m_settings.replica.instance) {
             m_links.send(it.id.instance, Wire::MessageKind::CoreReport, 0, payload);
--- a/packages/coordination/coordination/corenode.h
+++ b/packages/coordination/coordination/corenode.h
@@ -7,6 +7,7 @@
 #include <set>
 
 #include "base/log.h"
+#include "coordination/corereporter.h"
 #include "coordination/entrydirectory.h"
 #include "coordination/feed.h"
 #include "coordination/peerlinks.h"
@@ -84,7 +85,6 @@
     std::vector<ServerId> silentServers() const;
     std::vector<CoreInstance> coreInstances() const;
     void reportToCore();
-    void noteHeard(const ServerId &server);
     void noteLeader();
     bool isSure() const;
 
@@ -100,8 +100,7 @@
     bool m_isPumpScheduled = false;
     LogIndex m_fedIndex;
     Instant m_lastFeed {};
-    Instant m_lastReport {};
-    bool m_isReportDue = false;
+    CoreReporter m_reporter;
     Instant m_startedAt {};
     std::map<Ticket, Done> m_proposals;
     std::uint64_t m_lastCorrelation = 0;
@@ -110,8 +109,6 @@
     EntryDirectory m_entries;
     /// When each server was last heard of by any core instance.
     std::map<ServerId, Instant> m_heard;
-    /// Servers heard of here since the last report to the other core instances.
-    std::map<ServerId, Instant> m_freshlyHeard;
     std::map<InstanceId, DataCentreId> m_coreDataCentres;
     std::optional<InstanceId> m_knownLeader;
 };
--- a/packages/coordination/coordination/entrydirectory.cpp
+++ b/packages/coordination/coordination/entrydirectory.cpp
@@ -74,6 +74,16 @@
     return isNews;
 }
 
+bool EntryDirectory::noteAlive(const InstanceId &name, Instant heardAt)
+{
+    const auto it = m_rows.find(name);
+    if (it == m_rows.end()) {
+        return false;
+    }
+    it->second.heardAt = std::max(it->second.heardAt, heardAt);
+    return true;
+}
+
 std::vector<EntryInfo> EntryDirectory::live(Instant now) const
 {
     std::vector<EntryInfo> entries;
--- a/packages/coordination/coordination/entrydirectory.h
+++ b/packages/coordination/coordination/entrydirectory.h
@@ -33,6 +33,8 @@
 
     /// Notes an entry that was alive at \p heardAt. True when callers are told something else from now on.
     bool note(const EntryInfo &entry, Instant heardAt);
+    /// Notes that a known entry is as it was described last. False when it is not known.
+    bool noteAlive(const InstanceId &name, Instant heardAt);
     std::vector<EntryInfo> live(Instant now) const;
     std::size_t liveCount(Instant now) const;
 
--- a/packages/coordination/coordination/feed.cpp
+++ b/packages/coordination/coordination/feed.cpp
@@ -1,5 +1,8 @@
 #include "coordination/feed.h"
 
+#include <algorithm>
+#include <limits>
+
 #include "routing/codec.h"
 
 namespace Galenabarrow::Coordination
@@ -41,6 +44,12 @@
     return to;
 }
 
+std::uint16_t toShortMilliseconds(Duration age)
+{
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
+    return static_cast<std::uint16_t>(std::clamp<std::int64_t>(milliseconds, 0, std::numeric_limits<std::uint16_t>::max()));
+}
+
 CoreInstance unpackCore(const Fb::CoreRowT &from)
 {
     return CoreInstance { InstanceId(from.address), DataCentreId(from.data_centre) };
@@ -121,28 +130,32 @@
 {
     Fb::CoreReportT to;
     to.row = packCore(report.core);
-    for (const CoreReport::Heard &it : report.heard) {
-        auto row = std::make_unique<Fb::HeardT>();
-        row->id = it.server.value();
-        row->age = it.age.count();
-        to.heard.push_back(std::move(row));
+    for (const ServerId &it : report.heard) {
+        to.heard.push_back(it.value());
     }
     for (const CoreReport::Entry &it : report.entries) {
         to.entries.push_back(packEntry(it.info, it.age));
     }
+    for (const CoreReport::Alive &it : report.alive) {
+        to.alive.push_back(it.name.value());
+        to.alive_ages_ms.push_back(toShortMilliseconds(it.age));
+    }
     return encodeTable<Fb::CoreReport>(to);
 }
 
 Result<CoreReport> decodeCoreReport(std::span<const std::uint8_t> bytes)
 {
     const auto from = decodeTable<Fb::CoreReport>(bytes);
-    if (from == nullptr || from->row == nullptr) {
+    if (from == nullptr || from->row == nullptr || from->alive.size() != from->alive_ages_ms.size()) {
         return malformed("core report");
     }
     CoreReport report;
     report.core = unpackCore(*from->row);
-    for (const auto &it : from->heard) {
-        report.heard.push_back(CoreReport::Heard { ServerId(it->id), Duration(it->age) });
+    for (const std::string &it : from->heard) {
+        report.heard.emplace_back(it);
+    }
+    for (std::size_t n = 0; n < from->alive.size(); ++n) {
+        report.alive.push_back(CoreReport::Alive { InstanceId(from->alive[n]), std::chrono::milliseconds(from->alive_ages_ms[n]) });
     }
     for (const auto &it : from->entries) {
         report.entries.push_back(CoreReport::Entry { unpackEntry(*it), Duration(it->age) });
--- a/packages/coordination/coordination/feed.h
+++ b/packages/coordination/coordination/feed.h
@@ -44,19 +44,24 @@
     std::vector<CoreInstance> core;
 };
 
-/// What core instances tell each other about what only one of them hears.
+/// What core instances tell each other about what only one of them hears. It crosses data centres every second, so an entry
+/// that was described before is only named.
 struct CoreReport {
     CoreInstance core;
-    struct Heard {
-        ServerId server;
-        Duration age {};
-    };
-    std::vector<Heard> heard;
+    /// Servers that announced themselves since the last report.
+    std::vector<ServerId> heard;
+    /// Time since the entry was heard of; at most 65 s, in milliseconds.
     struct Entry {
         EntryInfo info;
         Duration age {};
     };
     std::vector<Entry> entries;
+    struct Alive {
+        InstanceId name;
+        Duration age {};
+    };
+    /// Entries that are as they were described last.
+    std::vector<Alive> alive;
 };
 
 // All decoders verify the buffer first and fail with FrameMalformed.
--- a/packages/coordination/tests/entrydirectorytest.cpp
+++ b/packages/coordination/tests/entrydirectorytest.cpp
@@ -93,6 +93,22 @@
     CHECK(share < 0.25); // twice the equal share, and rounding
 }
 
+TEST_CASE("an entry that is only named again stays, and an unknown name is not told to callers")
+{
+    EntryDirectory directory;
+    const Instant start {};
+    const EntryInfo entry { InstanceId("e1"), "10.0.0.1:80", DataCentreId("north"), true };
+    directory.note(entry, start);
+    const Instant later = start + EntryDirectory::Lifetime;
+    CHECK(directory.noteAlive(entry.name, later));
+    CHECK_FALSE(directory.noteAlive(InstanceId("e2"), later));
+    CHECK(directory.live(later + EntryDirectory::Lifetime).size() == 1);
+    CHECK(directory.live(later + EntryDirectory::Lifetime + std::chrono::milliseconds(1)).empty());
+    // A report that is overtaken by a newer one does not shorten the entry's life.
+    CHECK(directory.noteAlive(entry.name, start));
+    CHECK(directory.live(later + EntryDirectory::Lifetime).size() == 1);
+}
+
 TEST_CASE("no entries means no addresses")
 {
     const EntryDirectory directory;
--- a/packages/coordination/tests/feedtest.cpp
+++ b/packages/coordination/tests/feedtest.cpp
@@ -59,6 +59,34 @@
     CHECK(refused.error().code == ResultCode::VersionConflict);
 }
 
+TEST_CASE("reports of core instances are read back equal, and naming an entry takes a third of describing it")
+{
+    CoreReport described;
+    described.core = CoreInstance { InstanceId("10.0.0.9:7000"), DataCentreId("north") };
+    CoreReport named = described;
+    constexpr int Entries = 40; // at the target size, an instance feeds about so many
+    for (int n = 0; n < Entries; ++n) {
+        const InstanceId name("entry-north-" + std::to_string(n));
+        described.entries.push_back({ EntryInfo { name, "10.0.0.2:8080", DataCentreId("north"), true }, std::chrono::milliseconds(n) });
+        named.alive.push_back({ name, std::chrono::milliseconds(n) });
+    }
+    const std::vector<std::uint8_t> longer = encode(described);
+    CHECK(encode(named).size() * 3 <= longer.size());
+
+    named.heard = { ServerId("s1"), ServerId("s2") };
+    const Result<CoreReport> back = decodeCoreReport(encode(named));
+    REQUIRE(back);
+    CHECK(back->core.dataCentre == DataCentreId("north"));
+    CHECK(back->heard == named.heard);
+    REQUIRE(back->alive.size() == Entries);
+    CHECK(back->alive[7].name == named.alive[7].name);
+    CHECK(back->alive[7].age == named.alive[7].age);
+    const Result<CoreReport> whole = decodeCoreReport(longer);
+    REQUIRE(whole);
+    REQUIRE(whole->entries.size() == Entries);
+    CHECK(whole->entries[7].info == described.entries[7].info);
+}
+
 TEST_CASE("damaged messages are refused and never read out of bounds")
 {
     const std::vector<std::uint8_t> good = encode(makeUpdate());
--- a/packages/wire/tests/frametest.cpp
+++ b/packages/wire/tests/frametest.cpp
@@ -35,6 +35,18 @@
 }
 
 // Guards against frames of another cluster, with another key, or damaged on the way being taken.
+TEST_CASE("an address that is the sender's name is not sent twice", "[wire]")
+{
+    Envelope envelope = sampleEnvelope();
+    envelope.sender = InstanceId("127.0.0.1:4000");
+    const auto bytes = encode(envelope);
+    const Result<Envelope> back = decodeEnvelope(bytes);
+    REQUIRE(back);
+    REQUIRE(back->senderAddress == "127.0.0.1:4000");
+    envelope.senderAddress = "127.0.0.1:4001";
+    REQUIRE(bytes.size() < encode(envelope).size());
+}
+
 TEST_CASE("a frame is refused with its numbered error", "[wire]")
 {
     const FrameCodec codec("abyssinia", "secret");
--- a/packages/wire/wire/envelope.cpp
+++ b/packages/wire/wire/envelope.cpp
@@ -10,7 +10,8 @@
     flatbuffers::FlatBufferBuilder builder;
     // With lengths, so that a text with a zero byte arrives whole.
     const auto sender = builder.CreateString(envelope.sender.value());
-    const auto senderAddress = builder.CreateString(envelope.senderAddress);
+    const bool isNamedByAddress = envelope.senderAddress == envelope.sender.value();
+    const auto senderAddress = isNamedByAddress ? 0 : builder.CreateString(envelope.senderAddress);
     const auto payload = builder.CreateVector(envelope.payload);
     const auto root = Fb::CreateEnvelope(builder, sender, senderAddress, envelope.incarnation.value(), envelope.correlation,
                                          static_cast<std::uint16_t>(envelope.kind), payload);
@@ -27,7 +28,7 @@
     const auto *root = Fb::GetEnvelope(bytes.data());
     Envelope envelope;
     envelope.sender = InstanceId(root->sender()->str());
-    envelope.senderAddress = root->sender_address()->str();
+    envelope.senderAddress = root->sender_address() == nullptr ? envelope.sender.value() : root->sender_address()->str();
     envelope.incarnation = Incarnation(root->incarnation());
     envelope.correlation = root->correlation();
     envelope.kind = static_cast<MessageKind>(root->kind());
