Look at the other servers of the data centre before a slow last slot is taken

A request on a last slot takes 1.7 times as long; those that run already are not slowed (123 ms where the work is 120). Ruled out: disturbances after the start. Requests that start on an undisturbed server with a slot to spare are late in 1 of 500. Change: WorkTimes compares durations within one route; a last slot is supposed slow until two samples outweigh that; while it is slow, up to three rounds of probes look for a slot to spare, within the own data centre. The test 'the last slot is used only when it adds something' is replaced: a last slot always adds something, because the others are not slowed by it. Its successors check when it is taken, when not, and that it is taken before a caller is rejected. Tests: worktimestest (new), servertabletest.

--- a/packages/gateway/gateway/requestrun.h
+++ b/packages/gateway/gateway/requestrun.h
@@ -56,8 +56,8 @@
         const Instant now = m_runner.m_loop.now();
         const ChoiceInput input { m_service, m_route->objective, m_tried, ChoiceInput::Need::Any };
         const std::vector<ServerId> candidates = m_runner.m_servers.candidates(input, ProbesPerRound, now);
-        const bool isBestFree = !candidates.empty() && m_runner.m_servers.isKnownFree(candidates.front(), now);
-        if (isBestFree) {
+        const bool isBestFree = !candidates.empty() && m_runner.m_servers.isKnownFreeAndFast(candidates.front(), now);
+        if (isBestFree || mayTakeLastSlot(candidates, now)) {
             attempt();
             return;
         }
@@ -84,6 +84,18 @@
         }
     }
 
+    /// Whether to use a slow last slot that is known to be free: when the request has looked or waited for a better one, and
+    /// rather than in another data centre, whose responses are dear.
+    bool mayTakeLastSlot(const std::vector<ServerId> &candidates, Instant now) const
+    {
+        const auto choice = chooseWith(ChoiceInput::Need::Free, now);
+        if (!choice) {
+            return false;
+        }
+        const bool isCandidateNear = !candidates.empty() && m_runner.m_servers.isInOwnDataCentre(candidates.front());
+        return m_isWaiting || m_rounds >= MaxRounds || (!isCandidateNear && m_runner.m_servers.isInOwnDataCentre(choice->server));
+    }
+
     /// No server is known to be free. The request waits a little: a slot may become free at a server that works for this
     /// entry, or probes find one. Then it is rejected, unless nobody knows whether the service is busy.
     void waitOrGiveUp()
@@ -156,7 +168,8 @@
             return;
         }
         --m_openProbes;
-        if (m_runner.m_servers.isKnownFree(server, m_runner.m_loop.now())) {
+        const Instant now = m_runner.m_loop.now();
+        if (m_runner.m_servers.isKnownFreeAndFast(server, now) || (m_isWaiting && m_runner.m_servers.isKnownFree(server, now))) {
             takeSlot();
         } else if (m_openProbes == 0) {
             select();
@@ -197,7 +210,7 @@
         m_tried.push_back(choice->server);
         ++m_runner.m_counters.attempts;
         m_attemptAt = now;
-        m_start = m_runner.m_servers.noteStart(choice->server, now);
+        m_start = m_runner.m_servers.noteStart(choice->server, m_route->name, now);
         m_attempt = m_runner.m_pool.send(row->server, makeRequest(now));
         m_attempt->onResponse([this](Http::Response response) { responded(std::move(response)); });
         m_attempt->onFailure([this](AttemptFailure failure) { failed(failure); });
--- a/packages/gateway/gateway/servertable.cpp
+++ b/packages/gateway/gateway/servertable.cpp
@@ -19,8 +19,6 @@
 constexpr Duration FreshReport = std::chrono::milliseconds(20);
 /// Reports that are newer than this tell whether a service is busy.
 constexpr Duration BusyReport = std::chrono::milliseconds(60);
-/// Samples before the use of the last slot is judged.
-constexpr unsigned MinSlotSamples = 20;
 /// A machine with this slowness or less is undisturbed.
 constexpr double UndisturbedSlowness = 1.3;
 /// Time in which a lasting slowness is told from a disturbance, which ends after some tenths of a second.
@@ -185,8 +183,8 @@
     std::vector<std::pair<double, ServerId>> scored;
     for (const ServerId &id : service->second.servers) {
         const bool isTried = std::find(input.tried.begin(), input.tried.end(), id) != input.tried.end();
-        const bool isKnownBusy = isFresh(id, now) && !isKnownFree(id, now);
-        if (!isTried && !isKnownBusy) {
+        const bool isKnownWorse = isFresh(id, now) && !isKnownFreeAndFast(id, now);
+        if (!isTried && !isKnownWorse) {
             const double noise = m_random.unit() * EqualScoreSeconds;
             scored.emplace_back(score(m_rows.at(id), service->second, input, now) + noise, id);
         }
@@ -206,23 +204,38 @@
     return row != nullptr && row->load && now - row->load->at <= FreshReport;
 }
 
-bool ServerTable::hasFreeSlot(const ServerRow &row) const
+double ServerTable::slotsToSpare(const ServerRow &row)
 {
     const double others = std::max(0.0, static_cast<double>(row.load->running) + row.load->waiting - row.inFlightAtLoad);
-    return row.inFlight + others + 1 <= usableSlots(row);
+    return row.server.slots - (row.inFlight + others + 1);
 }
 
 bool ServerTable::isKnownFree(const ServerId &server, Instant now) const
 {
     const ServerRow *row = find(server);
-    return isFresh(server, now) && now >= row->avoidedUntil && row->load->slowness <= UndisturbedSlowness && hasFreeSlot(*row);
+    return isFresh(server, now) && now >= row->avoidedUntil && row->load->slowness <= UndisturbedSlowness && slotsToSpare(*row) >= 0;
+}
+
+bool ServerTable::isKnownFreeAndFast(const ServerId &server, Instant now) const
+{
+    if (!isKnownFree(server, now)) {
+        return false;
+    }
+    const ServerRow &row = m_rows.at(server);
+    return slotsToSpare(row) >= 1 || !m_workTimes.isLastSlotSlow(row.server.service);
+}
+
+bool ServerTable::isInOwnDataCentre(const ServerId &server) const
+{
+    const ServerRow *row = find(server);
+    return row != nullptr && row->server.dataCentre == m_own;
 }
 
 bool ServerTable::isKnownSlowButFree(const ServerId &server, Instant now) const
 {
     const ServerRow *row = find(server);
     return isFresh(server, now) && now >= row->avoidedUntil && row->load->slowness <= UndisturbedSlowness * row->lastingSlowness
-        && hasFreeSlot(*row);
+        && slotsToSpare(*row) >= 0;
 }
 
 double ServerTable::expectedOthers(const ServerRow &row, const ServiceRow &service, Instant now) const
@@ -251,7 +264,7 @@
     const double load = row.inFlight + expectedOthers(row, service, now);
     const double occupancy = (load + 1) / slots;
     const double knee = std::clamp((occupancy - KneeOccupancy) / (1 - KneeOccupancy), 0.0, 1.0) * KneeSlowdown;
-    const double work = service.workSeconds * expectedSlowness(row, now) / UsualSlowness;
+    const double work = m_workTimes.usualSeconds(input.service) * expectedSlowness(row, now) / UsualSlowness;
     const double waiting = std::max(0.0, load + 1 - slots) / slots;
     double value = work * (1 + knee + waiting);
     if (now < row.coldUntil) {
@@ -286,22 +299,10 @@
     });
 }
 
-unsigned ServerTable::usableSlots(const ServerRow &row) const
-{
-    const unsigned slots = row.server.slots;
-    const auto it = m_services.find(row.server.service);
-    if (slots < 2 || it == m_services.end()) {
-        return slots;
-    }
-    const ServiceRow &service = it->second;
-    const bool isMeasured = service.workSamples >= MinSlotSamples && service.fullSamples >= MinSlotSamples;
-    const double worthwhile = service.workSeconds * slots / (slots - 1);
-    return isMeasured && service.fullSeconds > worthwhile ? slots - 1 : slots;
-}
-
-AttemptStart ServerTable::noteStart(const ServerId &server, Instant now)
+AttemptStart ServerTable::noteStart(const ServerId &server, const std::string &route, Instant now)
 {
     AttemptStart start;
+    start.route = route;
     const auto it = m_rows.find(server);
     if (it == m_rows.end()) {
         return start;
@@ -309,9 +310,8 @@
     ServerRow &row = it->second;
     start.isKnown = isFresh(server, now);
     if (start.isKnown) {
-        const double others = std::max(0.0, static_cast<double>(row.load->running) + row.load->waiting - row.inFlightAtLoad);
         start.isUndisturbed = row.load->slowness <= UndisturbedSlowness;
-        start.fillsServer = row.inFlight + others + 1 >= row.server.slots;
+        start.fillsServer = slotsToSpare(row) < 1;
     }
     ++row.inFlight;
     return start;
@@ -335,7 +335,9 @@
     average(row.rejectionShare, result == AttemptResult::Rejected ? 1 : 0, HealthWeight);
     row.consecutiveBroken = isBroken ? row.consecutiveBroken + 1 : 0;
     if (result == AttemptResult::Served) {
-        noteWork(m_services[row.server.service], start, seconds(took));
+        if (start.isKnown && start.isUndisturbed) {
+            m_workTimes.note(row.server.service, start.route, start.fillsServer, seconds(took));
+        }
         row.avoidance = row.failureShare < MaxFailureShare / 2 ? Duration {} : row.avoidance;
     }
     const bool isUnhealthy = row.samples >= MinSamples && row.failureShare > MaxFailureShare;
@@ -344,18 +346,6 @@
     }
 }
 
-void ServerTable::noteWork(ServiceRow &service, const AttemptStart &start, double took)
-{
-    if (!start.isKnown || !start.isUndisturbed) {
-        return;
-    }
-    double &value = start.fillsServer ? service.fullSeconds : service.workSeconds;
-    unsigned &samples = start.fillsServer ? service.fullSamples : service.workSamples;
-    ++samples;
-    // The first samples count fully, so that the default is soon forgotten.
-    average(value, took, std::max(AverageWeight, 1.0 / samples));
-}
-
 void ServerTable::avoid(ServerRow &row, Instant now)
 {
     if (now < row.avoidedUntil || !mayAvoid(m_services[row.server.service], now)) {
@@ -404,9 +394,7 @@
 
 Duration ServerTable::workTime(const ServiceId &service) const
 {
-    const auto it = m_services.find(service);
-    const double value = it == m_services.end() ? DefaultWorkSeconds : it->second.workSeconds;
-    return Duration(static_cast<Duration::rep>(value * 1e6));
+    return Duration(static_cast<Duration::rep>(m_workTimes.usualSeconds(service) * 1e6));
 }
 
 std::size_t ServerTable::readyCount(const ServiceId &service) const
--- a/packages/gateway/gateway/servertable.h
+++ b/packages/gateway/gateway/servertable.h
@@ -8,6 +8,7 @@
 #include "base/random.h"
 #include "coordination/feed.h"
 #include "gateway/loadreport.h"
+#include "gateway/worktimes.h"
 #include "routing/model.h"
 
 namespace Galenabarrow::Gateway
@@ -56,6 +57,7 @@
 
 /// The state of a server when an attempt started there, as far as a fresh report told it.
 struct AttemptStart {
+    std::string route;
     bool isKnown = false;
     bool isUndisturbed = false;
     /// The request took the last free slot.
@@ -100,6 +102,9 @@
     std::vector<ServerId> candidates(const ChoiceInput &input, std::size_t most, Instant now) const;
     /// Whether a fresh report says that the server is undisturbed and has a free slot.
     bool isKnownFree(const ServerId &server, Instant now) const;
+    /// The same, and the request gets a slot of usual speed: another one is free besides, or the last one is no slower.
+    bool isKnownFreeAndFast(const ServerId &server, Instant now) const;
+    bool isInOwnDataCentre(const ServerId &server) const;
     /// Whether a fresh report says that the server has a free slot and is no slower than it has been for a while.
     bool isKnownSlowButFree(const ServerId &server, Instant now) const;
     /// Whether the newest report is recent enough to need no probe.
@@ -108,12 +113,10 @@
     const ServerRow *find(const ServerId &server) const;
     /// Whether any server of the service reported its load lately: without that, nobody knows that it is busy.
     bool hasFreshReports(const ServiceId &service, Instant now) const;
-    /// A request was sent to the server.
-    AttemptStart noteStart(const ServerId &server, Instant now);
+    /// A request of \p route was sent to the server.
+    AttemptStart noteStart(const ServerId &server, const std::string &route, Instant now);
     /// An attempt that began with \p start ended after \p took at the server.
     void noteEnd(const ServerId &server, AttemptResult result, const AttemptStart &start, Duration took, Instant now);
-    /// Slots of a server that are worth using: all, or all but one where the last one slows the others down by more than it adds.
-    unsigned usableSlots(const ServerRow &row) const;
     void noteLoad(const ServerId &server, const LoadReport &report);
     /// A probe was answered, or not.
     void noteProbe(const ServerId &server, bool hasAnswered, Instant now);
@@ -128,32 +131,25 @@
 private:
     struct ServiceRow {
         std::vector<ServerId> servers;
-        /// Moving average of the duration of served requests on undisturbed servers with a slot to spare.
-        double workSeconds = DefaultWorkSeconds;
-        /// The same of those that took the last slot.
-        double fullSeconds = DefaultWorkSeconds;
-        unsigned workSamples = 0;
-        unsigned fullSamples = 0;
         /// Moving average of the requests of other entries at a server.
         double othersPerServer = 0;
     };
-    static constexpr double DefaultWorkSeconds = 0.15;
-
     void put(const Routing::BackendServer &server, Instant now);
     void remove(const ServerId &server);
     void rebuildServices();
     double expectedOthers(const ServerRow &row, const ServiceRow &service, Instant now) const;
     double expectedSlowness(const ServerRow &row, Instant now) const;
     double score(const ServerRow &row, const ServiceRow &service, const ChoiceInput &input, Instant now) const;
-    bool hasFreeSlot(const ServerRow &row) const;
+    /// Slots that are free besides the one for a new request, as the newest report says; negative when there is none for it.
+    static double slotsToSpare(const ServerRow &row);
     bool mayAvoid(const ServiceRow &service, Instant now) const;
-    static void noteWork(ServiceRow &service, const AttemptStart &start, double took);
     void avoid(ServerRow &row, Instant now);
 
     DataCentreId m_own;
     RandomSource &m_random;
     std::map<ServerId, ServerRow> m_rows;
     std::map<ServiceId, ServiceRow> m_services;
+    WorkTimes m_workTimes;
     std::vector<ServerId> m_gone;
 };
 
--- /dev/null
+++ b/packages/gateway/gateway/worktimes.cpp
@@ -0,0 +1,71 @@
+#include "gateway/worktimes.h"
+
+#include <algorithm>
+
+namespace Galenabarrow::Gateway
+{
+
+namespace
+{
+
+/// Weight of the newest sample in the moving averages.
+constexpr double SampleWeight = 0.05;
+/// What is supposed of the last slot, and the samples that this counts for: two undisturbed ones outweigh it.
+constexpr double SupposedSlowdown = 1.3;
+constexpr double SupposedSamples = 2;
+/// Shorter work says nothing about slots: round trips and new connections take a good part of it.
+constexpr double MinComparedSeconds = 0.02;
+/// A last slot with more than this is avoided while there are others; durations of one route spread by about 30%.
+constexpr double SlowLastSlot = 1.2;
+/// One sample says no more than this: some requests take many times the usual work.
+constexpr double MaxSampleSlowdown = 3;
+/// Older samples count half as soon as there are so many, so that a service that changed is seen again.
+constexpr unsigned MaxSlowdownSamples = 100;
+
+}
+
+void WorkTimes::note(const ServiceId &service, const std::string &route, bool fillsServer, double seconds)
+{
+    Service &row = m_services[service];
+    const auto known = row.routes.find(route);
+    if (!fillsServer) {
+        ++row.samples;
+        // The first samples count fully, so that the default is soon forgotten.
+        row.seconds += (seconds - row.seconds) * std::max(SampleWeight, 1.0 / row.samples);
+        double &usual = known == row.routes.end() ? row.routes.emplace(route, seconds).first->second : known->second;
+        usual += (seconds - usual) * SampleWeight;
+        return;
+    }
+    if (known == row.routes.end() || known->second < MinComparedSeconds) {
+        return;
+    }
+    if (row.slowdownSamples >= MaxSlowdownSamples) {
+        row.slowdownSum /= 2;
+        row.slowdownSamples /= 2;
+    }
+    row.slowdownSum += std::min(seconds / known->second, MaxSampleSlowdown);
+    ++row.slowdownSamples;
+}
+
+double WorkTimes::usualSeconds(const ServiceId &service) const
+{
+    const auto it = m_services.find(service);
+    return it == m_services.end() ? DefaultSeconds : it->second.seconds;
+}
+
+double WorkTimes::lastSlotSlowdown(const ServiceId &service) const
+{
+    const auto it = m_services.find(service);
+    if (it == m_services.end()) {
+        return SupposedSlowdown;
+    }
+    const Service &row = it->second;
+    return (SupposedSlowdown * SupposedSamples + row.slowdownSum) / (SupposedSamples + row.slowdownSamples);
+}
+
+bool WorkTimes::isLastSlotSlow(const ServiceId &service) const
+{
+    return lastSlotSlowdown(service) > SlowLastSlot;
+}
+
+}
