Keep a late probe instead of taking it back

Ruled out: servers that are gone (no probe without a connection there); lost packets (no link was harmed). Change: a probe that is late stays; its server is not asked or chosen until it answers, the answer offers the slot to a waiting request, and only a probe without any answer for 1 s counts as silence. Tests: servertabletest 'a server whose probe is late', requestrunnertest 'a late answer to a probe'; both fail on the old code.

--- a/packages/gateway/gateway/loadprober.cpp
+++ b/packages/gateway/gateway/loadprober.cpp
@@ -1,6 +1,7 @@
 #include "gateway/loadprober.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Galenabarrow::Gateway
 {
@@ -35,6 +36,9 @@
 {
     const auto running = m_probes.find(server);
     if (running != m_probes.end()) {
+        if (running->second.isLate) {
+            return false;
+        }
         running->second.waiting.push_back(std::move(done));
         return true;
     }
@@ -49,16 +53,20 @@
     request.target = path->second;
     request.fields.add("Host", row->server.address);
     Probe &probe = m_probes[server];
-    probe.startedAt = m_loop.now();
     probe.waiting.push_back(std::move(done));
     probe.attempt = m_pool.send(row->server, UpstreamRequest { Http::serialize(request), {}, false });
     probe.attempt->onResponse([this, server](const Http::Response &response) { answered(server, response); });
     probe.attempt->onFailure([this, server](AttemptFailure) { finish(server, false); });
-    probe.timer = m_loop.after(m_settings.limit, [this, server] { finish(server, false); });
+    probe.timer = m_loop.after(m_settings.limit, [this, server] { becomeLate(server); });
     ++m_sent;
     return true;
 }
 
+void LoadProber::onLateAnswer(LateAnswer callback)
+{
+    m_lateAnswer = std::move(callback);
+}
+
 std::uint64_t LoadProber::sent() const
 {
     return m_sent;
@@ -94,6 +102,20 @@
     finish(server, !isOther);
 }
 
+void LoadProber::becomeLate(const ServerId &server)
+{
+    const auto it = m_probes.find(server);
+    if (it == m_probes.end()) {
+        return;
+    }
+    it->second.isLate = true;
+    it->second.timer = m_loop.after(m_settings.abandonAfter - m_settings.limit, [this, server] { finish(server, false); });
+    m_servers.noteLateProbe(server);
+    for (const Done &done : std::exchange(it->second.waiting, {})) {
+        done(false);
+    }
+}
+
 void LoadProber::finish(const ServerId &server, bool hasAnswered)
 {
     const auto it = m_probes.find(server);
@@ -109,6 +131,9 @@
     for (const Done &done : probe.waiting) {
         done(hasAnswered);
     }
+    if (probe.isLate && hasAnswered && m_lateAnswer) {
+        m_lateAnswer(server);
+    }
 }
 
 }
--- a/packages/gateway/gateway/loadprober.h
+++ b/packages/gateway/gateway/loadprober.h
@@ -20,22 +20,31 @@
     /// A server that has not answered in this time is busy or gone. A health check takes some milliseconds, and a round
     /// trip between data centres two.
     Duration limit = std::chrono::milliseconds(25);
+    /// A probe without an answer is given up after this time; several times the work that may be before it.
+    Duration abandonAfter = std::chrono::milliseconds(1000);
 };
 
 /// Asks backend servers for their load just before a choice among them: neighbours change it within milliseconds, so what
 /// the last response said is of little use by then. Probes to one server are shared, and bounded in number.
+///
+/// At a full server a new connection waits for a slot. A probe that is late is not taken back: its answer tells when the
+/// server has room again, and its connection is of use later. Until then the server is not asked again.
 class LoadProber
 {
 public:
     /// Told whether the server answered.
     using Done = std::function<void(bool)>;
+    /// Takes a server that answered a late probe.
+    using LateAnswer = std::function<void(const ServerId &)>;
 
     LoadProber(Net::EventLoop &loop, const Dialect &dialect, ProbeSettings settings, ServerTable &servers, UpstreamPool &pool);
 
     /// Health paths by service.
     void setPaths(std::map<ServiceId, std::string> paths);
     void setEntryCount(unsigned count);
-    /// Starts a probe, or joins the one under way. False when the budget is spent, or the service has no health path.
+    void onLateAnswer(LateAnswer callback);
+    /// Starts a probe, or joins the one under way. False when the budget is spent, the service has no health path, or the
+    /// last probe is late.
     bool probe(const ServerId &server, Done done);
     std::uint64_t sent() const;
     std::uint64_t refused() const;
@@ -45,9 +54,10 @@
         std::shared_ptr<Attempt> attempt;
         std::vector<Done> waiting;
         Net::TimerId timer = 0;
-        Instant startedAt {};
+        bool isLate = false;
     };
     bool takeBudget();
+    void becomeLate(const ServerId &server);
     void answered(const ServerId &server, const Http::Response &response);
     void finish(const ServerId &server, bool hasAnswered);
 
@@ -58,6 +68,7 @@
     UpstreamPool &m_pool;
     std::map<ServiceId, std::string> m_paths;
     std::map<ServerId, Probe> m_probes;
+    LateAnswer m_lateAnswer;
     unsigned m_entryCount = 1;
     double m_tokens = 0;
     Instant m_refilledAt;
--- a/packages/gateway/gateway/requestrunner.cpp
+++ b/packages/gateway/gateway/requestrunner.cpp
@@ -30,6 +30,11 @@
     , m_splits(random)
     , m_log(RequestLogSettings {})
 {
+    m_prober.onLateAnswer([this](const ServerId &server) {
+        if (const ServerRow *row = m_servers.find(server)) {
+            offer(row->server.service, server);
+        }
+    });
 }
 
 RequestRunner::~RequestRunner() = default;
--- a/packages/gateway/gateway/servertable.cpp
+++ b/packages/gateway/gateway/servertable.cpp
@@ -184,7 +184,7 @@
     for (const ServerId &id : service->second.servers) {
         const bool isTried = std::find(input.tried.begin(), input.tried.end(), id) != input.tried.end();
         const bool isKnownWorse = isFresh(id, now) && !isKnownFreeAndFast(id, now);
-        if (!isTried && !isKnownWorse) {
+        if (!isTried && !isKnownWorse && !m_rows.at(id).hasLateProbe) {
             const double noise = m_random.unit() * EqualScoreSeconds;
             scored.emplace_back(score(m_rows.at(id), service->second, input, now) + noise, id);
         }
@@ -274,7 +274,7 @@
         value += seconds(input.objective) * CrossingShare;
     }
     // A request that fails costs at least another attempt.
-    value += (row.failureShare + row.rejectionShare) * seconds(input.objective);
+    value += (row.failureShare + row.rejectionShare + (row.hasLateProbe ? 1 : 0)) * seconds(input.objective);
     if (row.isSilent || now < row.avoidedUntil) {
         value += seconds(MaxAvoidance);
     }
@@ -379,6 +379,14 @@
     average(m_services[row.server.service].othersPerServer, others, AverageWeight);
 }
 
+void ServerTable::noteLateProbe(const ServerId &server)
+{
+    const auto it = m_rows.find(server);
+    if (it != m_rows.end()) {
+        it->second.hasLateProbe = true;
+    }
+}
+
 void ServerTable::noteProbe(const ServerId &server, bool hasAnswered, Instant now)
 {
     const auto it = m_rows.find(server);
@@ -386,6 +394,7 @@
         return;
     }
     ServerRow &row = it->second;
+    row.hasLateProbe = false;
     row.consecutiveSilentProbes = hasAnswered ? 0 : row.consecutiveSilentProbes + 1;
     if (row.consecutiveSilentProbes >= MaxSilentProbes) {
         avoid(row, now);
--- a/packages/gateway/gateway/servertable.h
+++ b/packages/gateway/gateway/servertable.h
@@ -45,6 +45,8 @@
     double rejectionShare = 0;
     unsigned consecutiveBroken = 0;
     unsigned consecutiveSilentProbes = 0;
+    /// A probe waits for its answer for longer than usual: the server is full or gone.
+    bool hasLateProbe = false;
     unsigned samples = 0;
     /// Gets no requests before that time, while others can take them.
     Instant avoidedUntil {};
@@ -118,7 +120,9 @@
     /// An attempt that began with \p start ended after \p took at the server.
     void noteEnd(const ServerId &server, AttemptResult result, const AttemptStart &start, Duration took, Instant now);
     void noteLoad(const ServerId &server, const LoadReport &report);
-    /// A probe was answered, or not.
+    /// A probe was not answered in the usual time.
+    void noteLateProbe(const ServerId &server);
+    /// A probe was answered, or given up.
     void noteProbe(const ServerId &server, bool hasAnswered, Instant now);
     /// The usual duration of work at the service.
     Duration workTime(const ServiceId &service) const;
--- a/packages/gateway/tests/requestrunnertest.cpp
+++ b/packages/gateway/tests/requestrunnertest.cpp
@@ -41,6 +41,7 @@
     ScriptedServer(Net::EventLoop &loop, std::size_t number)
         : address { "127.0.0.1", static_cast<std::uint16_t>(FirstPort + number) }
         , name("s" + std::to_string(number))
+        , m_loop(loop)
         , m_server(loop, [this](const Http::ExchangePointer &it) { handle(it); })
     {
         REQUIRE(m_server.listen(address));
@@ -55,6 +56,9 @@
     std::string name;
     Behaviour behaviour = Behaviour::Answer;
     std::string load = "0,0,2,100";
+    /// Time until a probe is answered.
+    Duration probeDelay {};
+    std::size_t probes = 0;
     std::vector<Http::Request> received;
     std::vector<Http::ExchangePointer> hanging;
     std::size_t cancelled = 0;
@@ -63,10 +67,8 @@
     void handle(const Http::ExchangePointer &exchange)
     {
         if (exchange->request().path() == "/health") {
-            Http::Response response = Http::makeResponse(200);
-            response.fields.add("x-server", name);
-            response.fields.add("x-load", load);
-            exchange->respond(std::move(response));
+            ++probes;
+            m_loop.after(probeDelay, [this, exchange] { answerProbe(*exchange); });
             return;
         }
         received.push_back(exchange->request());
@@ -81,6 +83,14 @@
         exchange->respond(makeAnswer(exchange->request()));
     }
 
+    void answerProbe(Http::Exchange &exchange) const
+    {
+        Http::Response response = Http::makeResponse(200);
+        response.fields.add("x-server", name);
+        response.fields.add("x-load", load);
+        exchange.respond(std::move(response));
+    }
+
     Http::Response makeAnswer(const Http::Request &request) const
     {
         Http::Response response = Http::makeResponse(200, "whole");
@@ -101,6 +111,7 @@
         return response;
     }
 
+    Net::EventLoop &m_loop;
     Http::Server m_server;
 };
 
@@ -326,6 +337,21 @@
     CHECK(fixture.backends[1]->requests() == 1);
 }
 
+// Pattern: all entries start again at a busy time. A probe on a new connection waits until the full server has room: the entry
+// does not take it back and ask again, and the waiting request gets the slot when the answer comes.
+TEST_CASE("a late answer to a probe gives its slot to the request that waits")
+{
+    Fixture fixture(2);
+    fixture.configure(Routing::Repeatability::Unsafe, 2, 1000);
+    fixture.backends[0]->load = "2,0,2,100";
+    fixture.backends[1]->probeDelay = std::chrono::milliseconds(30);
+    // The objective of the route allows 25 ms of waiting: the second request waits from 10 to 35 ms, the probe is late at 25 ms.
+    fixture.call(10);
+    CHECK(hasStatus(fixture.call(100), "200"));
+    CHECK(fixture.backends[1]->probes == 1);
+    CHECK(fixture.backends[1]->requests() >= 1);
+}
+
 // Pattern: noisy neighbours. One server is undisturbed: it gets the request.
 TEST_CASE("an undisturbed server is found among disturbed ones")
 {
--- a/packages/gateway/tests/servertabletest.cpp
+++ b/packages/gateway/tests/servertabletest.cpp
@@ -147,6 +147,22 @@
     }
 }
 
+// Pattern: all entries start again at a busy time. Found on atw trouble-2: probes on new connections waited for a slot of full
+// servers, and half of the servers were avoided for seconds.
+TEST_CASE("a server whose probe is late is left alone until it answers, and is not avoided then")
+{
+    Fixture fixture(2);
+    const ChoiceInput input { ServiceId("desk"), std::chrono::milliseconds(300), {}, Need::Any };
+    for (int n = 0; n < 4; ++n) {
+        fixture.table.noteLateProbe(Fixture::idOf(0));
+        CHECK(fixture.table.candidates(input, 2, fixture.now) == std::vector { Fixture::idOf(1) });
+        CHECK(fixture.choose(Need::Any)->server == Fixture::idOf(1));
+        fixture.table.noteProbe(Fixture::idOf(0), true, fixture.now);
+        CHECK(fixture.table.candidates(input, 2, fixture.now).size() == 2);
+    }
+    CHECK(fixture.now >= fixture.table.find(Fixture::idOf(0))->avoidedUntil);
+}
+
 // Pattern: grey server. It fails a part of its requests while its health check and its load look good.
 TEST_CASE("a server that fails requests gets fewer of them, and another chance later")
 {
