Hold first elections one after the other; let entries that know nothing ask around sooner

Entries that had asked the instance without a disk waited 300 ms before they asked another. Ruled out: slow starts of the processes (all within 15 ms); lost pre-votes (all links were up). Change: before a leader was known, members wait for half of firstElection and a third of it for each member before them; steps double with each failed election.

--- a/packages/control/control/raftcore.h
+++ b/packages/control/control/raftcore.h
@@ -97,6 +97,7 @@
     bool isLeaderAlive(Instant now) const;
     bool isUpToDate(const RaftMessage &message) const;
     void resetElectionTimer(Instant now);
+    Duration firstElectionDelay();
     void stepDownWithoutQuorum(Instant now);
     bool acceptTerm(const RaftMessage &message, Instant now);
     void handlePreVote(const RaftMessage &message, Instant now);
@@ -156,6 +157,8 @@
     std::optional<Instant> m_leaderHeardAt;
     /// This process has known a leader, or was one.
     bool m_hasKnownLeader = false;
+    /// Elections that this replica started before it knew a leader.
+    unsigned m_failedElections = 0;
     std::set<ReplicaId> m_votes;
     /// What the leader of this term is sent back as echo.
     std::optional<Instant> m_leaderSentAt;
--- a/packages/control/control/raftelection.cpp
+++ b/packages/control/control/raftelection.cpp
@@ -6,6 +6,17 @@
 namespace Galenabarrow::Control
 {
 
+namespace
+{
+
+/// Steps between two members' first elections in the time of firstElection: an election takes two round trips between data
+/// centres and two syncs, some milliseconds each.
+constexpr int FirstElectionSteps = 3;
+/// Steps of 50 ms grow to 400 ms, which outlasts an election with syncs of 60 ms.
+constexpr unsigned MaxStepDoublings = 3;
+
+}
+
 void RaftCore::becomeFollower(Term term, std::optional<ReplicaId> leader, Instant now)
 {
     if (term > m_hardState.term) {
@@ -49,6 +60,7 @@
     m_leaderSentAt.reset();
     m_votes.clear();
     writeHardState();
+    ++m_failedElections;
     resetElectionTimer(now);
     for (const Member &member : m_log.membership().members) {
         if (member.isVoter && member.id != m_self) {
@@ -103,14 +115,25 @@
 void RaftCore::resetElectionTimer(Instant now)
 {
     if (m_timing.firstElection && !m_hasKnownLeader) {
-        const auto extra = m_random.below(static_cast<std::uint64_t>(m_timing.firstElection->count()) + 1);
-        m_electionAt = now + *m_timing.firstElection + Duration(static_cast<Duration::rep>(extra));
+        m_electionAt = now + firstElectionDelay();
         return;
     }
     const auto extra = m_random.below(static_cast<std::uint64_t>(m_timing.election.count()) / 2 + 1);
     m_electionAt = now + m_timing.election + Duration(static_cast<Duration::rep>(extra));
 }
 
+Duration RaftCore::firstElectionDelay()
+{
+    // Replicas that start together would split their votes with random delays that differ by less than an election takes. Their
+    // order in the membership keeps them apart; the steps grow with each election that failed, for slow disks.
+    const std::vector<Member> &members = m_log.membership().members;
+    const auto self = std::find_if(members.begin(), members.end(), [this](const Member &it) { return it.id == m_self; });
+    const auto rank = self == members.end() ? 0 : self - members.begin();
+    const Duration step = *m_timing.firstElection * (1U << std::min(m_failedElections, MaxStepDoublings)) / FirstElectionSteps;
+    const auto extra = m_random.below(static_cast<std::uint64_t>(step.count()) / 4 + 1);
+    return *m_timing.firstElection / 2 + step * rank + Duration(static_cast<Duration::rep>(extra));
+}
+
 void RaftCore::stepDownWithoutQuorum(Instant now)
 {
     if (m_role == Role::Leader && !m_progress.hasQuorumSince(m_log.membership(), now - m_timing.election)) {
--- a/packages/control/control/rafttypes.h
+++ b/packages/control/control/rafttypes.h
@@ -164,8 +164,9 @@
     /// A follower that has not heard from a leader for this time, plus up to half as much at random, asks for votes.
     /// A leader without a quorum for this time steps down.
     Duration election = std::chrono::milliseconds(1000);
-    /// Time between two pre-votes of a replica that has not known a leader since its start, plus up to as much at random; the
-    /// election timeout when absent. A leader that works is not disturbed: its followers refuse the pre-vote.
+    /// Sets the time between two pre-votes of a replica that has not known a leader since its start: half of it, and a third for
+    /// each member before it; the election timeout when absent. A leader that works is not disturbed: its followers refuse the
+    /// pre-vote.
     std::optional<Duration> firstElection;
     /// Time between two join requests of a replica that is not a member.
     Duration join = std::chrono::milliseconds(500);
--- a/packages/coordination/coordination/corelink.cpp
+++ b/packages/coordination/coordination/corelink.cpp
@@ -9,15 +9,19 @@
 {
 
 constexpr Duration TickInterval = std::chrono::milliseconds(100);
+/// The same while nothing is known yet, and callers are rejected.
+constexpr Duration FirstTickInterval = std::chrono::milliseconds(30);
 /// Time between two reports; a core instance forgets an entry after three of them.
 constexpr Duration ReportInterval = std::chrono::milliseconds(500);
 constexpr Duration ConnectLimit = std::chrono::milliseconds(150);
+/// The same while nothing is known yet: many round trips, and a machine that gets its power back answers the next attempt.
+constexpr Duration FirstConnectLimit = std::chrono::milliseconds(50);
 /// A core instance sends every 400 ms; three missing updates mean that it, or the connection, is lost.
 constexpr Duration SilenceLimit = std::chrono::milliseconds(1250);
 /// Another instance is tried when this one was not sure for this time: an election takes at most 1.2 s.
 constexpr Duration UnsureLimit = std::chrono::milliseconds(1600);
-/// The same while nothing is known yet: another instance may know the state.
-constexpr Duration FirstUnsureLimit = std::chrono::milliseconds(300);
+/// The same while nothing is known yet: another instance may know the state, for example where this one lost its disk.
+constexpr Duration FirstUnsureLimit = std::chrono::milliseconds(120);
 /// Time before the own data centre's instance is tried again after it failed.
 constexpr Duration PreferDelay = std::chrono::seconds(3);
 
@@ -67,20 +71,21 @@
     const Instant now = m_loop.now();
     const bool isOpen = m_frames != nullptr && m_frames->isOpen();
     const bool isConnected = isOpen && m_stream->isConnected();
+    const bool isFirst = m_known == LogIndex();
     const Instant sureAt = std::max(m_connectedAt, m_confirmedAt.value_or(m_connectedAt));
     if (!isOpen) {
         connectNext("closed");
-    } else if (!isConnected && now - m_connectedAt > ConnectLimit) {
+    } else if (!isConnected && now - m_connectedAt > (isFirst ? FirstConnectLimit : ConnectLimit)) {
         connectNext("connect_timeout");
     } else if (isConnected && now - std::max(m_heardAt, m_connectedAt) > SilenceLimit) {
         connectNext("silent");
-    } else if (isConnected && now - sureAt > (m_known == LogIndex() ? FirstUnsureLimit : UnsureLimit)) {
+    } else if (isConnected && now - sureAt > (isFirst ? FirstUnsureLimit : UnsureLimit)) {
         connectNext("unsure");
     } else if (now - m_reportedAt >= ReportInterval) {
         report();
         preferOwnDataCentre();
     }
-    m_loop.after(TickInterval, [this] { tick(); });
+    m_loop.after(isFirst ? FirstTickInterval : TickInterval, [this] { tick(); });
 }
 
 std::vector<InstanceId> CoreLink::candidates() const
--- a/packages/coordination/tests/replicatest.cpp
+++ b/packages/coordination/tests/replicatest.cpp
@@ -305,6 +305,27 @@
     REQUIRE(cluster.runUntil([&] { return !cluster.leader().empty(); }, std::chrono::milliseconds(600)));
 }
 
+// Found on odmd trouble-2: the votes of replicas that started together were split, and requests waited for 0.5 s instead of 0.25 s.
+TEST_CASE("votes are not split when all instances start together")
+{
+    const auto seed = GENERATE(range(1, 61));
+    Cluster cluster(static_cast<std::uint64_t>(seed));
+    REQUIRE(cluster.runUntil([&] { return cluster.isComplete(3); }, CatchUp));
+    const std::uint64_t term = cluster.nodes[cluster.leader()].replica->term().value();
+    for (std::size_t n = 0; n < 3; ++n) {
+        cluster.losePower(Cluster::nameOf(n));
+    }
+    cluster.inFlight.clear(); // sockets end with their machines
+    for (std::size_t n = 0; n < 3; ++n) {
+        cluster.start(Cluster::nameOf(n));
+    }
+    // The first pre-vote comes after half of 150 ms and a quarter of a 50 ms step, at the next step of the clock. Then there are
+    // rounds of pre-votes, votes and of the first entry, and the candidate's and the voter's disks.
+    const Duration limit = std::chrono::milliseconds(90) + 8 * Step;
+    REQUIRE(cluster.runUntil([&] { return !cluster.leader().empty(); }, limit));
+    CHECK(cluster.nodes[cluster.leader()].replica->term().value() == term + 1);
+}
+
 TEST_CASE("a replica that is gone for good is replaced by an empty one at another address")
 {
     const auto seed = GENERATE(range(1, 11));
