Never wait for the reader of the log

Cause: log4cxx's console appender writes with a blocking write. Ruled out: log4cxx's AsyncAppender: a thread and a queue in each process, which the platform charges for. Change: LogAppender asks poll whether the descriptor takes a line, writes at most 4,096 bytes at once, and counts lines that are lost; the count follows in a line, and in galenabarrow_log_lines_lost_total.

--- a/packages/base/base/log.cpp
+++ b/packages/base/base/log.cpp
@@ -1,7 +1,10 @@
 #include "base/log.h"
 
+#include <unistd.h>
+
+#include "base/logappender.h"
+
 #include <log4cxx/basicconfigurator.h>
-#include <log4cxx/consoleappender.h>
 #include <log4cxx/level.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/logmanager.h>
@@ -48,6 +51,13 @@
     return line;
 }
 
+/// The appender of all loggers of this process; null before configure().
+std::shared_ptr<LogAppender> &processAppender()
+{
+    static std::shared_ptr<LogAppender> appender;
+    return appender;
+}
+
 log4cxx::LoggerPtr logger(const std::string &component)
 {
     return log4cxx::Logger::getLogger(component);
@@ -58,12 +68,17 @@
 void Log::configure(std::string_view threshold)
 {
     log4cxx::LayoutPtr layout(new log4cxx::PatternLayout(LOG4CXX_STR("time=%d{yyyy-MM-ddTHH:mm:ss.SSS}{GMT}Z level=%p component=%c %m%n")));
-    log4cxx::ConsoleAppenderPtr appender(new log4cxx::ConsoleAppender(layout, log4cxx::ConsoleAppender::getSystemErr()));
+    processAppender() = std::make_shared<LogAppender>(layout, STDERR_FILENO);
     log4cxx::LogManager::resetConfiguration();
-    log4cxx::BasicConfigurator::configure(appender);
+    log4cxx::BasicConfigurator::configure(processAppender());
     log4cxx::Logger::getRootLogger()->setLevel(log4cxx::Level::toLevel(std::string(threshold), log4cxx::Level::getInfo()));
 }
 
+std::uint64_t Log::lostLines()
+{
+    return processAppender() == nullptr ? 0 : processAppender()->lost();
+}
+
 Log::Log(std::string_view component)
     : m_component(component)
 {
--- a/packages/base/base/log.h
+++ b/packages/base/base/log.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -21,6 +22,8 @@
 public:
     /// Sends all lines of the process to standard error. \p threshold is one of debug, info, warn, error.
     static void configure(std::string_view threshold);
+    /// Lines of this process that were lost because nobody read them in time.
+    static std::uint64_t lostLines();
 
     explicit Log(std::string_view component);
     void info(std::string_view event, std::initializer_list<LogField> fields = {}) const;
--- /dev/null
+++ b/packages/base/base/logappender.cpp
@@ -0,0 +1,66 @@
+#include "base/logappender.h"
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <log4cxx/layout.h>
+
+namespace Galenabarrow
+{
+
+LogAppender::LogAppender(const log4cxx::LayoutPtr &layout, int fd)
+    : m_fd(fd)
+{
+    setLayout(layout); // log4cxx 1.0 drops the layout that its constructor takes
+}
+
+std::uint64_t LogAppender::lost() const
+{
+    return m_lost;
+}
+
+void LogAppender::close()
+{
+    // The descriptor belongs to the process.
+}
+
+bool LogAppender::requiresLayout() const
+{
+    return true;
+}
+
+void LogAppender::append(const log4cxx::spi::LoggingEventPtr &event, log4cxx::helpers::Pool &pool)
+{
+    log4cxx::LogString line;
+    getLayout()->format(line, event, pool);
+    if (line.size() > MaxLine) {
+        line.resize(MaxLine - 1);
+        line += '\n';
+    }
+    if (m_lost > m_reportedLost) {
+        reportLost(line);
+    }
+    if (!write(line)) {
+        ++m_lost;
+    }
+}
+
+bool LogAppender::write(std::string_view line)
+{
+    pollfd poll { m_fd, POLLOUT, 0 };
+    // A pipe that is ready takes MaxLine bytes without waiting, and a file always does.
+    const bool isReady = ::poll(&poll, 1, 0) == 1 && (poll.revents & POLLOUT) != 0;
+    return isReady && ::write(m_fd, line.data(), line.size()) == static_cast<ssize_t>(line.size());
+}
+
+void LogAppender::reportLost(const std::string &line)
+{
+    const std::uint64_t lost = m_lost;
+    // The time of the line that comes next, as the layout writes it.
+    const std::string time = line.substr(0, line.find(' '));
+    if (write(time + " level=WARN component=log event=lines_lost count=" + std::to_string(lost - m_reportedLost) + "\n")) {
+        m_reportedLost = lost;
+    }
+}
+
+}
--- a/packages/gateway/gateway/gatewaynode.cpp
+++ b/packages/gateway/gateway/gatewaynode.cpp
@@ -66,6 +66,8 @@
                 "Time since the state was known to be complete; -1 before the first time.");
     const std::optional<Instant> confirmedAt = m_link.confirmedAt();
     text.sample({}, confirmedAt ? std::chrono::duration<double>(m_loop.now() - *confirmedAt).count() : -1.0);
+    text.family("galenabarrow_log_lines_lost_total", Report::MetricsText::Kind::Counter, "Log lines that nobody read in time.");
+    text.sample({}, Log::lostLines());
     return m_runner.metrics() + text.text();
 }
 
