Tell each decision on a request in its log line; split the run of a request from its header

Cause: the line at the end of a request named its last reason only. Ruled out: a line for each decision. A request in a burst takes ten decisions; the bound of 40 lines a second would lose most. Change: DecisionTrail collects decisions with their times and is written with the lines that are written anyway, 400 bytes at most. requestrun.h is split into declarations and requestrun.cpp. Tests: decisiontrailtest.

--- /dev/null
+++ b/packages/gateway/gateway/decisiontrail.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "base/clock.h"
+
+namespace Galenabarrow::Gateway
+{
+
+/// The decisions on one request in order, as text for its log line: "3:send=s1,212:again=no_response". The number is the time in
+/// milliseconds since the request was read. Bounded; the first decisions stay, and what came after them is counted.
+class DecisionTrail
+{
+public:
+    /// Longest text in bytes, without the count of what was left out.
+    static constexpr std::size_t MaxBytes = 400;
+
+    void add(Duration since, std::string_view decision, std::string_view detail);
+    /// "...+3" at the end stands for three decisions that were left out.
+    std::string text() const;
+
+private:
+    std::string m_text;
+    unsigned m_leftOut = 0;
+};
+
+}
--- /dev/null
+++ b/packages/gateway/gateway/requestrun.cpp
@@ -0,0 +1,481 @@
+#include "gateway/requestrun.h"
+
+#include <algorithm>
+
+#include "gateway/requestfields.h"
+
+namespace Galenabarrow::Gateway
+{
+
+namespace
+{
+
+/// The response must reach the caller before its deadline; a network round trip and the time to write it.
+constexpr Duration CallerMargin = std::chrono::milliseconds(25);
+/// An attempt that may be repeated is given up after this many usual durations, and not before the objective is used up.
+constexpr int PatienceFactor = 4;
+/// Servers that are probed at a time, and how often before the best one gets the request as it is.
+constexpr std::size_t ProbesPerRound = 3;
+constexpr unsigned MaxRounds = 3;
+/// Time between two rounds of probes of a request that waits.
+constexpr Duration ProbeAgain = std::chrono::milliseconds(12);
+/// A request is held for this part of its objective at most: a caller that is told early can still be served in time
+/// elsewhere.
+constexpr int HoldDivisor = 8;
+/// Part of the time left after which a rejected caller returns; callers wait for a third of it at most.
+constexpr int ComeBackDivisor = 5;
+constexpr Duration MinComeBack = std::chrono::milliseconds(100);
+constexpr Duration SoonComeBack = std::chrono::milliseconds(25);
+constexpr Duration MaxComeBack = std::chrono::milliseconds(1000);
+/// Connections that are tried for one request when none is established.
+constexpr std::size_t MaxConnectTries = 4;
+
+}
+
+void RequestRunner::Run::start()
+{
+    const Http::Request &request = m_exchange->request();
+    m_startedAt = m_runner.m_loop.now();
+    m_number = ++m_runner.m_lastNumber;
+    m_requestId = *request.fields.find(m_runner.m_dialect.requestId);
+    m_service = m_runner.m_splits.choose(*m_route);
+    m_runner.budgetOf(m_service).noteRequest();
+    m_giveUpAt = m_startedAt + m_route->timeout;
+    if (const auto stated = parseMilliseconds(request.fields.find(m_runner.m_dialect.deadlineMilliseconds))) {
+        m_giveUpAt = std::min(m_giveUpAt, m_startedAt + *stated - CallerMargin);
+    }
+    m_exchange->onGone([weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->callerGone();
+        }
+    });
+    m_deadlineTimer = m_runner.m_loop.after(m_giveUpAt - m_startedAt, [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->deadlinePassed();
+        }
+    });
+    select();
+}
+
+Duration RequestRunner::Run::sinceStart() const
+{
+    return m_runner.m_loop.now() - m_startedAt;
+}
+
+bool RequestRunner::Run::isSafe() const
+{
+    return m_route->repeatability == Routing::Repeatability::Safe;
+}
+
+void RequestRunner::Run::select()
+{
+    const Instant now = m_runner.m_loop.now();
+    const ChoiceInput input { m_service, m_route->objective, m_tried, ChoiceInput::Need::Any };
+    const std::vector<ServerId> candidates = m_runner.m_servers.candidates(input, ProbesPerRound, now);
+    const bool isBestFree = !candidates.empty() && m_runner.m_servers.isKnownFreeAndFast(candidates.front(), now);
+    if (isBestFree || mayTakeLastSlot(candidates, now)) {
+        attempt();
+        return;
+    }
+    if (m_rounds >= MaxRounds) {
+        waitOrGiveUp();
+        return;
+    }
+    ++m_rounds;
+    m_openProbes = 0;
+    const unsigned round = ++m_selection;
+    for (const ServerId &it : candidates) {
+        if (m_runner.m_servers.isFresh(it, now)) {
+            continue;
+        }
+        const bool isStarted = m_runner.m_prober.probe(it, [weak = weak_from_this(), round, it](bool) {
+            if (const auto self = weak.lock()) {
+                self->probed(round, it);
+            }
+        });
+        m_openProbes += isStarted ? 1 : 0;
+    }
+    if (m_openProbes > 0) {
+        m_trail.add(sinceStart(), "probe", std::to_string(m_openProbes));
+    } else if (chooseWith(ChoiceInput::Need::Free, now)) {
+        attempt();
+    } else {
+        waitOrGiveUp();
+    }
+}
+
+bool RequestRunner::Run::mayTakeLastSlot(const std::vector<ServerId> &candidates, Instant now) const
+{
+    const auto choice = chooseWith(ChoiceInput::Need::Free, now);
+    if (!choice) {
+        return false;
+    }
+    const bool isCandidateNear = !candidates.empty() && m_runner.m_servers.isInOwnDataCentre(candidates.front());
+    return m_isWaiting || m_rounds >= MaxRounds || (!isCandidateNear && m_runner.m_servers.isInOwnDataCentre(choice->server));
+}
+
+void RequestRunner::Run::waitOrGiveUp()
+{
+    const Instant now = m_runner.m_loop.now();
+    if (!m_runner.m_servers.hasFreshReports(m_service, now)) {
+        attempt();
+        return;
+    }
+    const Instant until = std::min(m_startedAt + m_route->objective / HoldDivisor, m_giveUpAt);
+    if (now >= until) {
+        leaveQueue();
+        // What may have run cannot be rejected honestly; it takes the best server there is.
+        if (m_mayHaveRun || chooseWith(ChoiceInput::Need::FreeButSlow, now)) {
+            attempt();
+        } else {
+            reject("busy", true);
+        }
+        return;
+    }
+    if (!m_isWaiting) {
+        m_isWaiting = true;
+        m_trail.add(sinceStart(), "wait", std::to_string(m_runner.m_waiting[m_service].size()) + "_before");
+        ++m_runner.m_counters.waited;
+        m_runner.m_waiting[m_service].emplace(waitKey(), weak_from_this());
+    }
+    m_rounds = MaxRounds - 1;
+    const unsigned round = ++m_selection;
+    m_runner.m_loop.cancel(m_waitTimer);
+    m_waitTimer = m_runner.m_loop.after(std::min<Duration>(ProbeAgain, until - now), [weak = weak_from_this(), round] {
+        const auto self = weak.lock();
+        if (self != nullptr && self->m_selection == round && !self->m_isFinished && self->m_attempt == nullptr) {
+            self->select();
+        }
+    });
+}
+
+RequestRunner::WaitKey RequestRunner::Run::waitKey() const
+{
+    return WaitKey { m_route->priority, m_startedAt, m_number };
+}
+
+void RequestRunner::Run::leaveQueue()
+{
+    m_runner.m_loop.cancel(m_waitTimer);
+    m_waitTimer = 0;
+    if (m_isWaiting) {
+        m_isWaiting = false;
+        m_runner.m_waiting[m_service].erase(waitKey());
+    }
+}
+
+bool RequestRunner::Run::hasTried(const ServerId &server) const
+{
+    return std::find(m_tried.begin(), m_tried.end(), server) != m_tried.end();
+}
+
+void RequestRunner::Run::takeSlot(const char *reason)
+{
+    m_trail.add(sinceStart(), "free", reason);
+    ++m_selection;
+    leaveQueue();
+    attempt();
+}
+
+void RequestRunner::Run::probed(unsigned selection, const ServerId &server)
+{
+    if (selection != m_selection || m_isFinished || m_attempt != nullptr) {
+        return;
+    }
+    --m_openProbes;
+    const Instant now = m_runner.m_loop.now();
+    if (m_runner.m_servers.isKnownFreeAndFast(server, now) || (m_isWaiting && m_runner.m_servers.isKnownFree(server, now))) {
+        takeSlot("probe");
+    } else if (m_openProbes == 0) {
+        select();
+    }
+}
+
+std::optional<ServerChoice> RequestRunner::Run::chooseWith(ChoiceInput::Need need, Instant now) const
+{
+    return m_runner.m_servers.choose(ChoiceInput { m_service, m_route->objective, m_tried, need }, now);
+}
+
+std::optional<ServerChoice> RequestRunner::Run::choose(Instant now) const
+{
+    for (const auto need : { ChoiceInput::Need::Free, ChoiceInput::Need::FreeButSlow }) {
+        if (auto choice = chooseWith(need, now)) {
+            return choice;
+        }
+    }
+    return chooseWith(ChoiceInput::Need::Any, now);
+}
+
+void RequestRunner::Run::attempt()
+{
+    leaveQueue();
+    const Instant now = m_runner.m_loop.now();
+    if (now >= m_giveUpAt) {
+        deadlinePassed();
+        return;
+    }
+    const std::optional<ServerChoice> choice = choose(now);
+    if (!choice) {
+        reject(m_tried.empty() ? "no_server" : "no_other_server");
+        return;
+    }
+    m_choice = *choice;
+    m_trail.add(sinceStart(), "send", choice->server.value());
+    const ServerRow *row = m_runner.m_servers.find(choice->server);
+    m_tried.push_back(choice->server);
+    ++m_runner.m_counters.attempts;
+    m_attemptAt = now;
+    m_start = m_runner.m_servers.noteStart(choice->server, m_route->name, now);
+    m_attempt = m_runner.m_pool.send(row->server, makeRequest(now));
+    m_attempt->onResponse([this](Http::Response response) { responded(std::move(response)); });
+    m_attempt->onFailure([this](AttemptFailure failure) { failed(failure); });
+    armPatience();
+}
+
+UpstreamRequest RequestRunner::Run::makeRequest(Instant now) const
+{
+    const Dialect &dialect = m_runner.m_dialect;
+    Http::Request request = m_exchange->request();
+    request.fields.removeConnectionFields();
+    request.fields.set(dialect.deadlineMilliseconds, toMilliseconds(m_giveUpAt - now));
+    request.fields.set(dialect.expectedServer, m_choice.server.value());
+    return UpstreamRequest { Http::serialize(request), m_requestId, request.method == "HEAD" };
+}
+
+void RequestRunner::Run::armPatience()
+{
+    const bool mayRepeat = isSafe() && m_tried.size() < m_route->maxAttempts;
+    if (!mayRepeat) {
+        return;
+    }
+    const Duration patience = std::max(m_route->objective, m_runner.m_servers.workTime(m_service) * PatienceFactor);
+    m_patienceTimer = m_runner.m_loop.after(patience, [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->patienceOver();
+        }
+    });
+}
+
+void RequestRunner::Run::patienceOver()
+{
+    m_patienceTimer = 0;
+    if (m_attempt == nullptr || !m_runner.takeBudget(m_service)) {
+        m_trail.add(sinceStart(), "stay", "retry_budget_spent");
+        return;
+    }
+    endAttempt(AttemptResult::TimedOut);
+    m_mayHaveRun = true;
+    again("no_response");
+}
+
+void RequestRunner::Run::responded(Http::Response response)
+{
+    const Dialect &dialect = m_runner.m_dialect;
+    if (const std::string *text = response.fields.find(dialect.serverLoad)) {
+        if (const auto load = parseLoadReport(*text, m_runner.m_loop.now())) {
+            m_runner.m_servers.noteLoad(m_choice.server, *load);
+        }
+    }
+    if (response.fields.find(dialect.notRun) != nullptr || response.status == 421) {
+        endAttempt(AttemptResult::Rejected);
+        notRun("rejected_by_server");
+        return;
+    }
+    m_mayHaveRun = true;
+    const bool hasStamp = response.fields.find(dialect.serverStamp) != nullptr;
+    const bool hasId = response.fields.find(dialect.requestId) != nullptr;
+    if (!hasStamp || !hasId) {
+        endAttempt(AttemptResult::Broken);
+        unknown("unsigned_response", nullptr);
+        return;
+    }
+    // Only an entry may promise that a request has not run; a server says so with a field of its own.
+    const bool isFinal = response.status < 500 && !isPromise(response.status);
+    if (isFinal) {
+        endAttempt(AttemptResult::Served);
+        pass(std::move(response));
+        return;
+    }
+    endAttempt(AttemptResult::Failed);
+    unknown("failure_of_server", &response);
+}
+
+void RequestRunner::Run::failed(AttemptFailure failure)
+{
+    endAttempt(AttemptResult::Broken);
+    if (failure == AttemptFailure::NotSent) {
+        // Nothing reached the server, so another try costs it nothing.
+        if (m_isGone) {
+            finish("caller_gone", 0);
+        } else if (m_tried.size() < MaxConnectTries) {
+            again("not_connected");
+        } else {
+            reject("not_connected");
+        }
+        return;
+    }
+    m_mayHaveRun = true;
+    unknown("connection_lost", nullptr);
+}
+
+void RequestRunner::Run::notRun(const char *reason)
+{
+    if (m_isGone) {
+        finish("caller_gone", 0);
+        return;
+    }
+    const bool mayRepeat = m_tried.size() < m_route->maxAttempts;
+    if (mayRepeat && m_runner.takeBudget(m_service)) {
+        again(reason);
+    } else if (m_mayHaveRun) {
+        fail(502, reason);
+    } else {
+        reject(mayRepeat ? "retry_budget_spent" : reason);
+    }
+}
+
+void RequestRunner::Run::unknown(const char *reason, Http::Response *response)
+{
+    if (m_isGone) {
+        finish("caller_gone", 0);
+        return;
+    }
+    const bool mayRepeat = isSafe() && m_tried.size() < m_route->maxAttempts;
+    if (mayRepeat && m_runner.takeBudget(m_service)) {
+        again(reason);
+    } else if (response != nullptr && !isPromise(response->status)) {
+        pass(std::move(*response));
+    } else {
+        fail(502, reason);
+    }
+}
+
+void RequestRunner::Run::again(const char *reason)
+{
+    m_reason = reason;
+    m_trail.add(sinceStart(), "again", reason);
+    ++m_runner.m_counters.furtherAttempts;
+    m_rounds = 0;
+    select();
+}
+
+void RequestRunner::Run::endAttempt(AttemptResult result)
+{
+    m_runner.m_loop.cancel(m_patienceTimer);
+    m_patienceTimer = 0;
+    const Instant now = m_runner.m_loop.now();
+    m_runner.m_servers.noteEnd(m_choice.server, result, m_start, now - m_attemptAt, now);
+    if (m_attempt != nullptr) {
+        m_attempt->cancel();
+        // Its callback may be running.
+        m_runner.m_loop.defer([attempt = std::move(m_attempt)] {});
+        m_attempt = nullptr;
+    }
+    m_runner.m_loop.defer([&runner = m_runner, service = m_service, server = m_choice.server] { runner.offer(service, server); });
+}
+
+void RequestRunner::Run::callerGone()
+{
+    ++m_runner.m_counters.callerGone;
+    m_trail.add(sinceStart(), "caller_gone", m_attempt == nullptr ? "unsent" : isSafe() ? "cancelled" : "left_to_finish");
+    m_isGone = true;
+    if (m_attempt == nullptr) {
+        finish("caller_gone", 0);
+        return;
+    }
+    if (isSafe()) {
+        endAttempt(AttemptResult::Abandoned);
+        finish("caller_gone", 0);
+    }
+    // A request that runs once at most is left to finish: it does its work even though nobody waits for the response.
+}
+
+void RequestRunner::Run::deadlinePassed()
+{
+    m_deadlineTimer = 0;
+    if (m_attempt != nullptr) {
+        m_mayHaveRun = m_mayHaveRun || m_attempt->isSent();
+        endAttempt(AttemptResult::TimedOut);
+    }
+    if (m_mayHaveRun) {
+        ++m_runner.m_counters.timedOut;
+        fail(504, "deadline");
+    } else {
+        reject("deadline");
+    }
+}
+
+void RequestRunner::Run::pass(Http::Response response)
+{
+    const unsigned status = response.status;
+    response.fields.removeConnectionFields();
+    ++m_runner.m_counters.answered;
+    m_exchange->respond(std::move(response));
+    finish("answered", status);
+}
+
+void RequestRunner::Run::fail(unsigned status, const char *reason)
+{
+    ++m_runner.m_counters.failed;
+    m_exchange->respond(Http::makeResponse(status));
+    m_reason = reason;
+    finish("failed", status);
+}
+
+void RequestRunner::Run::reject(const char *reason, bool isBusy)
+{
+    if (m_mayHaveRun) {
+        fail(502, reason);
+        return;
+    }
+    ++m_runner.m_counters.rejected;
+    m_exchange->respond(m_runner.makeRejection(isBusy ? comeBack() : SoonComeBack));
+    m_reason = reason;
+    finish("rejected", 503);
+}
+
+Duration RequestRunner::Run::comeBack() const
+{
+    const Duration left = m_giveUpAt - m_runner.m_loop.now();
+    return std::clamp(left / ComeBackDivisor, MinComeBack, MaxComeBack);
+}
+
+void RequestRunner::Run::finish(const char *outcome, unsigned status)
+{
+    m_runner.m_loop.cancel(m_deadlineTimer);
+    m_runner.m_loop.cancel(m_patienceTimer);
+    m_isFinished = true;
+    leaveQueue();
+    const Instant now = m_runner.m_loop.now();
+    m_runner.m_latencies[outcome].record(now - m_startedAt);
+    const bool isGood = status >= 200 && status < 300 && m_tried.size() == 1 && now - m_startedAt <= m_route->objective;
+    if (m_runner.m_log.admit(isGood, now)) {
+        writeLine(outcome, status, now);
+    }
+    m_runner.m_loop.defer([&runner = m_runner, self = shared_from_this()] { runner.m_runs.erase(self); });
+}
+
+void RequestRunner::Run::writeLine(const char *outcome, unsigned status, Instant now) const
+{
+    std::string tried;
+    for (const ServerId &it : m_tried) {
+        tried.append(tried.empty() ? "" : ",").append(it.value());
+    }
+    m_runner.m_log.write({
+        { "id", m_requestId },
+        { "outcome", outcome },
+        { "status", std::to_string(status) },
+        { "reason", m_reason },
+        { "route", m_route->name },
+        { "service", m_service.value() },
+        { "config", std::to_string(m_runner.m_version.value()) },
+        { "servers", tried },
+        { "expected_ms", toMilliseconds(m_choice.expected) },
+        { "occupancy", std::to_string(m_choice.occupancy) },
+        { "trail", m_trail.text() },
+        { "took_ms", toMilliseconds(now - m_startedAt) },
+        { "budget", std::to_string(m_runner.budgetOf(m_service).tokens()) },
+    });
+}
+
+}
--- a/packages/gateway/gateway/requestrunner.cpp
+++ b/packages/gateway/gateway/requestrunner.cpp
@@ -177,7 +177,7 @@
     for (const auto &[key, waiting] : it->second) {
         const auto run = waiting.lock();
         if (run != nullptr && !run->hasTried(server)) {
-            run->takeSlot(); // changes the queue
+            run->takeSlot("slot_handed_over"); // changes the queue
             return;
         }
     }
--- /dev/null
+++ b/packages/gateway/tests/decisiontrailtest.cpp
@@ -0,0 +1,28 @@
+#include "gateway/decisiontrail.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Galenabarrow;
+using namespace Galenabarrow::Gateway;
+
+TEST_CASE("decisions are told in order with their times")
+{
+    DecisionTrail trail;
+    CHECK(trail.text().empty());
+    trail.add(std::chrono::milliseconds(3), "send", "s1");
+    trail.add(std::chrono::microseconds(212900), "again", "no_response");
+    CHECK(trail.text() == "3:send=s1,212:again=no_response");
+}
+
+// A request that waits for long probes again and again; its line must not grow with that.
+TEST_CASE("a trail is bounded, and says how much is missing")
+{
+    DecisionTrail trail;
+    for (int n = 0; n < 1000; ++n) {
+        trail.add(std::chrono::milliseconds(n), "probe", "3");
+    }
+    const std::string text = trail.text();
+    CHECK(text.size() < DecisionTrail::MaxBytes + 10);
+    CHECK(text.starts_with("0:probe=3,1:probe=3"));
+    CHECK(text.find("...+") != std::string::npos);
+}
