Let requests wait for the first configuration of a starting entry

Ruled out: a later time to come back: a caller without tries left does not come back at all. Change: for 1.5 s after its start, an entry holds a request for a fifth of its caller's time and 250 ms at most, then rejects it. The time counts for the route's timeout and the deadline. Later, and without a stated deadline, it rejects at once as before.

--- a/packages/gateway/gateway/requestrun.cpp
+++ b/packages/gateway/gateway/requestrun.cpp
@@ -35,7 +35,7 @@
 void RequestRunner::Run::start()
 {
     const Http::Request &request = m_exchange->request();
-    m_startedAt = m_runner.m_loop.now();
+    m_startedAt = m_exchange->receivedAt();
     m_number = ++m_runner.m_lastNumber;
     m_requestId = *request.fields.find(m_runner.m_dialect.requestId);
     m_service = m_runner.m_splits.choose(*m_route);
@@ -49,7 +49,7 @@
             self->callerGone();
         }
     });
-    m_deadlineTimer = m_runner.m_loop.after(m_giveUpAt - m_startedAt, [weak = weak_from_this()] {
+    m_deadlineTimer = m_runner.m_loop.after(m_giveUpAt - m_runner.m_loop.now(), [weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->deadlinePassed();
         }
--- a/packages/gateway/gateway/requestrunner.cpp
+++ b/packages/gateway/gateway/requestrunner.cpp
@@ -4,7 +4,9 @@
 
 #include <charconv>
 #include <cstdio>
+#include <utility>
 
+#include "gateway/requestfields.h"
 #include "report/metricstext.h"
 
 namespace Galenabarrow::Gateway
@@ -15,6 +17,11 @@
 
 /// Time after which a caller may come back to an entry that knows no configuration yet.
 constexpr Duration DefaultComeBack = std::chrono::milliseconds(300);
+/// An entry counts as starting for this time: connections to the core, an election and the first state take less together.
+constexpr Duration StartTime = std::chrono::milliseconds(1500);
+/// Longest time for which a request waits for the first configuration, and the part of its caller's time.
+constexpr Duration MaxConfigWait = std::chrono::milliseconds(250);
+constexpr int ConfigWaitDivisor = 5;
 
 }
 
@@ -28,6 +35,7 @@
     , m_pool(loop, m_dialect.requestId)
     , m_prober(loop, m_dialect, probes, servers, m_pool)
     , m_splits(random)
+    , m_createdAt(loop.now())
     , m_log(RequestLogSettings {})
 {
     m_prober.onLateAnswer([this](const ServerId &server) {
@@ -49,6 +57,7 @@
         paths[it.name] = it.healthPath;
     }
     m_prober.setPaths(std::move(paths));
+    dispatchHeld();
 }
 
 bool RequestRunner::hasConfig() const
@@ -65,6 +74,11 @@
 void RequestRunner::handle(const Http::ExchangePointer &exchange)
 {
     ++m_counters.received;
+    dispatch(exchange);
+}
+
+void RequestRunner::dispatch(const Http::ExchangePointer &exchange)
+{
     const Http::Request &request = exchange->request();
     const std::string *host = request.fields.find("Host");
     const std::string *id = request.fields.find(m_dialect.requestId);
@@ -73,8 +87,7 @@
         return;
     }
     if (m_routes == nullptr) {
-        ++m_counters.noConfig;
-        exchange->respond(makeRejection(DefaultComeBack));
+        waitForConfig(exchange);
         return;
     }
     Routing::RoutePointer route = m_routes->find(*host, request.path());
@@ -88,6 +101,41 @@
     run->start();
 }
 
+void RequestRunner::waitForConfig(const Http::ExchangePointer &exchange)
+{
+    const auto stated = parseMilliseconds(exchange->request().fields.find(m_dialect.deadlineMilliseconds));
+    const bool isStarting = m_loop.now() - m_createdAt < StartTime;
+    if (!isStarting || !stated) {
+        rejectWithoutConfig(exchange);
+        return;
+    }
+    ++m_counters.waitedForConfig;
+    // A caller that leaves meanwhile counts as answered.
+    exchange->onGone([] {});
+    const auto it = m_held.insert(m_held.end(), Held { exchange });
+    it->timer = m_loop.after(std::min<Duration>(MaxConfigWait, *stated / ConfigWaitDivisor), [this, it] {
+        const Http::ExchangePointer late = it->exchange;
+        m_held.erase(it);
+        rejectWithoutConfig(late);
+    });
+}
+
+void RequestRunner::rejectWithoutConfig(const Http::ExchangePointer &exchange)
+{
+    ++m_counters.noConfig;
+    exchange->respond(makeRejection(DefaultComeBack));
+}
+
+void RequestRunner::dispatchHeld()
+{
+    for (const Held &it : std::exchange(m_held, {})) {
+        m_loop.cancel(it.timer);
+        if (!it.exchange->isAnswered()) {
+            dispatch(it.exchange);
+        }
+    }
+}
+
 void RequestRunner::retire(const std::vector<ServerId> &servers)
 {
     for (const ServerId &it : servers) {
@@ -134,6 +182,7 @@
         { "no_config", m_counters.noConfig },
         { "no_route", m_counters.noRoute },
         { "waited", m_counters.waited },
+        { "waited_for_config", m_counters.waitedForConfig },
         { "attempt", m_counters.attempts },
         { "further_attempt", m_counters.furtherAttempts },
         { "retry_budget_spent", m_counters.budgetSpent },
--- a/packages/gateway/gateway/requestrunner.h
+++ b/packages/gateway/gateway/requestrunner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <list>
 #include <memory>
 #include <set>
 
@@ -32,6 +33,8 @@
     std::uint64_t budgetSpent = 0;
     /// Requests that waited for a free server.
     std::uint64_t waited = 0;
+    /// Requests that waited for the first configuration of this entry.
+    std::uint64_t waitedForConfig = 0;
 };
 
 /// Runs the requests of callers: finds the route, chooses servers, sends attempts within the limits of the route and the
@@ -60,6 +63,18 @@
 private:
     class Run;
 
+    /// A request that waits for the first configuration.
+    struct Held {
+        Http::ExchangePointer exchange;
+        Net::TimerId timer = 0;
+    };
+
+    void dispatch(const Http::ExchangePointer &exchange);
+    /// An entry that has just started knows its configuration within tenths of a second. Its callers have few tries, and a request
+    /// that waits for it is often still in time.
+    void waitForConfig(const Http::ExchangePointer &exchange);
+    void rejectWithoutConfig(const Http::ExchangePointer &exchange);
+    void dispatchHeld();
     Http::Response makeRejection(Duration comeBack) const;
     bool takeBudget(const ServiceId &service);
     RetryBudget &budgetOf(const ServiceId &service);
@@ -75,6 +90,8 @@
     LoadProber m_prober;
     SplitChooser m_splits;
     std::unique_ptr<Routing::RouteTable> m_routes;
+    Instant m_createdAt;
+    std::list<Held> m_held;
     Version m_version;
     std::map<ServiceId, RetryBudget> m_budgets;
     unsigned m_entryCount = 1;
