Stop telling callers of entries that fell silent, within 1.2 s

Ruled out: entries that are stopped (they report that they are not ready at once); lookups that failed (callers keep the old answer). Change: entries report every 300 ms; a core instance ends the connection of one that was silent for 1.2 s, and tells the other instances at once. Tests: corereportertest 'an entry that fell silent'.

--- a/packages/coordination/coordination/corelink.cpp
+++ b/packages/coordination/coordination/corelink.cpp
@@ -11,8 +11,8 @@
 constexpr Duration TickInterval = std::chrono::milliseconds(100);
 /// The same while nothing is known yet, and callers are rejected.
 constexpr Duration FirstTickInterval = std::chrono::milliseconds(30);
-/// Time between two reports; a core instance forgets an entry after three of them.
-constexpr Duration ReportInterval = std::chrono::milliseconds(500);
+/// Time between two reports; a core instance counts an entry as lost after four of them.
+constexpr Duration ReportInterval = std::chrono::milliseconds(300);
 constexpr Duration ConnectLimit = std::chrono::milliseconds(150);
 /// The same while nothing is known yet: many round trips, and a machine that gets its power back answers the next attempt.
 constexpr Duration FirstConnectLimit = std::chrono::milliseconds(50);
--- a/packages/coordination/coordination/corenode.cpp
+++ b/packages/coordination/coordination/corenode.cpp
@@ -1,6 +1,7 @@
 #include "coordination/corenode.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include "routing/codec.h"
 
@@ -14,6 +15,8 @@
 constexpr Duration TickInterval = std::chrono::milliseconds(40);
 /// Time between two signs of life to an entry. An entry changes its core instance after three times that.
 constexpr Duration FeedInterval = std::chrono::milliseconds(400);
+/// An entry that was silent for this time has lost its power or its path: it reports every 300 ms.
+constexpr Duration EntrySilence = std::chrono::milliseconds(1200);
 /// A caller of the control API moves on after a second without a response.
 constexpr Duration ForwardTimeout = std::chrono::milliseconds(850);
 constexpr Duration ReadTimeout = std::chrono::milliseconds(850);
@@ -74,6 +77,7 @@
 {
     m_replica->tick(m_loop.now());
     m_links.tick();
+    dropSilentEntries();
     noteLeader();
     if (m_reporter.isDue(m_loop.now())) {
         reportToCore();
@@ -449,6 +453,28 @@
     return core;
 }
 
+void CoreNode::dropSilentEntries()
+{
+    const Instant now = m_loop.now();
+    std::vector<std::shared_ptr<Peer>> silent;
+    std::copy_if(m_peers.begin(), m_peers.end(), std::back_inserter(silent),
+                 [now](const auto &it) { return it->entry && now - it->heardAt > EntrySilence; });
+    for (const std::shared_ptr<Peer> &it : silent) {
+        it->frames->close();
+        m_peers.erase(it);
+        const bool isElsewhere = std::any_of(m_peers.begin(), m_peers.end(),
+                                             [&it](const auto &other) { return other->entry && other->entry->name == it->entry->name; });
+        EntryInfo entry = *it->entry;
+        if (isElsewhere || !entry.isReady) {
+            continue; // it has connected anew, or was not told to callers
+        }
+        m_log.info("entry_lost", { { "entry", entry.name.value() }, { "reason", "silent" } });
+        entry.isReady = false;
+        m_entries.note(entry, now);
+        m_reporter.noteEntryLost(std::move(entry));
+    }
+}
+
 void CoreNode::reportToCore()
 {
     std::vector<CoreReporter::FedEntry> fed;
--- a/packages/coordination/coordination/corenode.h
+++ b/packages/coordination/coordination/corenode.h
@@ -85,6 +85,8 @@
     std::vector<ServerId> silentServers() const;
     std::vector<CoreInstance> coreInstances() const;
     void reportToCore();
+    /// Ends the connections of entries that fell silent, and tells callers of others.
+    void dropSilentEntries();
     void noteLeader();
     bool isSure() const;
 
--- a/packages/coordination/coordination/corereporter.cpp
+++ b/packages/coordination/coordination/corereporter.cpp
@@ -10,6 +10,13 @@
     m_hasEntryChange = true;
 }
 
+void CoreReporter::noteEntryLost(EntryInfo entry)
+{
+    entry.isReady = false;
+    m_lost.push_back(std::move(entry));
+    m_hasEntryChange = true;
+}
+
 void CoreReporter::notePeer(const InstanceId &peer, Incarnation incarnation)
 {
     const auto [it, isNew] = m_peers.try_emplace(peer, incarnation);
@@ -51,6 +58,9 @@
             report.alive.push_back(CoreReport::Alive { it.info.name, age });
         }
     }
+    for (EntryInfo &it : std::exchange(m_lost, {})) {
+        report.entries.push_back(CoreReport::Entry { std::move(it), {} });
+    }
     return report;
 }
 
--- a/packages/coordination/coordination/corereporter.h
+++ b/packages/coordination/coordination/corereporter.h
@@ -30,6 +30,8 @@
 
     /// An entry came, went or changed.
     void noteEntryChange();
+    /// An entry fell silent: the next report, due at once, tells that it is not ready.
+    void noteEntryLost(EntryInfo entry);
     /// Another core instance was heard of. One that started again knows no entries.
     void notePeer(const InstanceId &peer, Incarnation incarnation);
     /// A server announced itself here.
@@ -40,6 +42,7 @@
 
 private:
     std::set<ServerId> m_heard;
+    std::vector<EntryInfo> m_lost;
     std::map<InstanceId, Incarnation> m_peers;
     bool m_hasEntryChange = false;
     bool m_isFullDue = true;
--- a/packages/coordination/coordination/entrydirectory.h
+++ b/packages/coordination/coordination/entrydirectory.h
@@ -28,7 +28,8 @@
 class EntryDirectory
 {
 public:
-    /// An entry that was not heard of for this time is left out: it reports every 500 ms, and two reports may be lost.
+    /// An entry that was not heard of for this time is left out: it reports every 300 ms, core instances pass that on every
+    /// second, and one report of each kind may be late.
     static constexpr Duration Lifetime = std::chrono::milliseconds(1800);
 
     /// Notes an entry that was alive at \p heardAt. True when callers are told something else from now on.
--- a/packages/coordination/tests/corereportertest.cpp
+++ b/packages/coordination/tests/corereportertest.cpp
@@ -56,6 +56,30 @@
     CHECK(fixture.take().entries.size() == 2);
 }
 
+// Found in incident inc-7eee of odmd: callers were told entries without power for up to 1.8 s, and kept that for 2 s.
+TEST_CASE("an entry that fell silent is reported at once, and once only")
+{
+    Fixture fixture;
+    (void)fixture.take();
+    const EntryInfo lost = fixture.entries.back().info;
+    fixture.entries.pop_back();
+    fixture.reporter.noteEntryLost(lost);
+    REQUIRE(fixture.reporter.isDue(fixture.now));
+    const CoreReport report = fixture.take();
+    REQUIRE(report.entries.size() == 2);
+    CHECK(report.entries.back().info.name == lost.name);
+    CHECK_FALSE(report.entries.back().info.isReady);
+
+    EntryDirectory directory;
+    directory.note(lost, fixture.now);
+    CHECK(directory.choose({}, 8, "caller", fixture.now).size() == 1);
+    CHECK(directory.note(report.entries.back().info, fixture.now - report.entries.back().age));
+    CHECK(directory.choose({}, 8, "caller", fixture.now).empty());
+
+    fixture.now += CoreReporter::FullInterval;
+    CHECK(fixture.take().entries.size() == 1);
+}
+
 // Without this, callers that ask a restarted instance are told its own entries only, until the next full report.
 TEST_CASE("an instance that started again is told all entries with the next report")
 {
