--- a/packages/coordination/coordination/corenode.cpp
+++ b/packages/coordination/coordination/corenode.cpp
@@ -73,6 +73,30 @@
     return *m_replica;
 }
 
+CoreStatus CoreNode::status() const
+{
+    CoreStatus status;
+    status.isLeader = m_replica->isLeader();
+    status.isLeaderKnown = m_replica->leader().has_value();
+    status.term = m_replica->term().value();
+    status.commitIndex = m_replica->commitIndex().value();
+    status.configVersion = m_replica->state().config().version.value();
+    status.members = m_replica->membership().members.size();
+    status.voters = m_replica->membership().voterCount();
+    if (const auto confirmedAt = m_replica->confirmedAt(m_loop.now())) {
+        status.confirmedAge = m_loop.now() - *confirmedAt;
+    }
+    status.entries = m_entries.liveCount(m_loop.now());
+    status.entriesLost = m_entriesLost;
+    for (const auto &[id, server] : m_replica->state().servers()) {
+        status.readyServers += server.state == Routing::ServerState::Ready ? 1 : 0;
+        status.drainingServers += server.state == Routing::ServerState::Draining ? 1 : 0;
+    }
+    status.silentServers = silentServers().size();
+    status.silentLinks = m_links.silentCount();
+    return status;
+}
+
 void CoreNode::tick()
 {
     m_replica->tick(m_loop.now());
@@ -468,6 +492,7 @@
         if (isElsewhere || !entry.isReady) {
             continue; // it has connected anew, or was not told to callers
         }
+        ++m_entriesLost;
         m_log.info("entry_lost", { { "entry", entry.name.value() }, { "reason", "silent" } });
         entry.isReady = false;
         m_entries.note(entry, now);
--- a/packages/coordination/coordination/corenode.h
+++ b/packages/coordination/coordination/corenode.h
@@ -8,6 +8,7 @@
 
 #include "base/log.h"
 #include "coordination/corereporter.h"
+#include "coordination/corestatus.h"
 #include "coordination/entrydirectory.h"
 #include "coordination/feed.h"
 #include "coordination/peerlinks.h"
@@ -55,6 +56,7 @@
     /// Addresses of ready entries for a caller.
     std::vector<std::string> resolve(std::size_t most, std::string_view caller) const;
     const Replica &replica() const;
+    CoreStatus status() const;
 
 private:
     struct Peer;
@@ -109,6 +111,7 @@
     std::map<std::uint64_t, Forwarded> m_forwarded;
     std::list<Read> m_reads;
     EntryDirectory m_entries;
+    std::uint64_t m_entriesLost = 0;
     /// When each server was last heard of by any core instance.
     std::map<ServerId, Instant> m_heard;
     std::map<InstanceId, DataCentreId> m_coreDataCentres;
--- /dev/null
+++ b/packages/coordination/coordination/corestatus.cpp
@@ -0,0 +1,45 @@
+#include "coordination/corestatus.h"
+
+#include "base/log.h"
+#include "report/metricstext.h"
+
+namespace Galenabarrow::Coordination
+{
+
+std::string metricsText(const CoreStatus &status)
+{
+    using Kind = Report::MetricsText::Kind;
+    struct Row {
+        std::string_view name;
+        Kind kind;
+        std::string_view help;
+        std::uint64_t value;
+    };
+    const Row rows[] = {
+        { "galenabarrow_core_is_leader", Kind::Gauge, "1 on the leader of the core.", status.isLeader ? 1U : 0U },
+        { "galenabarrow_core_is_leader_known", Kind::Gauge, "0 while changes cannot be decided.", status.isLeaderKnown ? 1U : 0U },
+        { "galenabarrow_core_term", Kind::Gauge, "Term of the newest election.", status.term },
+        { "galenabarrow_core_commit_index", Kind::Gauge, "Newest decided place of the log.", status.commitIndex },
+        { "galenabarrow_core_config_version", Kind::Gauge, "Newest accepted routing configuration.", status.configVersion },
+        { "galenabarrow_core_members", Kind::Gauge, "Instances of the core.", status.members },
+        { "galenabarrow_core_voters", Kind::Gauge, "Instances of the core that vote.", status.voters },
+        { "galenabarrow_core_entries", Kind::Gauge, "Entries heard of lately.", status.entries },
+        { "galenabarrow_core_entries_lost_total", Kind::Counter, "Entries that fell silent at this instance.", status.entriesLost },
+        { "galenabarrow_core_silent_links_total", Kind::Counter, "Silent connections between core instances.", status.silentLinks },
+        { "galenabarrow_log_lines_lost_total", Kind::Counter, "Log lines that nobody read in time.", Log::lostLines() },
+    };
+    Report::MetricsText text;
+    for (const Row &it : rows) {
+        text.family(it.name, it.kind, it.help);
+        text.sample({}, it.value);
+    }
+    text.family("galenabarrow_core_confirmed_age_seconds", Kind::Gauge, "Time since a quorum confirmed the state; -1 before.");
+    text.sample({}, status.confirmedAge ? std::chrono::duration<double>(*status.confirmedAge).count() : -1.0);
+    text.family("galenabarrow_core_servers", Kind::Gauge, "Backend servers by state; silent ones are ready ones too.");
+    text.sample({ { "state", "ready" } }, status.readyServers);
+    text.sample({ { "state", "draining" } }, status.drainingServers);
+    text.sample({ { "state", "silent" } }, status.silentServers);
+    return text.text();
+}
+
+}
--- /dev/null
+++ b/packages/coordination/coordination/corestatus.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "base/clock.h"
+
+namespace Galenabarrow::Coordination
+{
+
+/// What an instance of the core believes, for its metrics page.
+struct CoreStatus {
+    bool isLeader = false;
+    bool isLeaderKnown = false;
+    std::uint64_t term = 0;
+    std::uint64_t commitIndex = 0;
+    std::uint64_t configVersion = 0;
+    std::uint64_t members = 0;
+    std::uint64_t voters = 0;
+    /// Time since a quorum confirmed the newest state; absent when it did not yet.
+    std::optional<Duration> confirmedAge;
+    /// Entries that were heard of lately, here or by another core instance.
+    std::uint64_t entries = 0;
+    std::uint64_t readyServers = 0;
+    std::uint64_t drainingServers = 0;
+    /// Ready servers that have not announced themselves for too long.
+    std::uint64_t silentServers = 0;
+    /// Connections to other core instances that were replaced because they were silent.
+    std::uint64_t silentLinks = 0;
+    /// Entries that this instance counted as lost.
+    std::uint64_t entriesLost = 0;
+};
+
+/// The metrics page of a core instance in the Prometheus text format.
+std::string metricsText(const CoreStatus &status);
+
+}
--- /dev/null
+++ b/packages/coordination/tests/corestatustest.cpp
@@ -0,0 +1,22 @@
+#include "coordination/corestatus.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Galenabarrow;
+using namespace Galenabarrow::Coordination;
+
+// An engineer must be able to tell an instance that lost its quorum from one that serves.
+TEST_CASE("the metrics page tells a core instance with a quorum from one without")
+{
+    CoreStatus status;
+    const std::string unsure = metricsText(status);
+    CHECK(unsure.find("galenabarrow_core_is_leader_known 0\n") != std::string::npos);
+    CHECK(unsure.find("galenabarrow_core_confirmed_age_seconds -1") != std::string::npos);
+    status.isLeaderKnown = true;
+    status.confirmedAge = std::chrono::milliseconds(250);
+    status.silentServers = 3;
+    const std::string sure = metricsText(status);
+    CHECK(sure.find("galenabarrow_core_is_leader_known 1\n") != std::string::npos);
+    CHECK(sure.find("galenabarrow_core_confirmed_age_seconds 0.25") != std::string::npos);
+    CHECK(sure.find("galenabarrow_core_servers{state=\"silent\"} 3\n") != std::string::npos);
+}
