Count latencies by route as well as by outcome

Ruled out: a series for each route: a configuration may have hundreds, at 1.4 KB a histogram and three outcomes. Tests: routelatenciestest.

--- a/packages/gateway/gateway/requestrun.cpp
+++ b/packages/gateway/gateway/requestrun.cpp
@@ -447,7 +447,7 @@
     m_isFinished = true;
     leaveQueue();
     const Instant now = m_runner.m_loop.now();
-    m_runner.m_latencies[outcome].record(now - m_startedAt);
+    m_runner.m_latencies.record(m_route->name, outcome, now - m_startedAt);
     const bool isGood = status >= 200 && status < 300 && m_tried.size() == 1 && now - m_startedAt <= m_route->objective;
     if (m_runner.m_log.admit(isGood, now)) {
         writeLine(outcome, status, now);
--- a/packages/gateway/gateway/requestrunner.cpp
+++ b/packages/gateway/gateway/requestrunner.cpp
@@ -205,10 +205,7 @@
     text.sample({}, std::uint64_t { m_servers.size() });
     text.family("galenabarrow_gateway_config_version", Kind::Gauge, "Version of the routing configuration in force.");
     text.sample({}, m_version.value());
-    text.family("galenabarrow_gateway_latency_seconds", Kind::Histogram, "Time to the final response by outcome.");
-    for (const auto &[outcome, histogram] : m_latencies) {
-        text.histogram({ { "outcome", outcome } }, histogram);
-    }
+    m_latencies.write(text);
     return text.text();
 }
 
--- a/packages/gateway/gateway/requestrunner.h
+++ b/packages/gateway/gateway/requestrunner.h
@@ -8,11 +8,11 @@
 #include "gateway/loadprober.h"
 #include "gateway/requestlog.h"
 #include "gateway/retrybudget.h"
+#include "gateway/routelatencies.h"
 #include "gateway/servertable.h"
 #include "gateway/splitchooser.h"
 #include "gateway/upstreampool.h"
 #include "http/server.h"
-#include "report/latencyhistogram.h"
 #include "routing/routetable.h"
 
 namespace Galenabarrow::Gateway
@@ -96,8 +96,7 @@
     std::map<ServiceId, RetryBudget> m_budgets;
     unsigned m_entryCount = 1;
     RequestLog m_log;
-    /// Time to the final response, by what became of the request; the outcomes are few and fixed.
-    std::map<std::string_view, Report::LatencyHistogram> m_latencies;
+    RouteLatencies m_latencies;
     RequestCounters m_counters;
     std::set<std::shared_ptr<Run>> m_runs;
     /// Requests that wait for a free server, by service; the most urgent first, then the oldest.
