Let entries wait for a first state that arrives slowly

Ruled out: the elections (a leader stood), the servers (they announced themselves). Change: an instance is unsure when an update on this connection said so, and silent when no bytes came, those of an incomplete frame included (FrameStream::received); 300 ms of silence while nothing is known, 1.25 s later.

--- a/packages/coordination/coordination/corelink.cpp
+++ b/packages/coordination/coordination/corelink.cpp
@@ -18,6 +18,8 @@
 constexpr Duration FirstConnectLimit = std::chrono::milliseconds(50);
 /// A core instance sends every 400 ms; three missing updates mean that it, or the connection, is lost.
 constexpr Duration SilenceLimit = std::chrono::milliseconds(1250);
+/// The same while nothing is known yet: a core instance answers the first report at once.
+constexpr Duration FirstSilenceLimit = std::chrono::milliseconds(300);
 /// Another instance is tried when this one was not sure for this time: an election takes at most 1.2 s.
 constexpr Duration UnsureLimit = std::chrono::milliseconds(1600);
 /// The same while nothing is known yet: another instance may know the state, for example where this one lost its disk.
@@ -69,23 +71,35 @@
 void CoreLink::tick()
 {
     const Instant now = m_loop.now();
-    const bool isOpen = m_frames != nullptr && m_frames->isOpen();
-    const bool isConnected = isOpen && m_stream->isConnected();
-    const bool isFirst = m_known == LogIndex();
-    const Instant sureAt = std::max(m_connectedAt, m_confirmedAt.value_or(m_connectedAt));
-    if (!isOpen) {
-        connectNext("closed");
-    } else if (!isConnected && now - m_connectedAt > (isFirst ? FirstConnectLimit : ConnectLimit)) {
-        connectNext("connect_timeout");
-    } else if (isConnected && now - std::max(m_heardAt, m_connectedAt) > SilenceLimit) {
-        connectNext("silent");
-    } else if (isConnected && now - sureAt > (isFirst ? FirstUnsureLimit : UnsureLimit)) {
-        connectNext("unsure");
+    if (m_frames != nullptr && m_frames->received() != m_receivedBytes) {
+        m_receivedBytes = m_frames->received();
+        m_progressAt = now;
+    }
+    if (const char *reason = reasonToLeave(now)) {
+        connectNext(reason);
     } else if (now - m_reportedAt >= ReportInterval) {
         report();
         preferOwnDataCentre();
     }
-    m_loop.after(isFirst ? FirstTickInterval : TickInterval, [this] { tick(); });
+    m_loop.after(m_known == LogIndex() ? FirstTickInterval : TickInterval, [this] { tick(); });
+}
+
+const char *CoreLink::reasonToLeave(Instant now) const
+{
+    const bool isFirst = m_known == LogIndex();
+    if (m_frames == nullptr || !m_frames->isOpen()) {
+        return "closed";
+    }
+    if (!m_stream->isConnected()) {
+        return now - m_connectedAt > (isFirst ? FirstConnectLimit : ConnectLimit) ? "connect_timeout" : nullptr;
+    }
+    if (now - std::max(m_progressAt, m_connectedAt) > (isFirst ? FirstSilenceLimit : SilenceLimit)) {
+        return "silent";
+    }
+    const Instant sureAt = std::max(m_connectedAt, m_confirmedAt.value_or(m_connectedAt));
+    const bool isUnsure = now - sureAt > (isFirst ? FirstUnsureLimit : UnsureLimit);
+    // Bytes of an update that is not complete yet may tell that the instance is sure.
+    return m_hasUpdate && isUnsure ? "unsure" : nullptr;
 }
 
 std::vector<InstanceId> CoreLink::candidates() const
@@ -123,6 +137,8 @@
 {
     m_current = core;
     m_connectedAt = m_loop.now();
+    m_receivedBytes = 0;
+    m_hasUpdate = false;
     if (m_frames != nullptr) {
         m_frames->close();
         // The stream may be the one that calls; it is released later.
@@ -184,7 +200,7 @@
         m_log.warn("frame_refused", { { "detail", update.error().detail } });
         return;
     }
-    m_heardAt = m_loop.now();
+    m_hasUpdate = true;
     if (update->confirmedAge) {
         m_confirmedAt = std::max(m_confirmedAt.value_or(Instant {}), m_loop.now() - *update->confirmedAge);
     }
--- a/packages/coordination/coordination/corelink.h
+++ b/packages/coordination/coordination/corelink.h
@@ -35,6 +35,8 @@
 
 private:
     void tick();
+    /// Why this connection should be given up; null when it should not.
+    const char *reasonToLeave(Instant now) const;
     void connectNext(const char *reason);
     void connect(const InstanceId &core);
     void report();
@@ -54,7 +56,12 @@
     std::shared_ptr<Net::Stream> m_stream;
     std::unique_ptr<Net::FrameStream> m_frames;
     Instant m_connectedAt {};
-    Instant m_heardAt {};
+    /// When bytes came last on this connection, and how many there were by then. The first state may take a while on a slow
+    /// link, as one frame.
+    Instant m_progressAt {};
+    std::uint64_t m_receivedBytes = 0;
+    /// An update came on this connection.
+    bool m_hasUpdate = false;
     Instant m_reportedAt {};
     /// The last update that the core instance was sure of.
     std::optional<Instant> m_confirmedAt;
--- a/packages/net/net/framestream.cpp
+++ b/packages/net/net/framestream.cpp
@@ -43,6 +43,11 @@
     return m_stream->unsent();
 }
 
+std::uint64_t FrameStream::received() const
+{
+    return m_received;
+}
+
 void FrameStream::close()
 {
     m_stream->close();
@@ -51,6 +56,7 @@
 void FrameStream::receive(std::string_view bytes)
 {
     m_input.append(bytes);
+    m_received += bytes.size();
     std::size_t used = 0;
     const std::shared_ptr<bool> isAlive = m_isAlive;
     while (m_input.size() - used >= Wire::FrameHeaderSize) {
--- a/packages/net/net/framestream.h
+++ b/packages/net/net/framestream.h
@@ -32,6 +32,8 @@
     bool isOpen() const;
     /// Bytes that the socket has not taken yet.
     std::size_t unsent() const;
+    /// Bytes that came so far, those of a frame that is not complete yet included.
+    std::uint64_t received() const;
     void close();
 
 private:
@@ -41,6 +43,7 @@
     std::shared_ptr<Stream> m_stream;
     const Wire::FrameCodec &m_codec;
     std::string m_input;
+    std::uint64_t m_received = 0;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
     FrameCallback m_frame;
     EndCallback m_end;
