--- a/packages/coordination/coordination/corenode.cpp
+++ b/packages/coordination/coordination/corenode.cpp
@@ -391,7 +391,7 @@
     m_coreDataCentres[report->core.name] = report->core.dataCentre;
     m_reporter.notePeer(report->core.name, envelope.incarnation);
     for (const ServerId &it : report->heard) {
-        // Up to the time between two reports too late, by which a silent server is found later.
+        // The announcement is up to one report interval older; a silent server is found that much later.
         m_heard[it] = m_loop.now();
     }
     for (const CoreReport::Entry &it : report->entries) {
--- a/packages/coordination/coordination/feed.h
+++ b/packages/coordination/coordination/feed.h
@@ -50,14 +50,16 @@
     CoreInstance core;
     /// Servers that announced themselves since the last report.
     std::vector<ServerId> heard;
-    /// Time since the entry was heard of; at most 65 s, in milliseconds.
     struct Entry {
         EntryInfo info;
+        /// Time since the entry was heard of.
         Duration age {};
     };
+    /// Entries that are new, changed or described again.
     std::vector<Entry> entries;
     struct Alive {
         InstanceId name;
+        /// The same in whole milliseconds; 65 s stand for all that is longer.
         Duration age {};
     };
     /// Entries that are as they were described last.
