Log what a core instance applies, and announcements without an effect

A core instance writes config_applied for each configuration, the leader server_changed for each change of a server's state, and any instance announcement_without_effect when it acknowledges an announcement that says something else than what is known. Repetitions have no line.

--- a/packages/coordination/coordination/corenode.cpp
+++ b/packages/coordination/coordination/corenode.cpp
@@ -128,6 +128,32 @@
                  { "voters", std::to_string(m_replica->membership().voterCount()) } });
 }
 
+void CoreNode::logChanges()
+{
+    const Routing::RoutingState &state = m_replica->state();
+    if (state.configAt() > m_fedIndex) {
+        m_log.info("config_applied",
+                   { { "version", std::to_string(state.config().version.value()) },
+                     { "routes", std::to_string(state.config().routes.size()) },
+                     { "index", std::to_string(state.configAt().value()) } });
+    }
+    // One line for each change is enough, and the leader applies it first.
+    if (!m_replica->isLeader()) {
+        return;
+    }
+    for (const auto &[id, server] : state.servers()) {
+        if (server.changedAt > m_fedIndex) {
+            m_log.info("server_changed",
+                       { { "server", id.value() },
+                         { "address", server.address },
+                         { "state", std::string(Routing::serverStateName(server.state)) },
+                         { "born", std::to_string(server.born) },
+                         { "sequence", std::to_string(server.sequence) },
+                         { "index", std::to_string(server.changedAt.value()) } });
+        }
+    }
+}
+
 void CoreNode::schedulePump()
 {
     if (!m_isPumpScheduled) {
@@ -149,6 +175,7 @@
         return;
     }
     if (m_replica->state().changedAt() > m_fedIndex) {
+        logChanges();
         feedAll(false);
     }
     for (const Finished &it : m_replica->takeFinished()) {
@@ -178,6 +205,7 @@
     m_heard[update.id] = m_loop.now();
     m_reporter.noteServer(update.id);
     if (!m_replica->state().wouldChange(update)) {
+        logWithoutEffect(update);
         done({});
         return;
     }
@@ -186,6 +214,24 @@
     propose(command, std::move(done));
 }
 
+void CoreNode::logWithoutEffect(const Routing::BackendServer &update)
+{
+    const auto &servers = m_replica->state().servers();
+    const auto known = servers.find(update.id);
+    if (known != servers.end() && known->second.state >= update.state) {
+        return; // a repetition, as most announcements are
+    }
+    m_log.info("announcement_without_effect",
+               { { "server", update.id.value() },
+                 { "address", update.address },
+                 { "state", std::string(Routing::serverStateName(update.state)) },
+                 { "born", std::to_string(update.born) },
+                 { "sequence", std::to_string(update.sequence) },
+                 { "known_state", known == servers.end() ? "none" : std::string(Routing::serverStateName(known->second.state)) },
+                 { "known_born", known == servers.end() ? "none" : std::to_string(known->second.born) },
+                 { "known_sequence", known == servers.end() ? "none" : std::to_string(known->second.sequence) } });
+}
+
 void CoreNode::withdraw(const Routing::BackendServer &withdrawal, Done done)
 {
     // Decided even when it changes nothing here: this replica may lag behind.
--- a/packages/coordination/coordination/corenode.h
+++ b/packages/coordination/coordination/corenode.h
@@ -90,6 +90,10 @@
     /// Ends the connections of entries that fell silent, and tells callers of others.
     void dropSilentEntries();
     void noteLeader();
+    /// Logs what the replica applied since the last feed.
+    void logChanges();
+    /// Logs an announcement that is acknowledged although it says something else than what is known.
+    void logWithoutEffect(const Routing::BackendServer &update);
     bool isSure() const;
 
     Net::EventLoop &m_loop;
--- a/packages/routing/routing/model.h
+++ b/packages/routing/routing/model.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/clock.h"
@@ -110,6 +111,9 @@
     Gone,
 };
 
+/// "ready", "draining" or "gone".
+std::string_view serverStateName(ServerState state);
+
 /// What a backend server says of itself.
 struct BackendServer {
     ServerId id;
