Leave cut-off core instances quickly, and prefer the own data centre only when it is sure

What callers saw: a route that had been added and acknowledged two seconds before was answered with 404; requests reached servers that had said that they leave.

Cause: an entry went back to the core instance of its own data centre every 3 s without knowing whether that instance could reach a majority, and waited 1.6 s for any instance that was not sure before it tried the next one, which could be on the same side of the partition. Ruled out: a slow core (version 43 was in force at other entries 40 ms after its acknowledgement), slow links (the entry's feed had no bytes of state at all), an older configuration taken later (versions only grow).

Change: the own data centre's instance is tried on a second connection, which replaces the feed once that instance has said that it is sure. An instance that was not sure since the connection was opened is left after 120 ms; the limit doubles with each round of all instances, so that an election does not make entries reconnect without end. Instances of the own data centre are tried in turn, so the entries spread over them.

--- a/packages/coordination/coordination/corelink.cpp
+++ b/packages/coordination/coordination/corelink.cpp
@@ -20,12 +20,17 @@
 constexpr Duration SilenceLimit = std::chrono::milliseconds(1250);
 /// The same while nothing is known yet: a core instance answers the first report at once.
 constexpr Duration FirstSilenceLimit = std::chrono::milliseconds(300);
-/// Another instance is tried when this one was not sure for this time: an election takes at most 1.2 s.
+/// Another instance is tried when this one was sure, but not for this time: an election takes at most 1.2 s.
 constexpr Duration UnsureLimit = std::chrono::milliseconds(1600);
-/// The same while nothing is known yet: another instance may know the state, for example where this one lost its disk.
-constexpr Duration FirstUnsureLimit = std::chrono::milliseconds(120);
-/// Time before the own data centre's instance is tried again after it failed.
+/// The same for an instance that was not sure since the connection to it was opened: it may be on the wrong side of a
+/// partition, or have lost its disk. With each round of all instances the limit doubles, up to UnsureLimit.
+constexpr Duration NewUnsureLimit = std::chrono::milliseconds(120);
+/// A confirmation of this age or less makes an instance sure: four heartbeats of the leader.
+constexpr Duration SureAge = std::chrono::milliseconds(1000);
+/// Time between two attempts to change to an instance of the own data centre.
 constexpr Duration PreferDelay = std::chrono::seconds(3);
+/// An instance that was tried and was not sure for this time is given up.
+constexpr Duration TrialLimit = std::chrono::milliseconds(600);
 
 }
 
@@ -54,7 +59,7 @@
 {
     if (m_self.isReady != isReady) {
         m_self.isReady = isReady;
-        report();
+        report(m_feed);
     }
 }
 
@@ -71,35 +76,53 @@
 void CoreLink::tick()
 {
     const Instant now = m_loop.now();
-    if (m_frames != nullptr && m_frames->received() != m_receivedBytes) {
-        m_receivedBytes = m_frames->received();
-        m_progressAt = now;
-    }
+    noteProgress(m_feed);
     if (const char *reason = reasonToLeave(now)) {
         connectNext(reason);
     } else if (now - m_reportedAt >= ReportInterval) {
-        report();
-        preferOwnDataCentre();
+        report(m_feed);
+        tryOwnDataCentre(now);
     }
+    finishTrial(now);
     m_loop.after(m_known == LogIndex() ? FirstTickInterval : TickInterval, [this] { tick(); });
 }
 
+void CoreLink::noteProgress(Connection &connection) const
+{
+    if (connection.frames != nullptr && connection.frames->received() != connection.receivedBytes) {
+        connection.receivedBytes = connection.frames->received();
+        connection.progressAt = m_loop.now();
+    }
+}
+
 const char *CoreLink::reasonToLeave(Instant now) const
 {
     const bool isFirst = m_known == LogIndex();
-    if (m_frames == nullptr || !m_frames->isOpen()) {
+    if (m_feed.frames == nullptr || !m_feed.frames->isOpen()) {
         return "closed";
     }
-    if (!m_stream->isConnected()) {
-        return now - m_connectedAt > (isFirst ? FirstConnectLimit : ConnectLimit) ? "connect_timeout" : nullptr;
+    if (!m_feed.stream->isConnected()) {
+        return now - m_feed.openedAt > (isFirst ? FirstConnectLimit : ConnectLimit) ? "connect_timeout" : nullptr;
     }
-    if (now - std::max(m_progressAt, m_connectedAt) > (isFirst ? FirstSilenceLimit : SilenceLimit)) {
+    if (now - std::max(m_feed.progressAt, m_feed.openedAt) > (isFirst ? FirstSilenceLimit : SilenceLimit)) {
         return "silent";
     }
-    const Instant sureAt = std::max(m_connectedAt, m_confirmedAt.value_or(m_connectedAt));
-    const bool isUnsure = now - sureAt > (isFirst ? FirstUnsureLimit : UnsureLimit);
     // Bytes of an update that is not complete yet may tell that the instance is sure.
-    return m_hasUpdate && isUnsure ? "unsure" : nullptr;
+    const bool isUnsure = now - m_feed.sureAt.value_or(m_feed.openedAt) > unsureLimit();
+    return m_feed.hasUpdate && isUnsure ? "unsure" : nullptr;
+}
+
+Duration CoreLink::unsureLimit() const
+{
+    if (m_feed.sureAt) {
+        return UnsureLimit;
+    }
+    if (m_known == LogIndex()) {
+        return NewUnsureLimit;
+    }
+    constexpr std::size_t MaxRounds = 4; // the limit has reached UnsureLimit by then
+    const std::size_t rounds = std::min(MaxRounds, m_unsureInRow / std::max<std::size_t>(1, candidates().size()));
+    return std::min<Duration>(UnsureLimit, NewUnsureLimit * (1 << rounds));
 }
 
 std::vector<InstanceId> CoreLink::candidates() const
@@ -123,35 +146,40 @@
         return;
     }
     InstanceId chosen = names[m_nextCandidate++ % names.size()];
-    if (chosen == m_current && names.size() > 1) {
+    if (chosen == m_feed.core && names.size() > 1) {
         chosen = names[m_nextCandidate++ % names.size()];
     }
-    m_log.info("core_instance_chosen", { { "instance", chosen.value() }, { "reason", reason }, { "before", m_current.value() } });
-    if (isInOwnDataCentre(m_current)) {
-        m_preferAt = m_loop.now() + PreferDelay;
-    }
-    connect(chosen);
+    m_log.info("core_instance_chosen", { { "instance", chosen.value() }, { "reason", reason }, { "before", m_feed.core.value() } });
+    m_preferAt = m_loop.now() + PreferDelay;
+    m_unsureInRow = m_feed.hasUpdate && !m_feed.sureAt ? m_unsureInRow + 1 : 0;
+    open(m_feed, chosen);
 }
 
-void CoreLink::connect(const InstanceId &core)
+void CoreLink::open(Connection &connection, const InstanceId &core)
 {
-    m_current = core;
-    m_connectedAt = m_loop.now();
-    m_receivedBytes = 0;
-    m_hasUpdate = false;
-    if (m_frames != nullptr) {
-        m_frames->close();
-        // The stream may be the one that calls; it is released later.
-        m_loop.defer([frames = std::shared_ptr<Net::FrameStream>(std::move(m_frames))] {});
-    }
+    close(connection);
+    connection.core = core;
+    connection.openedAt = m_loop.now();
     const std::optional<Net::SocketAddress> address = Net::parseSocketAddress(core.value());
-    m_stream = address ? Net::Stream::connect(m_loop, *address) : nullptr;
-    if (m_stream == nullptr) {
+    connection.stream = address ? Net::Stream::connect(m_loop, *address) : nullptr;
+    if (connection.stream == nullptr) {
         return;
     }
-    m_frames = std::make_unique<Net::FrameStream>(m_stream, m_codec);
-    m_frames->onFrame([this](const std::vector<std::uint8_t> &frame) { receive(frame); });
-    report();
+    connection.frames = std::make_unique<Net::FrameStream>(connection.stream, m_codec);
+    connection.frames->onFrame([this, frames = connection.frames.get()](const std::vector<std::uint8_t> &frame) {
+        receive(m_trial.frames.get() == frames ? m_trial : m_feed, frame);
+    });
+    report(connection);
+}
+
+void CoreLink::close(Connection &connection)
+{
+    if (connection.frames != nullptr) {
+        connection.frames->close();
+        // The stream may be the one that calls; it is released later.
+        m_loop.defer([frames = std::shared_ptr<Net::FrameStream>(std::move(connection.frames))] {});
+    }
+    connection = Connection {};
 }
 
 bool CoreLink::isInOwnDataCentre(const InstanceId &core) const
@@ -160,27 +188,43 @@
                        [&](const CoreInstance &it) { return it.name == core && it.dataCentre == m_self.dataCentre; });
 }
 
-void CoreLink::preferOwnDataCentre()
+void CoreLink::tryOwnDataCentre(Instant now)
 {
-    if (m_loop.now() < m_preferAt) {
+    if (now < m_preferAt || m_trial.frames != nullptr || isInOwnDataCentre(m_feed.core)) {
         return;
     }
-    if (isInOwnDataCentre(m_current)) {
+    std::vector<InstanceId> own;
+    for (const CoreInstance &it : m_core) {
+        if (it.dataCentre == m_self.dataCentre) {
+            own.push_back(it.name);
+        }
+    }
+    m_preferAt = now + PreferDelay;
+    if (!own.empty()) {
+        open(m_trial, own[m_nextCandidate++ % own.size()]);
+    }
+}
+
+void CoreLink::finishTrial(Instant now)
+{
+    if (m_trial.frames == nullptr) {
         return;
     }
-    const auto isOwn = [this](const CoreInstance &it) { return it.dataCentre == m_self.dataCentre; };
-    const auto own = std::find_if(m_core.begin(), m_core.end(), isOwn);
-    if (own != m_core.end()) {
-        m_preferAt = m_loop.now() + PreferDelay;
+    noteProgress(m_trial);
+    if (m_trial.sureAt) {
         m_log.info("core_instance_chosen",
-                   { { "instance", own->name.value() }, { "reason", "own_data_centre" }, { "before", m_current.value() } });
-        connect(own->name);
+                   { { "instance", m_trial.core.value() }, { "reason", "own_data_centre" }, { "before", m_feed.core.value() } });
+        std::swap(m_feed, m_trial);
+        close(m_trial);
+        report(m_feed);
+    } else if (!m_trial.frames->isOpen() || now - std::max(m_trial.progressAt, m_trial.openedAt) > TrialLimit) {
+        close(m_trial);
     }
 }
 
-void CoreLink::report()
+void CoreLink::report(Connection &connection)
 {
-    if (m_frames == nullptr || !m_frames->isOpen()) {
+    if (connection.frames == nullptr || !connection.frames->isOpen()) {
         return;
     }
     m_reportedAt = m_loop.now();
@@ -189,10 +233,10 @@
     envelope.senderAddress = m_self.address;
     envelope.kind = Wire::MessageKind::EntryReport;
     envelope.payload = encode(EntryReport { m_self, m_known });
-    m_frames->send(Wire::encode(envelope));
+    connection.frames->send(Wire::encode(envelope));
 }
 
-void CoreLink::receive(const std::vector<std::uint8_t> &frame)
+void CoreLink::receive(Connection &connection, const std::vector<std::uint8_t> &frame)
 {
     const Result<FeedUpdate> update =
         Wire::decodeEnvelope(frame).and_then([](const Wire::Envelope &it) { return decodeFeedUpdate(it.payload); });
@@ -200,9 +244,14 @@
         m_log.warn("frame_refused", { { "detail", update.error().detail } });
         return;
     }
-    m_hasUpdate = true;
+    connection.hasUpdate = true;
     if (update->confirmedAge) {
-        m_confirmedAt = std::max(m_confirmedAt.value_or(Instant {}), m_loop.now() - *update->confirmedAge);
+        const Instant confirmedAt = m_loop.now() - *update->confirmedAge;
+        m_confirmedAt = std::max(m_confirmedAt.value_or(confirmedAt), confirmedAt);
+        if (*update->confirmedAge <= SureAge) {
+            connection.sureAt = std::max(connection.sureAt.value_or(confirmedAt), confirmedAt);
+            m_unsureInRow = 0;
+        }
     }
     if (!update->core.empty()) {
         m_core = update->core;
--- a/packages/coordination/coordination/corelink.h
+++ b/packages/coordination/coordination/corelink.h
@@ -15,7 +15,8 @@
 {
 
 /// An entry's connection to the core instance that feeds it. It changes to another one when the feed is silent, or when
-/// that instance is not sure to know the newest state; an instance in the own data centre is preferred.
+/// that instance is not sure to know the newest state. An instance in the own data centre is preferred: it is tried beside
+/// the connection that feeds, and replaces it only once it has said that it is sure.
 class CoreLink
 {
 public:
@@ -34,14 +35,34 @@
     std::optional<Instant> confirmedAt() const;
 
 private:
+    /// A connection to one core instance.
+    struct Connection {
+        InstanceId core;
+        std::shared_ptr<Net::Stream> stream;
+        std::unique_ptr<Net::FrameStream> frames;
+        Instant openedAt {};
+        /// When bytes came last, and how many there were by then. The first state may take a while on a slow link, as one
+        /// frame.
+        Instant progressAt {};
+        std::uint64_t receivedBytes = 0;
+        /// An update came on this connection.
+        bool hasUpdate = false;
+        /// The last time at which this instance was sure; absent while it never was on this connection.
+        std::optional<Instant> sureAt;
+    };
+
     void tick();
-    /// Why this connection should be given up; null when it should not.
+    /// Why the connection that feeds should be given up; null when it should not.
     const char *reasonToLeave(Instant now) const;
+    Duration unsureLimit() const;
+    void noteProgress(Connection &connection) const;
     void connectNext(const char *reason);
-    void connect(const InstanceId &core);
-    void report();
-    void receive(const std::vector<std::uint8_t> &frame);
-    void preferOwnDataCentre();
+    void open(Connection &connection, const InstanceId &core);
+    void close(Connection &connection);
+    void report(Connection &connection);
+    void receive(Connection &connection, const std::vector<std::uint8_t> &frame);
+    void tryOwnDataCentre(Instant now);
+    void finishTrial(Instant now);
     bool isInOwnDataCentre(const InstanceId &core) const;
     std::vector<InstanceId> candidates() const;
 
@@ -52,22 +73,17 @@
     EntryInfo m_self;
     UpdateCallback m_update;
     std::vector<CoreInstance> m_core;
-    InstanceId m_current;
-    std::shared_ptr<Net::Stream> m_stream;
-    std::unique_ptr<Net::FrameStream> m_frames;
-    Instant m_connectedAt {};
-    /// When bytes came last on this connection, and how many there were by then. The first state may take a while on a slow
-    /// link, as one frame.
-    Instant m_progressAt {};
-    std::uint64_t m_receivedBytes = 0;
-    /// An update came on this connection.
-    bool m_hasUpdate = false;
+    Connection m_feed;
+    /// A connection to an instance of the own data centre that may replace the feed.
+    Connection m_trial;
     Instant m_reportedAt {};
-    /// The last update that the core instance was sure of.
+    /// The newest time at which some core instance was sure of what is known here.
     std::optional<Instant> m_confirmedAt;
     LogIndex m_known;
     std::size_t m_nextCandidate = 0;
-    /// The own data centre's instance failed lately; it is not preferred before that time.
+    /// Instances in a row that were left because they were not sure.
+    std::size_t m_unsureInRow = 0;
+    /// No instance of the own data centre is tried before that time.
     Instant m_preferAt {};
 };
 
--- a/packages/coordination/tests/corelinktest.cpp
+++ b/packages/coordination/tests/corelinktest.cpp
@@ -27,6 +27,8 @@
     std::size_t connections = 0;
     /// The first update as it stands on the wire; nothing is sent when it is empty.
     std::string update;
+    /// Sends \c update again in this interval on each connection; 0 sends it once.
+    Duration period {};
     /// Bytes that its link carries in SliceInterval.
     std::size_t slice = 1 << 20U;
     static constexpr Duration SliceInterval = std::chrono::milliseconds(30);
@@ -35,10 +37,24 @@
     void accept(std::shared_ptr<Net::Stream> stream)
     {
         ++connections;
-        m_stream = std::move(stream);
-        m_stream->onData([](std::string_view) {});
-        m_stream->onEnd([](Net::StreamEnd) {});
-        sendSlice(m_stream, 0);
+        m_streams.push_back(stream);
+        stream->onData([](std::string_view) {});
+        stream->onEnd([](Net::StreamEnd) {});
+        sendSlice(stream, 0);
+        sendAgain(stream);
+    }
+
+    void sendAgain(const std::shared_ptr<Net::Stream> &stream)
+    {
+        if (period == Duration {} || !stream->isOpen()) {
+            return;
+        }
+        m_loop.after(period, [this, weak = std::weak_ptr(stream)] {
+            if (const auto again = weak.lock()) {
+                sendSlice(again, 0);
+                sendAgain(again);
+            }
+        });
     }
 
     void sendSlice(const std::shared_ptr<Net::Stream> &stream, std::size_t sent)
@@ -47,16 +63,20 @@
             return;
         }
         stream->write(std::string_view(update).substr(sent, slice));
-        m_loop.after(SliceInterval, [this, stream, sent] { sendSlice(stream, sent + slice); });
+        m_loop.after(SliceInterval, [this, weak = std::weak_ptr(stream), sent] {
+            if (const auto again = weak.lock()) {
+                sendSlice(again, sent + slice);
+            }
+        });
     }
 
     Net::EventLoop &m_loop;
     const Wire::FrameCodec &m_codec;
     Net::Listener m_listener;
-    std::shared_ptr<Net::Stream> m_stream;
+    std::vector<std::shared_ptr<Net::Stream>> m_streams;
 };
 
-/// A link of an entry to two scripted core instances.
+/// A link of an entry to scripted core instances: two that it is told of first, and two that only the updates name.
 struct Fixture {
     Fixture()
     {
@@ -64,13 +84,20 @@
             seeds.push_back(it->name);
         }
         link = std::make_unique<CoreLink>(loop, codec, random, seeds, EntryInfo { InstanceId("e1"), "127.0.0.1:1", DataCentreId("north") });
-        link->onUpdate([this](const FeedUpdate &) { ++updates; });
+        link->onUpdate([this](const FeedUpdate &update) {
+            ++updates;
+            if (update.confirmedAge) {
+                longestUnsure = std::max(longestUnsure, clock.now() - lastSureAt);
+                lastSureAt = clock.now();
+            }
+        });
     }
 
     std::string encodeUpdate(bool isSure, std::size_t servers) const
     {
         FeedUpdate update;
         update.index = LogIndex(isSure ? 5 : 0);
+        update.core = core;
         if (isSure) {
             update.confirmedAge = Duration {};
         }
@@ -100,11 +127,22 @@
     Wire::FrameCodec codec { "test", "key" };
     ScriptedCore first { loop, codec, FirstPort };
     ScriptedCore second { loop, codec, FirstPort + 1 };
+    ScriptedCore third { loop, codec, FirstPort + 2 };
+    ScriptedCore fourth { loop, codec, FirstPort + 3 };
     std::vector<InstanceId> seeds;
+    std::vector<CoreInstance> core;
     std::unique_ptr<CoreLink> link;
     std::size_t updates = 0;
+    Instant lastSureAt {};
+    /// Longest time between two updates of an instance that was sure.
+    Duration longestUnsure {};
 };
 
+/// Time between two signs of life of a core instance.
+constexpr Duration FeedInterval = std::chrono::milliseconds(400);
+/// Entries that are in touch with a majority have a change in force within this time of its acknowledgement.
+constexpr Duration ApplyBound = std::chrono::seconds(2);
+
 }
 
 // Found in hunts on odmd-gw-grown (RECOVER): the first state of 440 servers takes longer than an unsure instance is given on a
@@ -135,3 +173,61 @@
     CHECK(fixture.first.connections == 1);
     CHECK(fixture.second.connections == 1);
 }
+
+// Incident of 2026-12-04 (CONFIG): entries went back to the instance of their own data centre every 3 s while it was on the wrong
+// side of a partition, and knew of no change for 1.6 s each time.
+TEST_CASE("an entry does not go back to an instance of its own data centre that is cut off from the majority")
+{
+    Fixture fixture;
+    fixture.core = { CoreInstance { fixture.first.name, DataCentreId("north") },
+                     CoreInstance { fixture.second.name, DataCentreId("south") } };
+    fixture.first.update = fixture.encodeUpdate(false, 0);
+    fixture.second.update = fixture.encodeUpdate(true, 0);
+    for (auto *it : { &fixture.first, &fixture.second }) {
+        it->period = FeedInterval;
+    }
+    fixture.link->start();
+    fixture.runFor(1000);
+    fixture.longestUnsure = {};
+    fixture.runFor(15000);
+    CHECK(fixture.longestUnsure <= 2 * FeedInterval);
+
+    // The partition heals: the own data centre's instance feeds again.
+    fixture.first.update = fixture.encodeUpdate(true, 0);
+    fixture.second.update = fixture.encodeUpdate(false, 0);
+    fixture.lastSureAt = fixture.clock.now();
+    fixture.longestUnsure = {};
+    fixture.runFor(10000);
+    CHECK(fixture.longestUnsure < ApplyBound);
+}
+
+// The same incident: an entry that left an instance of the minority spent 1.6 s with the next one of the minority.
+TEST_CASE("an entry passes over several instances that are cut off within the bound for changes")
+{
+    Fixture fixture;
+    for (auto *it : { &fixture.first, &fixture.second, &fixture.third, &fixture.fourth }) {
+        fixture.core.push_back(CoreInstance { it->name, DataCentreId("south") });
+        it->period = FeedInterval;
+    }
+    for (auto *it : { &fixture.first, &fixture.second, &fixture.third, &fixture.fourth }) {
+        it->update = fixture.encodeUpdate(true, 0);
+    }
+    fixture.link->start();
+    fixture.runFor(2000);
+    // The instance that feeds and all others but one are cut off from now on.
+    std::vector<ScriptedCore *> others;
+    for (auto *it : { &fixture.first, &fixture.second, &fixture.third, &fixture.fourth }) {
+        it->update = fixture.encodeUpdate(false, 0);
+        if (it->connections == 0) {
+            others.push_back(it);
+        }
+    }
+    REQUIRE(others.size() == 3);
+    ScriptedCore &healthy = *others[GENERATE(0U, 1U, 2U)];
+    healthy.update = fixture.encodeUpdate(true, 0);
+    fixture.longestUnsure = {};
+    fixture.runFor(8000);
+    // 1.6 s of patience with the instance that fed, and 120 ms with each of the others.
+    CHECK(fixture.longestUnsure < ApplyBound + FeedInterval);
+    CHECK(healthy.connections == 1);
+}
