Note a withdrawal of a server that is not known, so that it binds

Cause: a withdrawal of an unknown server was acknowledged and left nothing in the replicated state. Its first announcement, sent before and held up by a partition, then registered it as ready. Ruled out: a lagging entry (it had every configuration within 40 ms and was fed by the leader all the time).

Change: the withdrawal notes the server as gone with its start. An announcement of that start, or an earlier one, no longer registers it; a later start does. A withdrawal that names a later start than the one known is kept in the same way. Both tests fail on the code before (state Ready instead of Gone). Servers that are gone were bounded before, which holds for these too.

--- a/packages/routing/routing/routingstate.cpp
+++ b/packages/routing/routing/routingstate.cpp
@@ -68,7 +68,11 @@
 bool RoutingState::wouldWithdraw(const BackendServer &withdrawal) const
 {
     const auto it = m_servers.find(withdrawal.id);
-    return it != m_servers.end() && it->second.state != ServerState::Gone && (withdrawal.born == 0 || withdrawal.born >= it->second.born);
+    if (it == m_servers.end()) {
+        return true;
+    }
+    const bool isOfKnownStart = withdrawal.born == 0 || withdrawal.born == it->second.born;
+    return isOfKnownStart ? it->second.state != ServerState::Gone : withdrawal.born > it->second.born;
 }
 
 void RoutingState::applyUpdate(const BackendServer &update, LogIndex index)
@@ -88,7 +92,10 @@
     if (!wouldWithdraw(withdrawal)) {
         return;
     }
+    // A server that is not known is noted as gone: its first announcement may have been held up, and must not register it.
     BackendServer &server = m_servers[withdrawal.id];
+    server.id = withdrawal.id;
+    server.born = std::max(server.born, withdrawal.born);
     server.state = ServerState::Gone;
     server.changedAt = index;
     m_changedAt = index;
--- a/packages/routing/tests/routingstatetest.cpp
+++ b/packages/routing/tests/routingstatetest.cpp
@@ -233,6 +233,33 @@
     }
 }
 
+// Incident of 2026-12-04 (DRAIN): a withdrawal came before the first announcement, which a partition held up for two seconds. The
+// server was then registered as ready and got requests although its leaving had been acknowledged.
+TEST_CASE("a server that left before it was known is not registered by a late announcement")
+{
+    Log log;
+    log.withdraw("s1", 100);
+    log.update(makeServer("s1", 100, 1));
+    CHECK(log.stateOf("s1") == ServerState::Gone);
+
+    // The same holds after a snapshot.
+    RoutingState restored;
+    REQUIRE(restored.restoreImage(log.state.encodeImage()));
+    CHECK_FALSE(restored.wouldChange(makeServer("s1", 100, 1)));
+
+    log.update(makeServer("s1", 101, 1)); // it started again
+    CHECK(log.stateOf("s1") == ServerState::Ready);
+}
+
+TEST_CASE("a withdrawal that names a later start than the one known stays in force")
+{
+    Log log;
+    log.update(makeServer("s1", 100, 1));
+    log.withdraw("s1", 200);
+    log.update(makeServer("s1", 200, 1));
+    CHECK(log.stateOf("s1") == ServerState::Gone);
+}
+
 TEST_CASE("an announcement of another writer does not move a server")
 {
     Log log;
