Bound what is on its way to an entry, so that changes do not queue up

Cause: a core instance wrote each update to the connection whether or not the entry had received the one before.

Change: an entry reports the bytes that it has received, at once after 4 KB. While more than 16 KB are on their way nothing is sent; what changes meanwhile waits in the routing state, where the newest value replaces older ones, and is sent in one update when the entry has reported. Entries that know the same get the same encoded update. An entry no longer leaves an instance as unsure while part of an update has arrived: it would start a large one again and again.

Ruled out: a limit on the bytes that the socket has not taken; the send buffer of the system alone holds seconds of a slow link.

--- a/packages/coordination/coordination/corelink.cpp
+++ b/packages/coordination/coordination/corelink.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "coordination/feedwindow.h"
+
 namespace Galenabarrow::Coordination
 {
 
@@ -107,9 +109,9 @@
     if (now - std::max(m_feed.progressAt, m_feed.openedAt) > (isFirst ? FirstSilenceLimit : SilenceLimit)) {
         return "silent";
     }
-    // Bytes of an update that is not complete yet may tell that the instance is sure.
+    // An update that is not complete yet may tell that the instance is sure; leaving would only start it again.
     const bool isUnsure = now - m_feed.sureAt.value_or(m_feed.openedAt) > unsureLimit();
-    return m_feed.hasUpdate && isUnsure ? "unsure" : nullptr;
+    return m_feed.hasUpdate && isUnsure && !m_feed.frames->isReceiving() ? "unsure" : nullptr;
 }
 
 Duration CoreLink::unsureLimit() const
@@ -232,7 +234,8 @@
     envelope.sender = m_self.name;
     envelope.senderAddress = m_self.address;
     envelope.kind = Wire::MessageKind::EntryReport;
-    envelope.payload = encode(EntryReport { m_self, m_known });
+    connection.reportedBytes = connection.frames->received();
+    envelope.payload = encode(EntryReport { m_self, m_known, connection.reportedBytes });
     connection.frames->send(Wire::encode(envelope));
 }
 
@@ -260,6 +263,9 @@
     if (m_update) {
         m_update(*update);
     }
+    if (connection.frames != nullptr && connection.frames->received() - connection.reportedBytes >= FeedWindow::ReportAfter) {
+        report(connection);
+    }
 }
 
 }
--- a/packages/coordination/coordination/corelink.h
+++ b/packages/coordination/coordination/corelink.h
@@ -45,6 +45,8 @@
         /// frame.
         Instant progressAt {};
         std::uint64_t receivedBytes = 0;
+        /// Bytes that the last report named as received.
+        std::uint64_t reportedBytes = 0;
         /// An update came on this connection.
         bool hasUpdate = false;
         /// The last time at which this instance was sure; absent while it never was on this connection.
--- a/packages/coordination/coordination/corenode.cpp
+++ b/packages/coordination/coordination/corenode.cpp
@@ -34,6 +34,7 @@
     std::optional<EntryInfo> entry;
     Instant heardAt {};
     LogIndex knownIndex;
+    FeedWindow window;
     bool isAcknowledgementDue = false;
 };
 
@@ -419,11 +420,15 @@
     peer->entry = report->entry;
     peer->heardAt = m_loop.now();
     peer->knownIndex = isFirst ? report->knownIndex : std::max(peer->knownIndex, report->knownIndex);
+    const bool wasOpen = peer->window.isOpen();
+    peer->window.noteReceived(report->receivedBytes);
     if (m_entries.note(report->entry, m_loop.now())) {
         m_reporter.noteEntryChange();
     }
-    if (isFirst) {
-        feed(*peer);
+    const bool isBehind = !wasOpen && peer->window.isOpen() && peer->knownIndex < m_replica->state().changedAt();
+    if (isFirst || isBehind) {
+        FeedFrames frames;
+        feed(*peer, frames);
     }
 }
 
@@ -454,15 +459,31 @@
         m_lastFeed = m_loop.now();
     }
     m_fedIndex = m_replica->state().changedAt();
+    FeedFrames frames;
     for (const auto &it : m_peers) {
         const bool isDue = isPeriodic || it->knownIndex < m_fedIndex;
         if (it->entry && it->frames->isOpen() && isDue) {
-            feed(*it);
+            feed(*it, frames);
         }
     }
 }
 
-void CoreNode::feed(Peer &peer)
+void CoreNode::feed(Peer &peer, FeedFrames &frames)
+{
+    if (!peer.window.isOpen()) {
+        return; // what comes meanwhile is sent when the entry has reported
+    }
+    auto it = frames.find(peer.knownIndex);
+    if (it == frames.end()) {
+        it = frames.emplace(peer.knownIndex, encodeFeed(peer.knownIndex)).first;
+    }
+    const std::vector<std::uint8_t> &frame = it->second;
+    peer.frames->send(frame);
+    peer.window.noteSent(Wire::FrameHeaderSize + frame.size());
+    peer.knownIndex = std::max(peer.knownIndex, m_replica->state().changedAt());
+}
+
+std::vector<std::uint8_t> CoreNode::encodeFeed(LogIndex known) const
 {
     const Routing::RoutingState &state = m_replica->state();
     FeedUpdate update;
@@ -471,13 +492,12 @@
     if (confirmedAt) {
         update.confirmedAge = m_loop.now() - *confirmedAt;
     }
-    if (update.index > peer.knownIndex) {
-        Routing::StateChanges changes = state.changesAfter(peer.knownIndex);
+    if (update.index > known) {
+        Routing::StateChanges changes = state.changesAfter(known);
         update.isWhole = changes.isWhole;
         update.servers = std::move(changes.servers);
         update.config = std::move(changes.config);
         update.configAt = state.configAt();
-        peer.knownIndex = update.index;
     }
     update.silent = silentServers();
     update.entryCount = static_cast<unsigned>(std::max<std::size_t>(1, m_entries.liveCount(m_loop.now())));
@@ -487,7 +507,7 @@
     envelope.senderAddress = m_settings.replica.instance.value();
     envelope.kind = Wire::MessageKind::FeedUpdate;
     envelope.payload = encode(update);
-    peer.frames->send(Wire::encode(envelope));
+    return Wire::encode(envelope);
 }
 
 std::vector<ServerId> CoreNode::silentServers() const
--- a/packages/coordination/coordination/corenode.h
+++ b/packages/coordination/coordination/corenode.h
@@ -11,6 +11,7 @@
 #include "coordination/corestatus.h"
 #include "coordination/entrydirectory.h"
 #include "coordination/feed.h"
+#include "coordination/feedwindow.h"
 #include "coordination/peerlinks.h"
 #include "coordination/replica.h"
 
@@ -60,6 +61,8 @@
 
 private:
     struct Peer;
+    /// Updates by the last change that their receivers know; most entries know the same.
+    using FeedFrames = std::map<LogIndex, std::vector<std::uint8_t>>;
     struct Forwarded {
         Done done;
         Instant deadline {};
@@ -83,7 +86,8 @@
     void receiveCoreReport(const Wire::Envelope &envelope);
     void acknowledge(const std::shared_ptr<Peer> &peer);
     void feedAll(bool isPeriodic);
-    void feed(Peer &peer);
+    void feed(Peer &peer, FeedFrames &frames);
+    std::vector<std::uint8_t> encodeFeed(LogIndex known) const;
     std::vector<ServerId> silentServers() const;
     std::vector<CoreInstance> coreInstances() const;
     void reportToCore();
--- /dev/null
+++ b/packages/coordination/coordination/feedwindow.cpp
@@ -0,0 +1,24 @@
+#include "coordination/feedwindow.h"
+
+#include <algorithm>
+
+namespace Galenabarrow::Coordination
+{
+
+void FeedWindow::noteSent(std::size_t bytes)
+{
+    m_sent += bytes;
+}
+
+void FeedWindow::noteReceived(std::uint64_t total)
+{
+    // Never more than was sent, whatever a peer reports, and never less than before.
+    m_received = std::max(m_received, std::min(total, m_sent));
+}
+
+bool FeedWindow::isOpen() const
+{
+    return m_sent - m_received <= Limit;
+}
+
+}
--- a/packages/coordination/tests/corelinktest.cpp
+++ b/packages/coordination/tests/corelinktest.cpp
@@ -231,3 +231,25 @@
     CHECK(fixture.longestUnsure < ApplyBound + FeedInterval);
     CHECK(healthy.connections == 1);
 }
+
+// Guards against starting a large update again and again: one that takes longer than an unsure instance is given.
+TEST_CASE("an entry that is fed does not leave its instance while a large update arrives")
+{
+    Fixture fixture;
+    for (auto *it : { &fixture.first, &fixture.second }) {
+        it->update = fixture.encodeUpdate(true, 0);
+        it->period = FeedInterval;
+    }
+    fixture.link->start();
+    fixture.runFor(1000);
+    const std::size_t before = fixture.updates;
+    REQUIRE(fixture.first.connections + fixture.second.connections == 1);
+    for (auto *it : { &fixture.first, &fixture.second }) {
+        it->update = fixture.encodeUpdate(true, 2000);
+        it->slice = it->update.size() / 100; // 3 s for the whole
+        it->period = std::chrono::seconds(20);
+    }
+    fixture.runFor(4500);
+    CHECK(fixture.updates > before);
+    CHECK(fixture.first.connections + fixture.second.connections == 1);
+}
--- a/packages/coordination/tests/feedsizetest.cpp
+++ b/packages/coordination/tests/feedsizetest.cpp
@@ -192,3 +192,36 @@
     CHECK(fixture.longestDelay < ApplyBound / 10);
     CHECK(fixture.relay.passed - before < Changes * BytesPerChange + 4 * BytesPerSecondIdle);
 }
+
+// Guards against updates that queue up in front of a slow link, each of them out of date before it arrives.
+TEST_CASE("large changes in quick succession do not queue up before a slow link")
+{
+    Fixture fixture;
+    fixture.runFor(std::chrono::seconds(2));
+    fixture.submitWhole();
+    fixture.link->start();
+    fixture.runFor(std::chrono::seconds(8));
+    REQUIRE(fixture.inForce == 1);
+
+    constexpr std::uint64_t Changes = 40;
+    constexpr std::size_t RoutesPerChange = 500;
+    fixture.longestDelay = {};
+    std::size_t mostWaiting = 0;
+    for (std::uint64_t version = 2; version < 2 + Changes; ++version) {
+        Routing::ConfigChange change;
+        change.version = Version(version);
+        change.base = Version(version - 1);
+        change.digest = Routing::OrderDigest { version, 0 };
+        change.isPatch = true;
+        for (std::size_t n = 0; n < RoutesPerChange; ++n) {
+            change.config.routes.push_back(makeRoute(n, static_cast<int>(1000 + version)));
+        }
+        fixture.submit(std::move(change));
+        fixture.runFor(std::chrono::milliseconds(100));
+        mostWaiting = std::max(mostWaiting, fixture.relay.waiting());
+    }
+    fixture.runFor(ApplyBound);
+    CHECK(fixture.inForce == 1 + Changes);
+    CHECK(fixture.longestDelay < ApplyBound);
+    CHECK(mostWaiting < 2 * RoutesPerChange * 250); // two changes of 500 routes
+}
--- a/packages/net/net/framestream.cpp
+++ b/packages/net/net/framestream.cpp
@@ -43,6 +43,11 @@
     return m_stream->unsent();
 }
 
+bool FrameStream::isReceiving() const
+{
+    return !m_input.empty();
+}
+
 std::uint64_t FrameStream::received() const
 {
     return m_received;
--- a/packages/net/net/framestream.h
+++ b/packages/net/net/framestream.h
@@ -32,6 +32,8 @@
     bool isOpen() const;
     /// Bytes that the socket has not taken yet.
     std::size_t unsent() const;
+    /// Part of a frame has come, and the rest is on its way.
+    bool isReceiving() const;
     /// Bytes that came so far, those of a frame that is not complete yet included.
     std::uint64_t received() const;
     void close();
