Give a starting entry only a state that a quorum has confirmed

Cause: a core instance told its state to whoever asked, also when it had just started from its disk, or was cut off.

Change: an entry that knows nothing gets the state only while a quorum has confirmed this instance within 1.5 s; before that a sign of life that names the other instances, so that the entry moves on. When an instance becomes sure it feeds at once. The price: while no quorum exists, an entry that starts answers 503 and is not told to callers; entries that run go on.

The test fails on the code before: a configuration in force although no leader is known.

--- a/packages/coordination/coordination/corenode.cpp
+++ b/packages/coordination/coordination/corenode.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 #include "routing/codec.h"
 
@@ -104,6 +105,7 @@
     m_links.tick();
     dropSilentEntries();
     noteLeader();
+    noteSure();
     if (m_reporter.isDue(m_loop.now())) {
         reportToCore();
     }
@@ -129,6 +131,14 @@
                  { "voters", std::to_string(m_replica->membership().voterCount()) } });
 }
 
+void CoreNode::noteSure()
+{
+    const bool wasSure = std::exchange(m_wasSure, isSure());
+    if (m_wasSure && !wasSure) {
+        feedAll(true); // starting entries wait for it
+    }
+}
+
 void CoreNode::logChanges()
 {
     const Routing::RoutingState &state = m_replica->state();
@@ -480,14 +490,21 @@
     const std::vector<std::uint8_t> &frame = it->second;
     peer.frames->send(frame);
     peer.window.noteSent(Wire::FrameHeaderSize + frame.size());
-    peer.knownIndex = std::max(peer.knownIndex, m_replica->state().changedAt());
+    if (mayTellState(peer.knownIndex)) {
+        peer.knownIndex = std::max(peer.knownIndex, m_replica->state().changedAt());
+    }
+}
+
+bool CoreNode::mayTellState(LogIndex known) const
+{
+    return known != LogIndex() || isSure();
 }
 
 std::vector<std::uint8_t> CoreNode::encodeFeed(LogIndex known) const
 {
     const Routing::RoutingState &state = m_replica->state();
     FeedUpdate update;
-    update.index = state.changedAt();
+    update.index = mayTellState(known) ? state.changedAt() : known;
     const std::optional<Instant> confirmedAt = m_replica->confirmedAt(m_loop.now());
     if (confirmedAt) {
         update.confirmedAge = m_loop.now() - *confirmedAt;
--- a/packages/coordination/coordination/corenode.h
+++ b/packages/coordination/coordination/corenode.h
@@ -87,6 +87,9 @@
     void acknowledge(const std::shared_ptr<Peer> &peer);
     void feedAll(bool isPeriodic);
     void feed(Peer &peer, FeedFrames &frames);
+    /// An entry that knows nothing takes only a state that a quorum has confirmed lately: this replica may have started with
+    /// an old one. Others are told of every change, since they never go back.
+    bool mayTellState(LogIndex known) const;
     std::vector<std::uint8_t> encodeFeed(LogIndex known) const;
     std::vector<ServerId> silentServers() const;
     std::vector<CoreInstance> coreInstances() const;
@@ -94,6 +97,7 @@
     /// Ends the connections of entries that fell silent, and tells callers of others.
     void dropSilentEntries();
     void noteLeader();
+    void noteSure();
     /// Logs what the replica applied since the last feed.
     void logChanges();
     /// Logs an announcement that is acknowledged although it says something else than what is known.
@@ -124,6 +128,7 @@
     std::map<ServerId, Instant> m_heard;
     std::map<InstanceId, DataCentreId> m_coreDataCentres;
     std::optional<InstanceId> m_knownLeader;
+    bool m_wasSure = false;
 };
 
 }
--- a/packages/coordination/tests/feedsizetest.cpp
+++ b/packages/coordination/tests/feedsizetest.cpp
@@ -225,3 +225,27 @@
     CHECK(fixture.longestDelay < ApplyBound);
     CHECK(mostWaiting < 2 * RoutesPerChange * 250); // two changes of 500 routes
 }
+
+// Seen with the incident of 2026-12-04: an entry that started took a configuration 46 versions old from an instance that had just
+// started too, and would have served by it until the next update.
+TEST_CASE("a starting entry takes no state that a quorum has not confirmed")
+{
+    const auto disk = std::make_shared<Control::MemoryDisk>(Incarnation(7));
+    {
+        Fixture before(disk);
+        before.runFor(std::chrono::seconds(2));
+        before.submitWhole();
+        before.runFor(std::chrono::seconds(1));
+        REQUIRE(before.accepted.contains(1));
+    }
+
+    constexpr Duration Unconfirmed = std::chrono::seconds(3);
+    Fixture fixture(disk, Unconfirmed); // its store has the configuration, and it knows no leader until then
+    REQUIRE(fixture.core->replica().state().config().version == Version(1));
+    fixture.link->start();
+    fixture.runFor(Unconfirmed / 2);
+    REQUIRE_FALSE(fixture.core->replica().confirmedAt(fixture.clock.now()));
+    CHECK(fixture.inForce == 0);
+    fixture.runFor(Unconfirmed);
+    CHECK(fixture.inForce == 1);
+}
