End messages whose head, chunk head or trailer has no end

The reader limited a head before it was complete; a chunk's head with an endless extension, or an endless trailer, was kept in memory without a bound, from callers and from servers.

Cause: what the parser cannot read before more bytes come stayed in the input buffer, which had no limit once the head was done. Change: more than the limit of a head (the configuration's for requests, 64 KB for responses) of such bytes fails the message, and nothing is kept after a failure. Bodies were bounded by their own limits before.

The test fails on the code before for three of its four cases, a chunk's head twice and a trailer, on both readers; the endless head was refused before.

--- a/packages/http/http/reader.cpp
+++ b/packages/http/http/reader.cpp
@@ -24,9 +24,10 @@
     return parser.put(boost::asio::const_buffer(input.data() + used, input.size() - used), ec);
 }
 
-/// Feeds \p input until the message is complete or more bytes are needed. Removes what was read.
+/// Feeds \p input until the message is complete or more bytes are needed. Removes what was read. What cannot be read before
+/// more bytes come is a head, a chunk's head or a trailer, and fails when it is longer than \p most bytes.
 template<typename Parser>
-ReadState advance(Parser &parser, std::string &input, boost::beast::error_code &ec)
+ReadState advance(Parser &parser, std::string &input, std::size_t most, boost::beast::error_code &ec)
 {
     std::size_t used = 0;
     while (used < input.size() && !parser.is_done()) {
@@ -47,6 +48,10 @@
     if (parser.is_done()) {
         return ReadState::Complete;
     }
+    if (input.size() > most) {
+        ec = beast::error::header_limit;
+        return ReadState::Failed;
+    }
     return parser.got_some() || !input.empty() ? ReadState::Partial : ReadState::Idle;
 }
 
@@ -82,8 +87,11 @@
 
 ReadState RequestReader::feed(std::string_view bytes)
 {
+    if (m_state == ReadState::Failed) {
+        return m_state;
+    }
     m_input.append(bytes);
-    return m_state == ReadState::Complete || m_state == ReadState::Failed ? m_state : parse();
+    return m_state == ReadState::Complete ? m_state : parse();
 }
 
 ReadState RequestReader::state() const
@@ -142,14 +150,11 @@
         m_parser->parser.body_limit(m_limits.bodyBytes);
     }
     boost::beast::error_code ec;
-    m_state = advance(m_parser->parser, m_input, ec);
+    m_state = advance(m_parser->parser, m_input, m_limits.headerBytes, ec);
     if (m_state == ReadState::Failed) {
         m_failure = ec == beast::error::header_limit ? ResultCode::HeaderTooLarge
             : ec == beast::error::body_limit         ? ResultCode::BodyTooLarge
                                                      : ResultCode::HeaderInvalid;
-    } else if (m_state == ReadState::Partial && !hasHeader() && m_input.size() > m_limits.headerBytes) {
-        m_failure = ResultCode::HeaderTooLarge;
-        m_state = ReadState::Failed;
     }
     return m_state;
 }
@@ -176,8 +181,11 @@
 
 ReadState ResponseReader::feed(std::string_view bytes)
 {
+    if (m_state == ReadState::Failed) {
+        return m_state;
+    }
     m_input.append(bytes);
-    return m_state == ReadState::Complete || m_state == ReadState::Failed || m_parser == nullptr ? m_state : parse();
+    return m_state == ReadState::Complete || m_parser == nullptr ? m_state : parse();
 }
 
 ReadState ResponseReader::finish()
@@ -218,7 +226,7 @@
 ReadState ResponseReader::parse()
 {
     boost::beast::error_code ec;
-    m_state = advance(m_parser->parser, m_input, ec);
+    m_state = advance(m_parser->parser, m_input, MaxResponseHeader, ec);
     return m_state;
 }
 
--- a/packages/http/tests/readertest.cpp
+++ b/packages/http/tests/readertest.cpp
@@ -133,3 +133,25 @@
     CHECK(back.target == request.target);
     CHECK(back.body == request.body);
 }
+
+// Guards against a peer that sends bytes without end where no body is: they must end the message instead of being kept.
+TEST_CASE("bytes without end in a head, a chunk's head or a trailer fail, and are not kept")
+{
+    const std::string head = GENERATE(std::string("X-Endless: "), std::string("Transfer-Encoding: chunked\r\n\r\n5;"),
+                                      std::string("Transfer-Encoding: chunked\r\n\r\n5"),
+                                      std::string("Transfer-Encoding: chunked\r\n\r\n0\r\nX-Trailer: "));
+    const std::string endless(std::size_t { 16 } * 1024, '0');
+    constexpr int Pieces = 64; // 1 MiB
+
+    ResponseReader response;
+    response.expect(false);
+    response.feed("HTTP/1.1 200 OK\r\n" + head);
+    RequestReader request({});
+    request.feed("POST /a HTTP/1.1\r\nHost: h\r\n" + head);
+    for (int n = 0; n < Pieces; ++n) {
+        response.feed(endless);
+        request.feed(endless);
+    }
+    CHECK(response.state() == ReadState::Failed);
+    CHECK(request.state() == ReadState::Failed);
+}
