--- a/packages/coordination/tests/feedsizetest.cpp
+++ b/packages/coordination/tests/feedsizetest.cpp
@@ -133,17 +133,31 @@
         submit(std::move(change));
     }
 
-    void submitSmall(std::uint64_t version)
+    /// Replaces \p routes routes of the version before.
+    void submitPatch(std::uint64_t version, std::size_t routes)
     {
         Routing::ConfigChange change;
         change.version = Version(version);
         change.base = Version(version - 1);
         change.digest = Routing::OrderDigest { version, 0 };
         change.isPatch = true;
-        change.config.routes = { makeRoute(version, 2000) };
+        for (std::size_t n = 0; n < routes; ++n) {
+            change.config.routes.push_back(makeRoute(n, static_cast<int>(1000 + version)));
+        }
         submit(std::move(change));
     }
 
+    /// The entry knows the whole configuration, version 1, when this returns.
+    void startWithWhole()
+    {
+        runFor(std::chrono::seconds(2));
+        submitWhole();
+        link->start();
+        runFor(std::chrono::seconds(8));
+        REQUIRE(inForce == 1);
+        longestDelay = {};
+    }
+
     void noteInForce(std::uint64_t version)
     {
         inForce = version;
@@ -172,19 +186,14 @@
 TEST_CASE("small changes to a large configuration are in force in time over a slow link, and cost what they change")
 {
     Fixture fixture;
-    fixture.runFor(std::chrono::seconds(2));
-    fixture.submitWhole();
-    fixture.link->start();
-    fixture.runFor(std::chrono::seconds(8));
-    REQUIRE(fixture.inForce == 1);
+    fixture.startWithWhole();
 
     constexpr std::uint64_t Changes = 30;
     constexpr std::size_t BytesPerChange = 2000;
     constexpr std::size_t BytesPerSecondIdle = 1500;
     const std::size_t before = fixture.relay.passed;
-    fixture.longestDelay = {};
     for (std::uint64_t version = 2; version < 2 + Changes; ++version) {
-        fixture.submitSmall(version);
+        fixture.submitPatch(version, 1);
         fixture.runFor(std::chrono::milliseconds(100));
     }
     fixture.runFor(std::chrono::seconds(1));
@@ -197,26 +206,13 @@
 TEST_CASE("large changes in quick succession do not queue up before a slow link")
 {
     Fixture fixture;
-    fixture.runFor(std::chrono::seconds(2));
-    fixture.submitWhole();
-    fixture.link->start();
-    fixture.runFor(std::chrono::seconds(8));
-    REQUIRE(fixture.inForce == 1);
+    fixture.startWithWhole();
 
     constexpr std::uint64_t Changes = 40;
     constexpr std::size_t RoutesPerChange = 500;
-    fixture.longestDelay = {};
     std::size_t mostWaiting = 0;
     for (std::uint64_t version = 2; version < 2 + Changes; ++version) {
-        Routing::ConfigChange change;
-        change.version = Version(version);
-        change.base = Version(version - 1);
-        change.digest = Routing::OrderDigest { version, 0 };
-        change.isPatch = true;
-        for (std::size_t n = 0; n < RoutesPerChange; ++n) {
-            change.config.routes.push_back(makeRoute(n, static_cast<int>(1000 + version)));
-        }
-        fixture.submit(std::move(change));
+        fixture.submitPatch(version, RoutesPerChange);
         fixture.runFor(std::chrono::milliseconds(100));
         mostWaiting = std::max(mostWaiting, fixture.relay.waiting());
     }
--- a/packages/http/tests/readertest.cpp
+++ b/packages/http/tests/readertest.cpp
@@ -137,9 +137,9 @@
 // Guards against a peer that sends bytes without end where no body is: they must end the message instead of being kept.
 TEST_CASE("bytes without end in a head, a chunk's head or a trailer fail, and are not kept")
 {
-    const std::string head = GENERATE(std::string("X-Endless: "), std::string("Transfer-Encoding: chunked\r\n\r\n5;"),
-                                      std::string("Transfer-Encoding: chunked\r\n\r\n5"),
-                                      std::string("Transfer-Encoding: chunked\r\n\r\n0\r\nX-Trailer: "));
+    const std::string head =
+        GENERATE(std::string("X-Endless: "), std::string("Transfer-Encoding: chunked\r\n\r\n5;"),
+                 std::string("Transfer-Encoding: chunked\r\n\r\n5"), std::string("Transfer-Encoding: chunked\r\n\r\n0\r\nX-Trailer: "));
     const std::string endless(std::size_t { 16 } * 1024, '0');
     constexpr int Pieces = 64; // 1 MiB
 
