Refuse configurations that no frame can carry, and allow larger frames

Found while looking for other places where what is sent grows with the routes. A frame had at most 1 MiB, and a larger one ended the process by an assertion: at some 6,000 routes the leader would have ended on the change, and its successors on the same entry of the log.

Change: a frame has up to 8 MiB. A configuration has up to 4 MiB by an upper bound of its encoding (about 14,000 routes); a larger one is refused as invalid, by the instance that takes the order before it gets into the log, and by every replica when patches add up to more.

The test builds the largest configuration with 6,000 servers, the target, and checks that it fits a frame and is accepted, and that a larger one is refused. It cannot be run against the code before: it would end the test program.

--- a/packages/coordination/coordination/corenode.cpp
+++ b/packages/coordination/coordination/corenode.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "routing/codec.h"
+#include "routing/rules.h"
 
 namespace Galenabarrow::Coordination
 {
@@ -202,6 +203,11 @@
 
 void CoreNode::submit(Routing::ConfigChange change, Done done)
 {
+    // Replicas check every change when they apply it; one that no frame can carry must not get into the log.
+    if (Routing::encodedBound(change.config) > Routing::MaxConfigBytes) {
+        done(failure(ResultCode::ConfigInvalid, "the change is larger than a configuration may be"));
+        return;
+    }
     Routing::Command command;
     command.change = std::move(change);
     propose(command, std::move(done));
--- a/packages/coordination/tests/feedsizetest.cpp
+++ b/packages/coordination/tests/feedsizetest.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include "control/memorylogstore.h"
+#include "routing/rules.h"
 
 using namespace Galenabarrow;
 using namespace Galenabarrow::Coordination;
@@ -222,6 +223,48 @@
     CHECK(mostWaiting < 2 * RoutesPerChange * 250); // two changes of 500 routes
 }
 
+// Guards against a process that ends because a configuration does not fit a frame: 1 MiB was the limit, some 6,000 routes.
+TEST_CASE("the largest configuration that is accepted fits a frame, and a larger one is refused")
+{
+    FeedUpdate update;
+    update.config.emplace();
+    Routing::RoutingConfig &config = update.config->config;
+    config.services = { Routing::Service { ServiceId("desk"), "/health", 100, "" } };
+    while (Routing::encodedBound(config) < Routing::MaxConfigBytes - 10'000) {
+        for (std::size_t n = 0; n < 20; ++n) {
+            config.routes.push_back(makeRoute(config.routes.size()));
+        }
+    }
+    REQUIRE(Routing::validate(config));
+    CHECK(encode(update).size() < Routing::encodedBound(config));
+    constexpr std::size_t Servers = 6000; // the target in two years
+    for (std::size_t n = 0; n < Servers; ++n) {
+        Routing::BackendServer server;
+        server.id = ServerId("i-0123456789" + std::to_string(n));
+        server.address = "10.100.100.100:65535";
+        server.service = ServiceId("service-with-a-long-name");
+        server.dataCentre = DataCentreId("data-centre-with-a-name");
+        update.servers.push_back(server);
+    }
+    CHECK(encode(update).size() < Wire::MaxFrameBody);
+
+    Fixture fixture;
+    fixture.runFor(std::chrono::seconds(2));
+    Routing::ConfigChange change = *update.config;
+    change.version = Version(1);
+    while (Routing::encodedBound(change.config) <= Routing::MaxConfigBytes) {
+        change.config.routes.push_back(makeRoute(change.config.routes.size()));
+    }
+    std::optional<ResultCode> code;
+    fixture.core->submit(change, [&](const Result<void> &result) { code = result ? ResultCode::Ok : result.error().code; });
+    fixture.runFor(std::chrono::seconds(1));
+    CHECK(code == ResultCode::ConfigInvalid);
+    change.config.routes.resize(change.config.routes.size() - 100);
+    fixture.core->submit(std::move(change), [&](const Result<void> &result) { code = result ? ResultCode::Ok : result.error().code; });
+    fixture.runFor(std::chrono::seconds(1));
+    CHECK(code == ResultCode::Ok);
+}
+
 // Seen with the incident of 2026-12-04: an entry that started took a configuration 46 versions old from an instance that had just
 // started too, and would have served by it until the next update.
 TEST_CASE("a starting entry takes no state that a quorum has not confirmed")
--- a/packages/routing/routing/rules.cpp
+++ b/packages/routing/routing/rules.cpp
@@ -79,8 +79,29 @@
 
 }
 
+std::size_t encodedBound(const RoutingConfig &config)
+{
+    // Upper bounds for references, lengths, figures and padding.
+    constexpr std::size_t ItemBytes = 200;
+    constexpr std::size_t PartBytes = 40;
+    std::size_t bytes = ItemBytes + config.extra.size() + config.limits.extra.size();
+    for (const Route &it : config.routes) {
+        bytes += ItemBytes + it.name.size() + it.host.size() + it.prefix.size() + it.extra.size();
+        for (const SplitPart &part : it.split) {
+            bytes += PartBytes + part.service.value().size();
+        }
+    }
+    for (const Service &it : config.services) {
+        bytes += ItemBytes + it.name.value().size() + it.healthPath.size() + it.extra.size();
+    }
+    return bytes;
+}
+
 Result<void> validate(const RoutingConfig &config)
 {
+    if (const std::size_t bytes = encodedBound(config); bytes > MaxConfigBytes) {
+        return invalid("the configuration takes " + std::to_string(bytes) + " bytes, the limit is " + std::to_string(MaxConfigBytes));
+    }
     std::set<ServiceId> services;
     for (const Service &it : config.services) {
         if (it.name.value().empty() || !services.insert(it.name).second) {
--- a/packages/wire/wire/frame.h
+++ b/packages/wire/wire/frame.h
@@ -12,8 +12,9 @@
 namespace Galenabarrow::Wire
 {
 
-/// Largest body of a frame in bytes. Larger data, such as snapshots, is sent in chunks.
-constexpr std::size_t MaxFrameBody = std::size_t { 1 } << 20U;
+/// Largest body of a frame in bytes: the largest configuration and the servers of a deployment. Larger data, such as
+/// snapshots, is sent in chunks.
+constexpr std::size_t MaxFrameBody = std::size_t { 8 } << 20U;
 /// Bytes before the body: length, magic and format version, truncated digest.
 constexpr std::size_t FrameHeaderSize = 24;
 
