Count the bytes of updates to entries and the updates that wait

The incident could be told from a slow decision only by comparing the lines of all entries by hand. A core instance now counts what it sends to entries, and how often an update waited because an entry had not received those before; galenabarrowctl explain shows the newest configuration that a core instance applied beside the one in force. The new checks stand in corestatustest and feedsizetest; they were written with the counters and did not fail first.

--- a/packages/coordination/coordination/corenode.cpp
+++ b/packages/coordination/coordination/corenode.cpp
@@ -91,6 +91,8 @@
     }
     status.entries = m_entries.liveCount(m_loop.now());
     status.entriesLost = m_entriesLost;
+    status.feedBytes = m_feedBytes;
+    status.feedsHeld = m_feedsHeld;
     for (const auto &[id, server] : m_replica->state().servers()) {
         status.readyServers += server.state == Routing::ServerState::Ready ? 1 : 0;
         status.drainingServers += server.state == Routing::ServerState::Draining ? 1 : 0;
@@ -487,6 +489,7 @@
 void CoreNode::feed(Peer &peer, FeedFrames &frames)
 {
     if (!peer.window.isOpen()) {
+        ++m_feedsHeld;
         return; // what comes meanwhile is sent when the entry has reported
     }
     auto it = frames.find(peer.knownIndex);
@@ -496,6 +499,7 @@
     const std::vector<std::uint8_t> &frame = it->second;
     peer.frames->send(frame);
     peer.window.noteSent(Wire::FrameHeaderSize + frame.size());
+    m_feedBytes += Wire::FrameHeaderSize + frame.size();
     if (mayTellState(peer.knownIndex)) {
         peer.knownIndex = std::max(peer.knownIndex, m_replica->state().changedAt());
     }
--- a/packages/coordination/coordination/corenode.h
+++ b/packages/coordination/coordination/corenode.h
@@ -124,6 +124,8 @@
     std::list<Read> m_reads;
     EntryDirectory m_entries;
     std::uint64_t m_entriesLost = 0;
+    std::uint64_t m_feedBytes = 0;
+    std::uint64_t m_feedsHeld = 0;
     /// When each server was last heard of by any core instance.
     std::map<ServerId, Instant> m_heard;
     std::map<InstanceId, DataCentreId> m_coreDataCentres;
--- a/packages/coordination/coordination/corestatus.h
+++ b/packages/coordination/coordination/corestatus.h
@@ -28,6 +28,10 @@
     std::uint64_t silentServers = 0;
     /// Connections to other core instances that were replaced because they were silent.
     std::uint64_t silentLinks = 0;
+    /// Bytes of updates that were sent to entries.
+    std::uint64_t feedBytes = 0;
+    /// Updates that waited because the entry had not received enough of those before.
+    std::uint64_t feedsHeld = 0;
     /// Entries that this instance counted as lost.
     std::uint64_t entriesLost = 0;
 };
--- a/packages/coordination/tests/corestatustest.cpp
+++ b/packages/coordination/tests/corestatustest.cpp
@@ -15,8 +15,13 @@
     status.isLeaderKnown = true;
     status.confirmedAge = std::chrono::milliseconds(250);
     status.silentServers = 3;
+    status.feedBytes = 4096;
+    status.feedsHeld = 5;
     const std::string sure = metricsText(status);
     CHECK(sure.find("galenabarrow_core_is_leader_known 1\n") != std::string::npos);
     CHECK(sure.find("galenabarrow_core_confirmed_age_seconds 0.25") != std::string::npos);
     CHECK(sure.find("galenabarrow_core_servers{state=\"silent\"} 3\n") != std::string::npos);
+    // Updates that are large, or wait for slow links, must be told from changes that were decided late.
+    CHECK(sure.find("galenabarrow_core_feed_bytes_total 4096\n") != std::string::npos);
+    CHECK(sure.find("galenabarrow_core_feeds_held_total 5\n") != std::string::npos);
 }
--- a/packages/coordination/tests/feedsizetest.cpp
+++ b/packages/coordination/tests/feedsizetest.cpp
@@ -221,6 +221,8 @@
     CHECK(fixture.inForce == 1 + Changes);
     CHECK(fixture.longestDelay < ApplyBound);
     CHECK(mostWaiting < 2 * RoutesPerChange * 250); // two changes of 500 routes
+    CHECK(fixture.core->status().feedsHeld > 0);
+    CHECK(fixture.core->status().feedBytes >= fixture.relay.passed);
 }
 
 // Guards against a process that ends because a configuration does not fit a frame: 1 MiB was the limit, some 6,000 routes.
--- a/packages/ctl/ctl/explain.cpp
+++ b/packages/ctl/ctl/explain.cpp
@@ -16,9 +16,9 @@
 {
 
 /// Events that change what an instance believes.
-constexpr std::array<std::string_view, 11> BeliefEvents {
-    "config_in_force", "core_instance_chosen", "leader_changed",    "change_decided", "started",   "stopping",
-    "stopped",         "lines_dropped",        "settings_reloaded", "entry_lost",     "lines_lost"
+constexpr std::array<std::string_view, 12> BeliefEvents {
+    "config_in_force", "core_instance_chosen", "leader_changed",    "change_decided", "started",    "stopping",
+    "stopped",         "lines_dropped",        "settings_reloaded", "entry_lost",     "lines_lost", "config_applied"
 };
 
 /// The value of a field of a line; empty without it. Values with spaces are quoted.
