Release what callbacks own before the event loop takes its containers apart

Cause: ~EventLoop destroyed its members one by one. A stream that a callback owns unwatches its socket and defers the release of its callbacks when it is destroyed, which then wrote to a container that was already gone. Tests do this; a process does it when it ends with connections open.

Change: the destructor takes timers, watches and deferred callbacks out and releases them until none is left, while the loop is whole. The new test fails on the code before with an abort and needs no sanitizer.

--- a/packages/net/net/eventloop.cpp
+++ b/packages/net/net/eventloop.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cassert>
 #include <system_error>
+#include <utility>
 
 #include <unistd.h>
 
@@ -41,6 +42,12 @@
 
 EventLoop::~EventLoop()
 {
+    // What callbacks own may unwatch, cancel or defer while it is destroyed; the containers must be whole until then.
+    while (!m_deferred.empty() || !m_timers.empty() || !m_watches.empty()) {
+        const auto deferred = std::exchange(m_deferred, {});
+        const auto timers = std::exchange(m_timers, {});
+        const auto watches = std::exchange(m_watches, {});
+    }
     close(m_epoll);
 }
 
--- a/packages/net/tests/eventlooptest.cpp
+++ b/packages/net/tests/eventlooptest.cpp
@@ -73,3 +73,25 @@
     CHECK(received == std::vector<std::uint8_t> { 1, 2, 3 });
     CHECK(good.isOpen());
 }
+
+// Guards against use of the loop's own containers while they are destroyed: a stream that a callback owns defers the release of its
+// callbacks when it closes.
+TEST_CASE("what callbacks own is released with the loop, also when that defers again")
+{
+    struct DefersAtItsEnd {
+        ~DefersAtItsEnd()
+        {
+            loop.defer([token = token] {});
+        }
+        EventLoop &loop;
+        std::shared_ptr<int> token;
+    };
+    const auto token = std::make_shared<int>(0);
+    {
+        ManualClock clock;
+        EventLoop loop(clock);
+        loop.after(std::chrono::seconds(1), [owned = std::shared_ptr<DefersAtItsEnd>(new DefersAtItsEnd { loop, token })] {});
+        loop.defer([owned = std::shared_ptr<DefersAtItsEnd>(new DefersAtItsEnd { loop, token })] {});
+    }
+    CHECK(token.use_count() == 1);
+}
