--- a/packages/coordination/tests/corelinktest.cpp
+++ b/packages/coordination/tests/corelinktest.cpp
@@ -174,8 +174,7 @@
     CHECK(fixture.second.connections == 1);
 }
 
-// Incident of 2026-12-04 (CONFIG): entries went back to the instance of their own data centre every 3 s while it was on the wrong
-// side of a partition, and knew of no change for 1.6 s each time.
+// Guards against entries that know of no change because their own data centre's instance is on the wrong side of a partition.
 TEST_CASE("an entry does not go back to an instance of its own data centre that is cut off from the majority")
 {
     Fixture fixture;
@@ -201,7 +200,7 @@
     CHECK(fixture.longestUnsure < ApplyBound);
 }
 
-// The same incident: an entry that left an instance of the minority spent 1.6 s with the next one of the minority.
+// Guards against waiting as long for each further instance of a minority as for the one that fed the entry.
 TEST_CASE("an entry passes over several instances that are cut off within the bound for changes")
 {
     Fixture fixture;
--- a/packages/coordination/tests/feedsizetest.cpp
+++ b/packages/coordination/tests/feedsizetest.cpp
@@ -182,8 +182,7 @@
 
 }
 
-// Incident of 2026-12-04 (CONFIG): each change sent 1,400 routes to each entry. On links of 3 Mbit/s, changes every 0.3 s queued up, and
-// were in force 3.9 s after their acknowledgement.
+// Guards against changes that are in force late because each of them sends the whole configuration.
 TEST_CASE("small changes to a large configuration are in force in time over a slow link, and cost what they change")
 {
     Fixture fixture;
@@ -267,8 +266,7 @@
     CHECK(code == ResultCode::Ok);
 }
 
-// Seen with the incident of 2026-12-04: an entry that started took a configuration 46 versions old from an instance that had just
-// started too, and would have served by it until the next update.
+// Guards against serving by an old configuration of an instance that has just started, or is cut off.
 TEST_CASE("a starting entry takes no state that a quorum has not confirmed")
 {
     const auto disk = std::make_shared<Control::MemoryDisk>(Incarnation(7));
--- a/packages/routing/tests/routingstatetest.cpp
+++ b/packages/routing/tests/routingstatetest.cpp
@@ -235,8 +235,7 @@
     }
 }
 
-// Incident of 2026-12-04 (DRAIN): a withdrawal came before the first announcement, which a partition held up for two seconds. The
-// server was then registered as ready and got requests although its leaving had been acknowledged.
+// Guards against requests to a server whose leaving was acknowledged before its first announcement, held up by a partition, arrived.
 TEST_CASE("a server that left before it was known is not registered by a late announcement")
 {
     Log log;
