--- a/packages/routing/tests/routingstatetest.cpp
+++ b/packages/routing/tests/routingstatetest.cpp
@@ -252,6 +252,15 @@
     CHECK(log.stateOf("s1") == ServerState::Ready);
 }
 
+// Guards against the same where the withdrawal does not name the start that it ends.
+TEST_CASE("a withdrawal that names no start binds a server that is not known yet")
+{
+    Log log;
+    log.withdraw("s1", 0);
+    log.update(makeServer("s1", 100, 1));
+    CHECK(log.stateOf("s1") == ServerState::Gone);
+}
+
 TEST_CASE("a withdrawal that names a later start than the one known stays in force")
 {
     Log log;
