Let a withdrawal without a start time cover announcements that are still on their way

Ruled out: refusing the id for ever (servers may start again under their id); comparing sequence numbers (they start anew and a withdrawal has none).

Change: announcements and withdrawals carry the wall-clock time of the core instance that received them. A withdrawal without a start is kept with that time. For 30 s after it, announcements of incarnations that started before it are refused; where nothing was known of the server, all are.

The new test guards the opposite fault, a withdrawal that binds for ever.

--- a/packages/routing/routing/codec.cpp
+++ b/packages/routing/routing/codec.cpp
@@ -140,6 +140,10 @@
     to->sequence = server.sequence;
     to->cold_left = server.coldLeft.count();
     to->changed_at = server.changedAt.value();
+    to->received_at = server.receivedAt;
+    if (server.withdrawnAt) {
+        to->withdrawn_at = *server.withdrawnAt;
+    }
     return to;
 }
 
@@ -157,6 +161,10 @@
     server.sequence = from.sequence;
     server.coldLeft = Duration(from.cold_left);
     server.changedAt = LogIndex(from.changed_at);
+    server.receivedAt = from.received_at;
+    if (from.withdrawn_at) {
+        server.withdrawnAt = *from.withdrawn_at;
+    }
     return server;
 }
 
--- a/packages/routing/routing/model.h
+++ b/packages/routing/routing/model.h
@@ -130,6 +130,10 @@
     std::uint64_t sequence = 0;
     /// Remaining time of the slow phase after its start, at the time of the announcement.
     Duration coldLeft {};
+    /// When a core instance received this announcement or withdrawal, in Unix milliseconds by its own clock.
+    std::uint64_t receivedAt = 0;
+    /// When a withdrawal that does not state a start time was received; absent without one.
+    std::optional<std::uint64_t> withdrawnAt;
     /// The log entry that last changed this server.
     LogIndex changedAt;
 
@@ -140,7 +144,7 @@
 struct Command {
     std::optional<ConfigChange> change;
     std::optional<BackendServer> update;
-    /// Only id, born and sequence are used.
+    /// Only id, born and receivedAt are used; born is 0 if the withdrawal does not state it.
     std::optional<BackendServer> withdrawal;
 };
 
--- a/packages/routing/routing/routingstate.cpp
+++ b/packages/routing/routing/routingstate.cpp
@@ -8,6 +8,23 @@
 namespace Galenabarrow::Routing
 {
 
+namespace
+{
+
+/// Whether \p update is about an incarnation that had started before the withdrawal of \p known, which did not state a start time.
+/// Without a known start time every incarnation may be the withdrawn one.
+bool isCoveredByWithdrawal(const BackendServer &known, const BackendServer &update)
+{
+    if (!known.withdrawnAt) {
+        return false;
+    }
+    const bool mayBeWithdrawn = known.born == 0 || update.born <= *known.withdrawnAt;
+    const auto hold = static_cast<std::uint64_t>(RoutingState::WithdrawalHold.count());
+    return mayBeWithdrawn && update.receivedAt < *known.withdrawnAt + hold;
+}
+
+}
+
 Result<void> RoutingState::apply(const Command &command, LogIndex index)
 {
     if (command.change) {
@@ -53,6 +70,9 @@
         return !isAddressTaken(update);
     }
     const BackendServer &known = it->second;
+    if (isCoveredByWithdrawal(known, update)) {
+        return false;
+    }
     if (update.born != known.born) {
         return update.born > known.born && !isAddressTaken(update);
     }
@@ -73,7 +93,10 @@
     if (it == m_servers.end()) {
         return true;
     }
-    const bool isSameIncarnation = withdrawal.born == 0 || withdrawal.born == it->second.born;
+    if (withdrawal.born == 0) {
+        return true; // also covers incarnations that are not known yet
+    }
+    const bool isSameIncarnation = withdrawal.born == it->second.born;
     return isSameIncarnation ? it->second.state != ServerState::Gone : withdrawal.born > it->second.born;
 }
 
@@ -96,6 +119,12 @@
     }
     // An unknown server is inserted as gone: its first announcement may have been delayed, and must not register it.
     BackendServer &server = m_servers[withdrawal.id];
+    if (withdrawal.born == 0) {
+        server.withdrawnAt = std::max(withdrawal.receivedAt, server.withdrawnAt.value_or(0));
+        if (server.id == withdrawal.id && server.state == ServerState::Gone) {
+            return; // entries know that it is gone
+        }
+    }
     server.id = withdrawal.id;
     server.born = std::max(server.born, withdrawal.born);
     server.state = ServerState::Gone;
--- a/packages/routing/routing/routingstate.h
+++ b/packages/routing/routing/routingstate.h
@@ -44,6 +44,9 @@
 public:
     /// At most this number of gone servers is kept, so that their late announcements are recognised.
     static constexpr std::size_t MaxGoneServers = 1000;
+    /// A withdrawal that does not state a start time covers announcements that arrive up to this much later: partitions hold
+    /// announcements up for seconds.
+    static constexpr std::chrono::milliseconds WithdrawalHold = std::chrono::seconds(30);
 
     /// Applies the committed command at \p index. The result is reported to its sender. Fails with VersionConflict or
     /// ConfigInvalid.
--- a/packages/routing/tests/routingstatetest.cpp
+++ b/packages/routing/tests/routingstatetest.cpp
@@ -75,10 +75,11 @@
         REQUIRE(state.apply(command, LogIndex(++m_index)));
     }
 
-    void withdraw(const std::string &id, std::uint64_t born)
+    void withdraw(const std::string &id, std::uint64_t born, std::uint64_t receivedAt = 0)
     {
         Command command;
         command.withdrawal = makeServer(id, born, 0);
+        command.withdrawal->receivedAt = receivedAt;
         REQUIRE(state.apply(command, LogIndex(++m_index)));
     }
 
@@ -262,6 +263,50 @@
     CHECK(log.stateOf("s1") == ServerState::Gone);
 }
 
+// Guards against a withdrawal that binds for ever: servers may start again with the id that they had.
+TEST_CASE("a server that starts again after a withdrawal that names no start is registered")
+{
+    constexpr std::uint64_t WithdrawnAt = 1'000'000;
+    constexpr std::uint64_t Hold = RoutingState::WithdrawalHold.count();
+    Log log;
+    const auto announce = [&log](std::uint64_t born, std::uint64_t receivedAt) {
+        BackendServer update = makeServer("s1", born, 1);
+        update.receivedAt = receivedAt;
+        log.update(update);
+        return log.stateOf("s1");
+    };
+
+    SECTION("at once, when the known incarnation was withdrawn and the new one started later")
+    {
+        announce(WithdrawnAt - 5000, WithdrawnAt - 5000);
+        log.withdraw("s1", 0, WithdrawnAt);
+        REQUIRE(log.stateOf("s1") == ServerState::Gone);
+        CHECK(announce(WithdrawnAt + 1, WithdrawnAt + 500) == ServerState::Ready);
+    }
+    SECTION("but not an incarnation that started before the withdrawal and was not known yet")
+    {
+        announce(WithdrawnAt - 5000, WithdrawnAt - 5000);
+        log.withdraw("s1", 0, WithdrawnAt);
+        CHECK(announce(WithdrawnAt - 1000, WithdrawnAt + 500) == ServerState::Gone);
+    }
+    SECTION("nor one that was not known when the withdrawal of an earlier one was repeated")
+    {
+        announce(WithdrawnAt - 5000, WithdrawnAt - 5000);
+        log.withdraw("s1", 0, WithdrawnAt - 2000);
+        log.withdraw("s1", 0, WithdrawnAt);
+        CHECK(announce(WithdrawnAt - 1000, WithdrawnAt + 500) == ServerState::Gone);
+    }
+    SECTION("after the hold, when nothing was known of the server; also after a snapshot")
+    {
+        log.withdraw("s1", 0, WithdrawnAt);
+        RoutingState restored;
+        REQUIRE(restored.restoreImage(log.state.encodeImage()));
+        log.state = restored;
+        CHECK(announce(WithdrawnAt + 1, WithdrawnAt + Hold - 1) == ServerState::Gone);
+        CHECK(announce(WithdrawnAt + 1, WithdrawnAt + Hold) == ServerState::Ready);
+    }
+}
+
 TEST_CASE("a withdrawal of a later incarnation than the known one is applied")
 {
     Log log;
