Accept routes of the kind upload

Change: RequestKind replaces Repeatability: Safe, Unsafe, Upload. An upload is never sent again after it may have run.

--- a/packages/gateway/gateway/requestrun.cpp
+++ b/packages/gateway/gateway/requestrun.cpp
@@ -66,7 +66,7 @@
 
 bool RequestRunner::Run::isSafe() const
 {
-    return m_route->repeatability == Routing::Repeatability::Safe;
+    return Routing::isRepeatable(m_route->kind);
 }
 
 void RequestRunner::Run::select()
--- a/packages/gateway/tests/requestrunnertest.cpp
+++ b/packages/gateway/tests/requestrunnertest.cpp
@@ -145,13 +145,13 @@
         runFor(20);
     }
 
-    void configure(Routing::Repeatability repeatability, unsigned attempts = 2, int timeout = 300)
+    void configure(Routing::RequestKind kind, unsigned attempts = 2, int timeout = 300)
     {
         Routing::Route route;
         route.name = std::string("r");
         route.host = "h";
         route.prefix = "/";
-        route.repeatability = repeatability;
+        route.kind = kind;
         route.maxAttempts = attempts;
         route.objective = std::chrono::milliseconds(200);
         route.timeout = std::chrono::milliseconds(timeout);
@@ -217,7 +217,7 @@
 TEST_CASE("a request reaches one server unchanged, and the complete response reaches the caller")
 {
     Fixture fixture(3);
-    fixture.configure(Routing::Repeatability::Unsafe);
+    fixture.configure(Routing::RequestKind::Unsafe);
     const std::string response = fixture.call();
     CHECK(hasStatus(response, "200"));
     CHECK(fixture.runner.metrics().find("events_total{event=\"answered\"} 1") != std::string::npos);
@@ -240,19 +240,20 @@
 {
     struct Row {
         Behaviour behaviour;
-        Routing::Repeatability repeatability;
+        Routing::RequestKind kind;
         std::size_t requests;
         const char *status;
     };
-    using enum Routing::Repeatability;
-    const Row row = GENERATE(Row { Behaviour::Break, Unsafe, 1, "502" }, Row { Behaviour::Break, Safe, 2, "502" },
-                             Row { Behaviour::Fail, Unsafe, 1, "500" }, Row { Behaviour::Fail, Safe, 2, "500" },
-                             Row { Behaviour::Unsigned, Unsafe, 1, "502" }, Row { Behaviour::Unsigned, Safe, 2, "502" },
-                             Row { Behaviour::Shed, Unsafe, 2, "503" }, Row { Behaviour::Shed, Safe, 2, "503" },
-                             Row { Behaviour::Unmarked503, Unsafe, 1, "502" }, Row { Behaviour::Unmarked429, Unsafe, 1, "502" },
-                             Row { Behaviour::WrongId, Unsafe, 1, "504" });
+    using enum Routing::RequestKind;
+    const Row row = GENERATE(
+        Row { Behaviour::Break, Unsafe, 1, "502" }, Row { Behaviour::Break, Safe, 2, "502" }, Row { Behaviour::Fail, Unsafe, 1, "500" },
+        Row { Behaviour::Fail, Safe, 2, "500" }, Row { Behaviour::Unsigned, Unsafe, 1, "502" }, Row { Behaviour::Unsigned, Safe, 2, "502" },
+        Row { Behaviour::Shed, Unsafe, 2, "503" }, Row { Behaviour::Shed, Safe, 2, "503" },
+        Row { Behaviour::Unmarked503, Unsafe, 1, "502" }, Row { Behaviour::Unmarked429, Unsafe, 1, "502" },
+        Row { Behaviour::WrongId, Unsafe, 1, "504" }, Row { Behaviour::Break, Upload, 1, "502" }, Row { Behaviour::Fail, Upload, 1, "500" },
+        Row { Behaviour::Unsigned, Upload, 1, "502" }, Row { Behaviour::Shed, Upload, 2, "503" });
     Fixture fixture(3);
-    fixture.configure(row.repeatability);
+    fixture.configure(row.kind);
     fixture.setAll(row.behaviour);
     const std::string response = fixture.call(400);
     INFO(static_cast<int>(row.behaviour) << " " << response);
@@ -265,7 +266,7 @@
 TEST_CASE("a request that did not run is rejected with 503 when the retry budget is spent")
 {
     Fixture fixture(3, 0);
-    fixture.configure(Routing::Repeatability::Unsafe);
+    fixture.configure(Routing::RequestKind::Unsafe);
     fixture.setAll(Behaviour::Shed);
     CHECK(hasStatus(fixture.call(), "503"));
     CHECK(fixture.requests() == 1);
@@ -275,7 +276,7 @@
 {
     const std::string wait = GENERATE("2000", "200");
     Fixture fixture(2);
-    fixture.configure(Routing::Repeatability::Unsafe);
+    fixture.configure(Routing::RequestKind::Unsafe);
     fixture.setAll(Behaviour::Hang);
     CHECK(fixture.call(100, wait).empty());
     fixture.runFor(wait == "200" ? 110 : 260);
@@ -284,15 +285,15 @@
 
 TEST_CASE("when its caller disconnects, a safe request is cancelled and an unsafe one is left to finish")
 {
-    const auto repeatability = GENERATE(Routing::Repeatability::Safe, Routing::Repeatability::Unsafe);
+    const auto kind = GENERATE(Routing::RequestKind::Safe, Routing::RequestKind::Unsafe, Routing::RequestKind::Upload);
     Fixture fixture(1);
-    fixture.configure(repeatability, 1, 2000);
+    fixture.configure(kind, 1, 2000);
     fixture.setAll(Behaviour::Hang);
     fixture.call(50);
     REQUIRE(fixture.requests() == 1);
     fixture.client->close();
     fixture.runFor(50);
-    CHECK(fixture.backends[0]->cancelled == (repeatability == Routing::Repeatability::Safe ? 1 : 0));
+    CHECK(fixture.backends[0]->cancelled == (kind == Routing::RequestKind::Safe ? 1 : 0));
     fixture.runFor(50);
     CHECK(fixture.requests() == 1);
 }
@@ -303,7 +304,7 @@
 {
     Fixture fixture(2);
     CHECK(fixture.call(100).empty());
-    fixture.configure(Routing::Repeatability::Unsafe);
+    fixture.configure(Routing::RequestKind::Unsafe);
     fixture.runFor(50);
     CHECK(hasStatus(fixture.received, "200"));
     REQUIRE(fixture.requests() == 1);
@@ -327,7 +328,7 @@
     fixture.runFor(40);
     CHECK(hasStatus(fixture.received, "503"));
     CHECK(fixture.received.find("retry-after") != std::string::npos);
-    fixture.configure(Routing::Repeatability::Unsafe);
+    fixture.configure(Routing::RequestKind::Unsafe);
     fixture.runFor(50);
     CHECK(fixture.requests() == 0);
 }
@@ -338,7 +339,7 @@
     fixture.call(50);
     fixture.client->close();
     fixture.runFor(20);
-    fixture.configure(Routing::Repeatability::Unsafe);
+    fixture.configure(Routing::RequestKind::Unsafe);
     fixture.runFor(50);
     CHECK(fixture.requests() == 0);
 }
@@ -357,7 +358,7 @@
 TEST_CASE("a request to a service without servers is rejected at once")
 {
     Fixture fixture(0);
-    fixture.configure(Routing::Repeatability::Safe);
+    fixture.configure(Routing::RequestKind::Safe);
     CHECK(hasStatus(fixture.call(60), "503"));
 }
 
@@ -366,7 +367,7 @@
 TEST_CASE("a request is rejected soon when all servers are full")
 {
     Fixture fixture(2);
-    fixture.configure(Routing::Repeatability::Unsafe);
+    fixture.configure(Routing::RequestKind::Unsafe);
     for (auto &it : fixture.backends) {
         it->load = "2,1,2,100";
     }
@@ -378,7 +379,7 @@
 TEST_CASE("a request that may have run is retried at a busy server when no other one is left")
 {
     Fixture fixture(2);
-    fixture.configure(Routing::Repeatability::Safe);
+    fixture.configure(Routing::RequestKind::Safe);
     fixture.backends[0]->behaviour = Behaviour::Break;
     fixture.backends[1]->load = "2,0,2,100";
     CHECK(hasStatus(fixture.call(250), "200"));
@@ -391,7 +392,7 @@
 TEST_CASE("the late answer to a probe makes the entry send a queued request to that server")
 {
     Fixture fixture(2);
-    fixture.configure(Routing::Repeatability::Unsafe, 2, 1000);
+    fixture.configure(Routing::RequestKind::Unsafe, 2, 1000);
     fixture.backends[0]->load = "2,0,2,100";
     fixture.backends[1]->probeDelay = std::chrono::milliseconds(30);
     // The objective of the route allows 25 ms of waiting: the second request waits from 10 to 35 ms, the probe is late at 25 ms.
@@ -405,7 +406,7 @@
 TEST_CASE("an undisturbed server is chosen among disturbed ones")
 {
     Fixture fixture(3);
-    fixture.configure(Routing::Repeatability::Unsafe);
+    fixture.configure(Routing::RequestKind::Unsafe);
     fixture.backends[0]->load = "0,0,2,500";
     fixture.backends[1]->load = "0,0,2,500";
     for (int n = 0; n < 5; ++n) {
@@ -418,7 +419,7 @@
 TEST_CASE("a probe that another server answers counts as unanswered")
 {
     Fixture fixture(2);
-    fixture.configure(Routing::Repeatability::Unsafe);
+    fixture.configure(Routing::RequestKind::Unsafe);
     fixture.backends[0]->name = "successor";
     for (int n = 0; n < 4; ++n) {
         CHECK(hasStatus(fixture.call(60), "200"));
--- a/packages/routing/routing/codec.cpp
+++ b/packages/routing/routing/codec.cpp
@@ -14,7 +14,8 @@
     to->name = route.name;
     to->host = route.host;
     to->prefix = route.prefix;
-    to->is_safe = route.repeatability == Repeatability::Safe;
+    to->is_safe = route.kind == RequestKind::Safe;
+    to->is_upload = route.kind == RequestKind::Upload;
     to->objective = route.objective.count();
     to->timeout = route.timeout.count();
     to->attempts = route.maxAttempts;
@@ -35,7 +36,7 @@
     route.name = from.name;
     route.host = from.host;
     route.prefix = from.prefix;
-    route.repeatability = from.is_safe ? Repeatability::Safe : Repeatability::Unsafe;
+    route.kind = from.is_safe ? RequestKind::Safe : from.is_upload ? RequestKind::Upload : RequestKind::Unsafe;
     route.objective = Duration(from.objective);
     route.timeout = Duration(from.timeout);
     route.maxAttempts = from.attempts;
--- a/packages/routing/routing/model.h
+++ b/packages/routing/routing/model.h
@@ -12,14 +12,22 @@
 namespace Galenabarrow::Routing
 {
 
-/// How often a request may be run.
-enum class Repeatability : std::uint8_t {
-    /// Any number of times.
+/// What an operator says of the requests of a route; decides how often one may be run.
+enum class RequestKind : std::uint8_t {
+    /// May run any number of times.
     Safe,
-    /// At most once for each attempt of the caller.
+    /// Runs at most once for each attempt of the caller.
     Unsafe,
+    /// Like Unsafe, with large bodies.
+    Upload,
 };
 
+/// Whether a request that may have run may be sent again.
+constexpr bool isRepeatable(RequestKind kind)
+{
+    return kind == RequestKind::Safe;
+}
+
 /// A service and its share of a route's requests. The sum of the weights of a route is above 0.
 struct SplitPart {
     ServiceId service;
@@ -34,7 +42,7 @@
     std::string host;
     /// Begins and ends with a slash.
     std::string prefix;
-    Repeatability repeatability = Repeatability::Unsafe;
+    RequestKind kind = RequestKind::Unsafe;
     /// Latency within which a response has its full value.
     Duration objective {};
     /// Longest time from a request to its final response.
--- a/packages/routing/tests/routingstatetest.cpp
+++ b/packages/routing/tests/routingstatetest.cpp
@@ -114,6 +114,21 @@
     }
 }
 
+// Guards against a kind that is lost in the log or in a snapshot: the operator would read back another one.
+TEST_CASE("the kind of a route is kept by the log and by snapshots")
+{
+    const auto kind = GENERATE(RequestKind::Safe, RequestKind::Unsafe, RequestKind::Upload);
+    ConfigChange change = makeChange(3, 0);
+    change.config.routes[0].kind = kind;
+    const auto command = decodeCommand(encode(commandOf(change)));
+    REQUIRE(command);
+    Log log;
+    REQUIRE(log.change(*command->change) == ResultCode::Ok);
+    RoutingState restored;
+    REQUIRE(restored.restoreImage(log.state.encodeImage()));
+    CHECK(restored.config().routes[0].kind == kind);
+}
+
 TEST_CASE("of two changes with the same base one is accepted, also when they have the same version")
 {
     Log log;
