Write the reports of servers that were passed over into the trail of a request

A rejected or late request could not be explained: its line said how many servers were probed, not what they answered. Each probe that did not lead to the request being sent adds passed=RUNNING+WAITING/SLOTSxSLOWNESS, or passed=no_report.

--- a/packages/gateway/gateway/loadreport.cpp
+++ b/packages/gateway/gateway/loadreport.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cstdio>
 
 namespace Galenabarrow::Gateway
 {
@@ -45,4 +46,11 @@
     return report;
 }
 
+std::string describe(const LoadReport &report)
+{
+    std::array<char, 64> buf {};
+    std::snprintf(buf.data(), buf.size(), "%u+%u/%ux%.1f", report.running, report.waiting, report.slots, report.slowness);
+    return buf.data();
+}
+
 }
--- a/packages/gateway/gateway/loadreport.h
+++ b/packages/gateway/gateway/loadreport.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <optional>
+#include <string>
 #include <string_view>
 
 #include "base/clock.h"
@@ -21,4 +22,7 @@
 /// Parses "running,waiting,slots[,percent]"; absent when \p text has another form.
 std::optional<LoadReport> parseLoadReport(std::string_view text, Instant at);
 
+/// Short text for log lines: "2+1/3x1.5" for two requests running and one waiting on three slots, at 1.5 times the usual duration.
+std::string describe(const LoadReport &report);
+
 }
--- a/packages/gateway/gateway/requestrun.cpp
+++ b/packages/gateway/gateway/requestrun.cpp
@@ -127,9 +127,9 @@
         if (m_runner.m_servers.isFresh(it, now)) {
             continue;
         }
-        const bool isStarted = m_runner.m_prober.probe(it, [weak = weak_from_this(), selectionId, it](bool) {
+        const bool isStarted = m_runner.m_prober.probe(it, [weak = weak_from_this(), selectionId, it](bool hasAnswered) {
             if (const auto self = weak.lock()) {
-                self->onProbeFinished(selectionId, it);
+                self->onProbeFinished(selectionId, it, hasAnswered);
             }
         });
         m_pendingProbes += isStarted ? 1 : 0;
@@ -216,7 +216,7 @@
     attempt();
 }
 
-void RequestRunner::Run::onProbeFinished(unsigned selectionId, const ServerId &server)
+void RequestRunner::Run::onProbeFinished(unsigned selectionId, const ServerId &server, bool hasAnswered)
 {
     if (selectionId != m_selectionId || m_isFinished || m_attempt != nullptr) {
         return;
@@ -225,7 +225,12 @@
     const Instant now = m_runner.m_loop.now();
     if (m_runner.m_servers.isKnownFreeAndFast(server, now) || (m_isWaiting && m_runner.m_servers.isKnownFree(server, now))) {
         onSlotAvailable("probe");
-    } else if (m_pendingProbes == 0) {
+        return;
+    }
+    const ServerRow *row = m_runner.m_servers.find(server);
+    const bool hasReport = hasAnswered && row != nullptr && row->load;
+    m_trail.add(sinceStart(), "passed", hasReport ? describe(*row->load) : "no_report");
+    if (m_pendingProbes == 0) {
         select();
     }
 }
--- a/packages/gateway/gateway/requestrun.h
+++ b/packages/gateway/gateway/requestrun.h
@@ -41,7 +41,7 @@
     void waitOrReject();
     WaitKey waitKey() const;
     void leaveQueue();
-    void onProbeFinished(unsigned selectionId, const ServerId &server);
+    void onProbeFinished(unsigned selectionId, const ServerId &server, bool hasAnswered);
     std::optional<ServerChoice> chooseWith(ChoiceInput::Need need, Instant now) const;
     /// The best server that is known to be free, else one that is free but slow, else any.
     std::optional<ServerChoice> choose(Instant now) const;
--- a/packages/gateway/tests/partstest.cpp
+++ b/packages/gateway/tests/partstest.cpp
@@ -22,6 +22,7 @@
     CHECK(full->slots == 8);
     CHECK(full->slowness == Approx(5));
     CHECK(parseLoadReport("0,0,2", now)->slowness == Approx(1));
+    CHECK(describe(*full) == "3+1/8x5.0");
     for (const char *text : { "", "3", "3,1", "a,b,c", "3,1,8,", "-1,0,2", "3,1,8,100,7x", "99999999999,0,1", "3 ,1,8" }) {
         INFO(text);
         const auto report = parseLoadReport(text, now);
