Refer an entry without state to a core instance of its own data centre

An entry knows three seeds and not where they are; all 312 took the state, and then each of 540 registrations, from whichever seed they reached, and looked for an instance of their own data centre only after 3 s.

Change: an update that names an instance of the entry's own data centre for the first time makes the entry try it at once. A core instance sends an entry of another data centre that knows nothing only the list of instances, while an instance there has reported within 2.2 s, for 500 ms at most; then it sends the state itself. An entry waits for the second update as long as for any later one (1.25 s); the limit of 300 ms applied to it and would have restarted the referral for ever (seen in the new test).

Tests: the switch failed on the code before; referral and its bounds are tested with a core node and a clock.

--- a/packages/coordination/coordination/corelink.cpp
+++ b/packages/coordination/coordination/corelink.cpp
@@ -21,7 +21,7 @@
 constexpr Duration FirstConnectTimeout = std::chrono::milliseconds(50);
 /// A core instance sends an update every 400 ms. After three missing updates the instance or the connection counts as lost.
 constexpr Duration SilenceLimit = std::chrono::milliseconds(1250);
-/// SilenceLimit before the first state is known: a core instance answers the first report at once.
+/// SilenceLimit before the first update, when no state is known: a core instance answers the first report at once.
 constexpr Duration FirstSilenceLimit = std::chrono::milliseconds(300);
 /// An instance that has been up to date is replaced after this time without a confirmation. It exceeds the longest election,
 /// 1.2 s.
@@ -108,7 +108,8 @@
     if (!m_feed.stream->isConnected()) {
         return now - m_feed.openedAt > (isFirst ? FirstConnectTimeout : ConnectTimeout) ? "connect_timeout" : nullptr;
     }
-    if (now - std::max(m_feed.progressAt, m_feed.openedAt) > (isFirst ? FirstSilenceLimit : SilenceLimit)) {
+    const Duration silenceLimit = isFirst && !m_feed.hasUpdate ? FirstSilenceLimit : SilenceLimit;
+    if (now - std::max(m_feed.progressAt, m_feed.openedAt) > silenceLimit) {
         return "silent";
     }
     // A partly received update may state that the instance is up to date. Disconnecting would only restart its transfer.
@@ -192,6 +193,12 @@
                        [&](const CoreInstance &it) { return it.name == core && it.dataCentre == m_self.dataCentre; });
 }
 
+bool CoreLink::knowsLocalInstance() const
+{
+    return std::any_of(m_coreInstances.begin(), m_coreInstances.end(),
+                       [&](const CoreInstance &it) { return isInLocalDataCentre(it.name); });
+}
+
 void CoreLink::tryLocalDataCentre(Instant now)
 {
     if (now < m_nextTrialAt || m_trial.frames != nullptr || isInLocalDataCentre(m_feed.core)) {
@@ -259,7 +266,12 @@
         }
     }
     if (!update->core.empty()) {
+        const bool knewLocalInstance = knowsLocalInstance();
         m_coreInstances = update->core;
+        if (!knewLocalInstance && knowsLocalInstance()) {
+            m_nextTrialAt = m_loop.now(); // the state is better received from there than across data centres
+            tryLocalDataCentre(m_loop.now());
+        }
     }
     m_knownIndex = std::max(m_knownIndex, update->index);
     if (m_updateCallback) {
--- a/packages/coordination/coordination/corelink.h
+++ b/packages/coordination/coordination/corelink.h
@@ -69,6 +69,7 @@
     void tryLocalDataCentre(Instant now);
     void finishTrial(Instant now);
     bool isInLocalDataCentre(const InstanceId &core) const;
+    bool knowsLocalInstance() const;
     std::vector<InstanceId> candidates() const;
 
     Net::EventLoop &m_loop;
--- a/packages/coordination/coordination/corenode.cpp
+++ b/packages/coordination/coordination/corenode.cpp
@@ -35,6 +35,7 @@
     std::unique_ptr<Net::FrameStream> frames;
     /// Set for an entry.
     std::optional<EntryInfo> entry;
+    Instant firstContactAt {};
     Instant lastContactAt {};
     LogIndex knownIndex;
     FeedWindow window;
@@ -437,6 +438,7 @@
     }
     const bool isFirst = !peer->entry;
     peer->entry = report->entry;
+    peer->firstContactAt = isFirst ? m_loop.now() : peer->firstContactAt;
     peer->lastContactAt = m_loop.now();
     peer->knownIndex = isFirst ? report->knownIndex : std::max(peer->knownIndex, report->knownIndex);
     const bool wasOpen = peer->window.isOpen();
@@ -458,7 +460,7 @@
         m_log.warn("frame_refused", { { "detail", report.error().detail } });
         return;
     }
-    m_coreDataCentres[report->core.name] = report->core.dataCentre;
+    m_coreDirectory.recordReport(report->core.name, report->core.dataCentre, m_loop.now());
     m_reporter.updatePeer(report->core.name, envelope.incarnation);
     for (const ServerId &it : report->heard) {
         // The announcement is up to one report interval older, so a silent server is detected up to that much later.
@@ -480,8 +482,10 @@
     m_fedIndex = m_replica->state().changedAt();
     FeedFrames frames;
     for (const auto &it : m_peers) {
-        const bool isDue = isPeriodic || it->knownIndex < m_fedIndex;
-        if (it->entry && it->frames->isOpen() && isDue) {
+        if (!it->entry || !it->frames->isOpen()) {
+            continue;
+        }
+        if (isPeriodic || (it->knownIndex < m_fedIndex && maySendStateTo(*it))) {
             feed(*it, frames);
         }
     }
@@ -493,15 +497,16 @@
         ++m_feedsDeferred;
         return; // pending changes are sent after the entry's next report
     }
-    auto it = frames.find(peer.knownIndex);
-    if (it == frames.end()) {
-        it = frames.emplace(peer.knownIndex, encodeFeed(peer.knownIndex)).first;
+    const bool hasState = maySendStateTo(peer);
+    const auto [it, isNew] = frames.try_emplace({ peer.knownIndex, hasState });
+    std::vector<std::uint8_t> &frame = it->second;
+    if (isNew) {
+        frame = encodeFeed(peer.knownIndex, hasState);
     }
-    const std::vector<std::uint8_t> &frame = it->second;
     peer.frames->send(frame);
     peer.window.recordSent(Wire::FrameHeaderSize + frame.size());
     m_feedBytes += Wire::FrameHeaderSize + frame.size();
-    if (maySendState(peer.knownIndex)) {
+    if (hasState) {
         peer.knownIndex = std::max(peer.knownIndex, m_replica->state().changedAt());
     }
 }
@@ -511,11 +516,19 @@
     return known != LogIndex() || isUpToDate();
 }
 
-std::vector<std::uint8_t> CoreNode::encodeFeed(LogIndex known) const
+bool CoreNode::maySendStateTo(const Peer &peer) const
+{
+    const DataCentreId &dataCentre = peer.entry->dataCentre;
+    const bool isReferred = peer.knownIndex == LogIndex() && dataCentre != m_settings.dataCentre
+        && m_coreDirectory.shouldRefer(dataCentre, peer.firstContactAt, m_loop.now());
+    return !isReferred && maySendState(peer.knownIndex);
+}
+
+std::vector<std::uint8_t> CoreNode::encodeFeed(LogIndex known, bool hasState) const
 {
     const Routing::RoutingState &state = m_replica->state();
     FeedUpdate update;
-    update.index = maySendState(known) ? state.changedAt() : known;
+    update.index = hasState ? state.changedAt() : known;
     const std::optional<Instant> confirmedAt = m_replica->confirmedAt(m_loop.now());
     if (confirmedAt) {
         update.confirmedAge = m_loop.now() - *confirmedAt;
@@ -560,11 +573,7 @@
     std::vector<CoreInstance> core;
     for (const Control::Member &it : m_replica->membership().members) {
         const bool isSelf = it.id.instance == m_settings.replica.instance;
-        const auto known = m_coreDataCentres.find(it.id.instance);
-        core.push_back(CoreInstance { it.id.instance,
-                                      isSelf                                 ? m_settings.dataCentre
-                                          : known == m_coreDataCentres.end() ? DataCentreId()
-                                                                             : known->second });
+        core.push_back(CoreInstance { it.id.instance, isSelf ? m_settings.dataCentre : m_coreDirectory.dataCentreOf(it.id.instance) });
     }
     return core;
 }
--- a/packages/coordination/coordination/corenode.h
+++ b/packages/coordination/coordination/corenode.h
@@ -7,6 +7,7 @@
 #include <set>
 
 #include "base/log.h"
+#include "coordination/coredirectory.h"
 #include "coordination/corereporter.h"
 #include "coordination/corestatus.h"
 #include "coordination/entrydirectory.h"
@@ -64,7 +65,7 @@
 private:
     struct Peer;
     /// Encoded updates by the last change that the receiver knows. Most entries know the same one and share a frame.
-    using FeedFrames = std::map<LogIndex, std::vector<std::uint8_t>>;
+    using FeedFrames = std::map<std::pair<LogIndex, bool>, std::vector<std::uint8_t>>;
     struct ForwardedProposal {
         ResultCallback done;
         Instant deadline {};
@@ -93,7 +94,9 @@
     /// gets only a state that a quorum has confirmed recently, since this replica may have started with an old one. Other
     /// entries get every change, since they never return to an older state.
     bool maySendState(LogIndex known) const;
-    std::vector<std::uint8_t> encodeFeed(LogIndex known) const;
+    /// As maySendState(), and \p peer is not referred to a core instance of its own data centre.
+    bool maySendStateTo(const Peer &peer) const;
+    std::vector<std::uint8_t> encodeFeed(LogIndex known, bool hasState) const;
     std::vector<ServerId> silentServers() const;
     std::vector<CoreInstance> coreInstances() const;
     void reportToCore();
@@ -132,7 +135,7 @@
     std::uint64_t m_feedsDeferred = 0;
     /// When each server last announced itself to any core instance.
     std::map<ServerId, Instant> m_lastAnnouncedAt;
-    std::map<InstanceId, DataCentreId> m_coreDataCentres;
+    CoreDirectory m_coreDirectory;
     std::optional<InstanceId> m_knownLeader;
     bool m_wasUpToDate = false;
 };
--- a/packages/coordination/tests/corelinktest.cpp
+++ b/packages/coordination/tests/corelinktest.cpp
@@ -23,6 +23,11 @@
         REQUIRE(m_listener.listen({ "127.0.0.1", port }));
     }
 
+    std::size_t openConnections() const
+    {
+        return static_cast<std::size_t>(std::count_if(m_streams.begin(), m_streams.end(), [](const auto &it) { return it->isOpen(); }));
+    }
+
     InstanceId name;
     std::size_t connections = 0;
     /// The encoded frame that is sent on each new connection; nothing is sent when it is empty.
@@ -175,6 +180,23 @@
     CHECK(fixture.second.connections == 1);
 }
 
+// Pattern: hundreds of entries start at once, and each receives every registration of a server across data centres for seconds.
+TEST_CASE("an entry switches to an instance of its own data centre as soon as it knows of one")
+{
+    Fixture fixture;
+    fixture.core = { CoreInstance { fixture.first.name, DataCentreId("south") },
+                     CoreInstance { fixture.second.name, DataCentreId("south") },
+                     CoreInstance { fixture.third.name, DataCentreId("north") } };
+    for (auto *it : { &fixture.first, &fixture.second, &fixture.third }) {
+        it->update = fixture.encodeUpdate(true, 0);
+        it->period = FeedInterval;
+    }
+    fixture.link->start();
+    fixture.runFor(300);
+    CHECK(fixture.third.connections == 1);
+    CHECK(fixture.first.openConnections() + fixture.second.openConnections() == 0);
+}
+
 // Guards against entries that miss changes because the instance of their local data centre is in the minority of a partition.
 TEST_CASE("an entry does not switch back to an instance of its local data centre that is cut off from the majority")
 {
--- a/packages/coordination/tests/feedsizetest.cpp
+++ b/packages/coordination/tests/feedsizetest.cpp
@@ -289,3 +289,33 @@
     fixture.runFor(Unconfirmed);
     CHECK(fixture.inForce == 1);
 }
+
+// Pattern: all entries start at once and get the whole state from whichever core instance they reach first.
+TEST_CASE("an entry without state is referred to a live core instance of its own data centre for a bounded time")
+{
+    const bool isLocalInstanceAlive = GENERATE(false, true);
+    Fixture fixture;
+    fixture.runFor(std::chrono::seconds(2));
+    Routing::ConfigChange change;
+    change.version = Version(1);
+    change.config.services = { Routing::Service { ServiceId("desk"), "/health", 100, "" } };
+    fixture.submit(change);
+    Net::FrameStream local(Net::Stream::connect(fixture.loop, { "127.0.0.1", CorePort }), fixture.codec);
+    if (isLocalInstanceAlive) {
+        CoreReport report;
+        report.core = CoreInstance { InstanceId("127.0.0.1:9"), DataCentreId("north") };
+        Wire::Envelope envelope;
+        envelope.sender = report.core.name;
+        envelope.senderAddress = report.core.name.value();
+        envelope.kind = Wire::MessageKind::CoreReport;
+        envelope.payload = encode(report);
+        local.send(Wire::encode(envelope));
+    }
+    fixture.runFor(std::chrono::milliseconds(100));
+    fixture.link->start();
+    fixture.runFor(CoreDirectory::ReferralTime / 2);
+    CHECK(fixture.inForce == (isLocalInstanceAlive ? 0 : 1));
+    CHECK(fixture.link->confirmedAt());
+    fixture.runFor(CoreDirectory::ReferralTime + std::chrono::milliseconds(500));
+    CHECK(fixture.inForce == 1);
+}
