Report changed entries alone, and at once when the core's members change

Change: a change of the members makes a full report due at once. An urgent report contains only the entries that changed.

What a peer knows in the end is the same.

--- a/packages/coordination/coordination/coredirectory.cpp
+++ b/packages/coordination/coordination/coredirectory.cpp
@@ -22,9 +22,9 @@
                        [&](const auto &row) { return row.second.dataCentre == dataCentre && now - row.second.reportedAt <= Lifetime; });
 }
 
-bool CoreDirectory::shouldRefer(const DataCentreId &dataCentre, Instant since, Instant now) const
+bool CoreDirectory::shouldRefer(const DataCentreId &dataCentre, Instant since, bool isForming, Instant now) const
 {
-    return now - since < ReferralTime && hasLiveInstanceIn(dataCentre, now);
+    return now - since < ReferralTime && (isForming || hasLiveInstanceIn(dataCentre, now));
 }
 
 }
--- a/packages/coordination/coordination/coredirectory.h
+++ b/packages/coordination/coordination/coredirectory.h
@@ -23,8 +23,9 @@
     DataCentreId dataCentreOf(const InstanceId &instance) const;
     bool hasLiveInstanceIn(const DataCentreId &dataCentre, Instant now) const;
     /// Whether an entry in \p dataCentre that has known no state since \p since should get it from an instance of its own data
-    /// centre: the first state is large, and bytes between data centres are expensive.
-    bool shouldRefer(const DataCentreId &dataCentre, Instant since, Instant now) const;
+    /// centre: the first state is large, and bytes between data centres are expensive. \p isForming: instances of any data centre
+    /// may be about to join the core.
+    bool shouldRefer(const DataCentreId &dataCentre, Instant since, bool isForming, Instant now) const;
 
 private:
     struct Row {
--- a/packages/coordination/coordination/corereporter.cpp
+++ b/packages/coordination/coordination/corereporter.cpp
@@ -5,16 +5,16 @@
 namespace Galenabarrow::Coordination
 {
 
-void CoreReporter::recordEntryChange()
+void CoreReporter::recordEntryChange(const InstanceId &entry)
 {
-    m_hasEntryChange = true;
+    m_changedEntries.insert(entry);
 }
 
 void CoreReporter::recordEntryLost(EntryInfo entry)
 {
     entry.isReady = false;
+    m_changedEntries.erase(entry.name);
     m_lostEntries.push_back(std::move(entry));
-    m_hasEntryChange = true;
 }
 
 void CoreReporter::updatePeer(const InstanceId &peer, Incarnation incarnation)
@@ -26,6 +26,15 @@
     }
 }
 
+void CoreReporter::updateMembers(const std::set<InstanceId> &members)
+{
+    if (members != m_members) {
+        m_members = members;
+        m_isRegularReportDue = true;
+        m_isFullReportDue = true;
+    }
+}
+
 void CoreReporter::recordAnnouncement(const ServerId &server)
 {
     m_announcedServers.insert(server);
@@ -33,28 +42,34 @@
 
 bool CoreReporter::isDue(Instant now) const
 {
-    return m_hasEntryChange || now - m_lastReportAt >= Interval;
+    return !m_changedEntries.empty() || !m_lostEntries.empty() || m_isRegularReportDue || now - m_lastRegularReportAt >= Interval;
 }
 
 CoreReport CoreReporter::takeReport(const CoreInstance &self, const std::vector<FedEntry> &entries, Instant now)
 {
-    const bool isFull = m_hasEntryChange || m_isFullReportDue || now - m_lastFullReportAt >= FullInterval;
-    m_hasEntryChange = false;
-    m_isFullReportDue = false;
-    m_lastReportAt = now;
-    m_lastFullReportAt = isFull ? now : m_lastFullReportAt;
+    const bool isRegular = m_isRegularReportDue || now - m_lastRegularReportAt >= Interval;
+    const bool isFull = isRegular && (m_isFullReportDue || now - m_lastFullReportAt >= FullInterval);
     CoreReport report;
     report.core = self;
-    const std::set<ServerId> servers = std::exchange(m_announcedServers, {});
-    report.heard.assign(servers.begin(), servers.end());
+    if (isRegular) {
+        const std::set<ServerId> servers = std::exchange(m_announcedServers, {});
+        report.heard.assign(servers.begin(), servers.end());
+        m_lastRegularReportAt = now;
+        m_isRegularReportDue = false;
+    }
+    if (isFull) {
+        m_isFullReportDue = false;
+        m_lastFullReportAt = now;
+    }
+    const std::set<InstanceId> changed = std::exchange(m_changedEntries, {});
     for (const FedEntry &it : entries) {
         const Duration age = now - it.lastContactAt;
         if (age > EntryDirectory::Lifetime) {
             continue;
         }
-        if (isFull) {
+        if (isFull || changed.contains(it.info.name)) {
             report.entries.push_back(CoreReport::Entry { it.info, age });
-        } else {
+        } else if (isRegular) {
             report.alive.push_back(CoreReport::Alive { it.info.name, age });
         }
     }
--- a/packages/coordination/coordination/corereporter.h
+++ b/packages/coordination/coordination/corereporter.h
@@ -12,9 +12,9 @@
 
 /// Decides when a core instance reports to the other ones, and builds the reports. Has no sockets.
 ///
-/// Reports cross data centres, where bandwidth is expensive. A report therefore describes entries in full only when one of
-/// them has changed, when a peer has restarted, and every FullInterval in case a report was lost. Otherwise it contains
-/// their names only.
+/// Reports cross data centres, where bandwidth is expensive. A regular report, one in each Interval, therefore contains only the
+/// names of the entries. It describes all of them when a peer has restarted, and every FullInterval in case a report was lost. An
+/// urgent report between two regular ones contains nothing but the entries that have changed.
 class CoreReporter
 {
 public:
@@ -29,12 +29,15 @@
         Instant lastContactAt {};
     };
 
-    /// Records that an entry was added or has changed; the next report is full and due at once.
-    void recordEntryChange();
+    /// Records that an entry was added or has changed; the next report is due at once and describes it.
+    void recordEntryChange(const InstanceId &entry);
     /// Records that an entry is lost; the next report is due at once and describes the entry as not ready.
     void recordEntryLost(EntryInfo entry);
     /// Records the incarnation of another core instance. After a restart it knows no entries, so the next report is full.
     void updatePeer(const InstanceId &peer, Incarnation incarnation);
+    /// Records the members of the core. When they change, a regular report is due at once: new members know neither the entries nor the
+    /// data centres of the others.
+    void updateMembers(const std::set<InstanceId> &members);
     /// Records that a server announced itself to this instance.
     void recordAnnouncement(const ServerId &server);
     bool isDue(Instant now) const;
@@ -44,11 +47,13 @@
 
 private:
     std::set<ServerId> m_announcedServers;
+    std::set<InstanceId> m_changedEntries;
     std::vector<EntryInfo> m_lostEntries;
     std::map<InstanceId, Incarnation> m_peers;
-    bool m_hasEntryChange = false;
+    std::set<InstanceId> m_members;
+    bool m_isRegularReportDue = false;
     bool m_isFullReportDue = true;
-    Instant m_lastReportAt {};
+    Instant m_lastRegularReportAt {};
     Instant m_lastFullReportAt {};
 };
 
