Count the bytes that a core instance sends by kind, and those of updates to other data centres

The metrics page of a core instance now shows the bytes sent to other core instances by kind of message and the part of the updates that went to entries of other data centres.

--- a/packages/coordination/coordination/corenode.cpp
+++ b/packages/coordination/coordination/corenode.cpp
@@ -94,6 +94,8 @@
     status.entries = m_entries.liveCount(m_loop.now());
     status.entriesLost = m_entriesLost;
     status.feedBytes = m_feedBytes;
+    status.remoteFeedBytes = m_remoteFeedBytes;
+    status.sentBytes = m_links.sentBytes();
     status.feedsDeferred = m_feedsDeferred;
     for (const auto &[id, server] : m_replica->state().servers()) {
         status.readyServers += server.state == Routing::ServerState::Ready ? 1 : 0;
@@ -511,6 +513,7 @@
     peer.frames->send(frame);
     peer.window.recordSent(Wire::FrameHeaderSize + frame.size());
     m_feedBytes += Wire::FrameHeaderSize + frame.size();
+    m_remoteFeedBytes += peer.entry->dataCentre == m_settings.dataCentre ? 0 : Wire::FrameHeaderSize + frame.size();
     if (hasState) {
         peer.knownIndex = std::max(peer.knownIndex, m_replica->state().changedAt());
     }
--- a/packages/coordination/coordination/corenode.h
+++ b/packages/coordination/coordination/corenode.h
@@ -132,6 +132,7 @@
     EntryDirectory m_entries;
     std::uint64_t m_entriesLost = 0;
     std::uint64_t m_feedBytes = 0;
+    std::uint64_t m_remoteFeedBytes = 0;
     std::uint64_t m_feedsDeferred = 0;
     /// When each server last announced itself to any core instance.
     std::map<ServerId, Instant> m_lastAnnouncedAt;
--- a/packages/coordination/coordination/corestatus.cpp
+++ b/packages/coordination/coordination/corestatus.cpp
@@ -29,6 +29,8 @@
         { "galenabarrow_core_silent_links_total", Kind::Counter, "Connections to other core instances closed because they were silent.",
           status.silentLinks },
         { "galenabarrow_core_feed_bytes_total", Kind::Counter, "Bytes of updates sent to entries.", status.feedBytes },
+        { "galenabarrow_core_remote_feed_bytes_total", Kind::Counter, "Bytes of updates sent to entries of other data centres.",
+          status.remoteFeedBytes },
         { "galenabarrow_core_feeds_held_total", Kind::Counter, "Updates deferred because of a slow entry.", status.feedsDeferred },
         { "galenabarrow_log_lines_lost_total", Kind::Counter, "Log lines dropped because the log reader was too slow.", Log::lostLines() },
     };
@@ -44,6 +46,12 @@
     text.sample({ { "state", "ready" } }, status.readyServers);
     text.sample({ { "state", "draining" } }, status.drainingServers);
     text.sample({ { "state", "silent" } }, status.silentServers);
+    text.family("galenabarrow_core_sent_bytes_total", Kind::Counter, "Bytes sent to other core instances by kind of message.");
+    for (const Wire::MessageKindName &it : Wire::MessageKindNames) {
+        if (const auto sent = status.sentBytes.find(it.kind); sent != status.sentBytes.end()) {
+            text.sample({ { "kind", it.name } }, sent->second);
+        }
+    }
     return text.text();
 }
 
--- a/packages/coordination/coordination/corestatus.h
+++ b/packages/coordination/coordination/corestatus.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 
 #include "base/clock.h"
+#include "wire/envelope.h"
 
 namespace Galenabarrow::Coordination
 {
@@ -30,6 +32,10 @@
     std::uint64_t silentLinks = 0;
     /// Bytes of the updates sent to entries.
     std::uint64_t feedBytes = 0;
+    /// The part of \c feedBytes that was sent to entries in other data centres.
+    std::uint64_t remoteFeedBytes = 0;
+    /// Bytes sent to other core instances, by kind of message.
+    std::map<Wire::MessageKind, std::uint64_t> sentBytes;
     /// Updates that were deferred because the entry had not yet received enough of the earlier ones, see FeedWindow.
     std::uint64_t feedsDeferred = 0;
     /// Entries that this instance counted as lost.
--- a/packages/coordination/coordination/peerlinks.cpp
+++ b/packages/coordination/coordination/peerlinks.cpp
@@ -31,7 +31,9 @@
     envelope.correlation = correlation;
     envelope.kind = kind;
     envelope.payload = std::move(payload);
-    link.frames->send(Wire::encode(envelope));
+    const std::vector<std::uint8_t> frame = Wire::encode(envelope);
+    m_sentBytes[kind] += Wire::FrameHeaderSize + frame.size();
+    link.frames->send(frame);
     if (!link.unacknowledgedSince) {
         link.unacknowledgedSince = m_loop.now();
     }
@@ -67,6 +69,11 @@
     }
 }
 
+const std::map<Wire::MessageKind, std::uint64_t> &PeerLinks::sentBytes() const
+{
+    return m_sentBytes;
+}
+
 std::uint64_t PeerLinks::silentCount() const
 {
     return m_silentCount;
--- a/packages/coordination/coordination/peerlinks.h
+++ b/packages/coordination/coordination/peerlinks.h
@@ -37,6 +37,8 @@
     void tick();
     /// Number of connections that were closed because they were silent.
     std::uint64_t silentCount() const;
+    /// Bytes of the frames passed to connections, by kind of message.
+    const std::map<Wire::MessageKind, std::uint64_t> &sentBytes() const;
 
 private:
     struct Link {
@@ -54,6 +56,7 @@
     Incarnation m_incarnation;
     std::map<InstanceId, Link> m_links;
     std::uint64_t m_silentCount = 0;
+    std::map<Wire::MessageKind, std::uint64_t> m_sentBytes;
 };
 
 }
--- a/packages/coordination/tests/corestatustest.cpp
+++ b/packages/coordination/tests/corestatustest.cpp
@@ -17,6 +17,8 @@
     status.silentServers = 3;
     status.feedBytes = 4096;
     status.feedsDeferred = 5;
+    status.remoteFeedBytes = 1024;
+    status.sentBytes[Wire::MessageKind::CoreReport] = 700;
     const std::string withQuorum = metricsText(status);
     CHECK(withQuorum.find("galenabarrow_core_is_leader_known 1\n") != std::string::npos);
     CHECK(withQuorum.find("galenabarrow_core_confirmed_age_seconds 0.25") != std::string::npos);
@@ -24,4 +26,7 @@
     // These distinguish large updates, and updates deferred for slow links, from changes that were committed late.
     CHECK(withQuorum.find("galenabarrow_core_feed_bytes_total 4096\n") != std::string::npos);
     CHECK(withQuorum.find("galenabarrow_core_feeds_held_total 5\n") != std::string::npos);
+    // These show what crosses data centres.
+    CHECK(withQuorum.find("galenabarrow_core_remote_feed_bytes_total 1024\n") != std::string::npos);
+    CHECK(withQuorum.find("galenabarrow_core_sent_bytes_total{kind=\"core_report\"} 700\n") != std::string::npos);
 }
