Hold a large body for 25 ms and probe when it has arrived by then

Cause: the choice without probes was right on a link of 3.4 Mbit/s only.

Ruled out: the link speed of the settings as criterion; a slow caller on a fast link has the same problem as a slow link.

Change: a large body is forwarded when it has not been received whole 25 ms after its header section, the time after which a probe counts as late; one that has is handled like a small request. The time counts into the wait for a free server.

Test: 'an upload that arrives at once is sent to a server that is known to be free' failed before. In 'an upload that a server refuses after the first bytes' the second server now reports one slot taken, so that the refusing one is still chosen where servers are probed.

--- a/packages/gateway/gateway/requestrun.cpp
+++ b/packages/gateway/gateway/requestrun.cpp
@@ -29,6 +29,9 @@
 constexpr Duration MinRetryAfter = std::chrono::milliseconds(100);
 constexpr Duration ShortRetryAfter = std::chrono::milliseconds(25);
 constexpr Duration MaxRetryAfter = std::chrono::milliseconds(1000);
+/// A large body is forwarded when it has not been received whole within this time. Over a fast link it has, and its server is chosen
+/// like that of a small request.
+constexpr Duration MaxBodyHold = std::chrono::milliseconds(25);
 /// A complete body up to this size is sent together with the header section.
 constexpr std::size_t MaxBodyWithHead = std::size_t { 16 } * 1024;
 /// Bytes of a body that are queued for a connection at a time, so that a large body holds little memory twice.
@@ -60,14 +63,40 @@
             self->onDeadlineExpired();
         }
     });
-    if (!m_exchange->isBodyComplete()) {
-        m_exchange->onBody([weak = weak_from_this()] {
-            if (const auto self = weak.lock()) {
-                self->sendBody();
-            }
-        });
+    if (m_exchange->isBodyComplete()) {
+        select();
+        return;
+    }
+    m_exchange->onBody([weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->onBodyReceived();
+        }
+    });
+    m_isHoldingBody = true;
+    m_waitTimer = m_runner.m_loop.after(MaxBodyHold, [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->endBodyHold();
+        }
+    });
+}
+
+void RequestRunner::Run::onBodyReceived()
+{
+    if (m_isHoldingBody && m_exchange->isBodyComplete()) {
+        endBodyHold();
+    } else {
+        sendBody();
+    }
+}
+
+void RequestRunner::Run::endBodyHold()
+{
+    m_runner.m_loop.cancel(m_waitTimer);
+    m_waitTimer = 0;
+    if (m_isHoldingBody && !m_isFinished) {
+        m_isHoldingBody = false;
+        select();
     }
-    select();
 }
 
 void RequestRunner::Run::sendBody()
--- a/packages/gateway/gateway/requestrun.h
+++ b/packages/gateway/gateway/requestrun.h
@@ -25,6 +25,9 @@
 private:
     Duration sinceStart() const;
     bool isSafe() const;
+    void onBodyReceived();
+    /// Selects a server, by the end of the body or of the time for which it is held.
+    void endBodyHold();
     /// Passes received bytes of the body on to the attempt, as many as its connection takes without queueing.
     void sendBody();
     /// Whether the beginning of the body is still held, so that the request can be sent to another server.
@@ -87,6 +90,7 @@
     DecisionTrail m_trail;
     const char *m_reason = "none";
     bool m_mayHaveRun = false;
+    bool m_isHoldingBody = false;
     bool m_isCallerDisconnected = false;
     bool m_isFinished = false;
     /// Rounds of probes for this attempt, and the unanswered probes of the current round.
--- a/packages/gateway/tests/requestrunnertest.cpp
+++ b/packages/gateway/tests/requestrunnertest.cpp
@@ -505,6 +505,19 @@
     CHECK(atServer->request().body == fixture.body);
 }
 
+// Guards against the choice without probes where a probe would help: over a fast link the body is there before a report is outdated.
+TEST_CASE("an upload that arrives at once is sent to a server that is known to be free")
+{
+    UploadFixture fixture(2);
+    fixture.backends[0]->load = "2,0,2,100";
+    for (int n = 0; n < 6; ++n) {
+        fixture.beginUpload(makeBody(100000), 100000);
+        CHECK(hasStatus(fixture.received, "200"));
+    }
+    CHECK(fixture.backends[0]->requests() == 0);
+    CHECK(fixture.backends[1]->requests() == 6);
+}
+
 // Guards against bytes of a body that precede the header section on a connection that was used before.
 TEST_CASE("uploads over connections that were used before arrive whole")
 {
@@ -526,6 +539,7 @@
     UploadFixture fixture(2);
     fixture.backends[0]->handleBeforeBody();
     fixture.backends[0]->behaviour = Behaviour::Shed;
+    fixture.backends[1]->load = "1,0,2,100"; // the first one is preferred where servers are probed
     for (int n = 0; n < 4; ++n) {
         fixture.beginUpload(makeBody(100000), sentBytes);
         fixture.endUpload();
