Record the limits that servers state, and what is sent to servers with a limit

Now: lines server_limited and server_limit_ended, counters of statements by kind of response, of unreadable ones, and of requests and probes sent to servers with a limit. The field is input from outside: a number in range, of several the lowest, and only from a response that names the request, or a probe that names the server. Nothing is decided by it yet.

Tests: limitfieldtest.

--- a/packages/gateway/gateway/headernames.h
+++ b/packages/gateway/gateway/headernames.h
@@ -23,6 +23,8 @@
     std::string serverId;
     /// Seconds after which a rejected caller may retry.
     std::string retryAfter;
+    /// Requests a second that the server accepts from all entries together; only stated by a server in need.
+    std::string serverLimit;
 };
 
 }
--- a/packages/gateway/gateway/loadprober.cpp
+++ b/packages/gateway/gateway/loadprober.cpp
@@ -13,11 +13,12 @@
 }
 
 LoadProber::LoadProber(Net::EventLoop &loop, const HeaderNames &headerNames, ProbeSettings settings, ServerTable &servers,
-                       UpstreamPool &pool)
+                       ServerLimits &limits, UpstreamPool &pool)
     : m_loop(loop)
     , m_headerNames(headerNames)
     , m_settings(settings)
     , m_servers(servers)
+    , m_limits(limits)
     , m_pool(pool)
     , m_refilledAt(loop.now())
 {
@@ -60,6 +61,7 @@
     probe.attempt->onFailure([this, server](AttemptFailure) { finish(server, false); });
     probe.timer = m_loop.after(m_settings.lateAfter, [this, server] { markLate(server); });
     ++m_sent;
+    m_limits.recordSend(server, SendKind::Probe);
     return true;
 }
 
@@ -100,6 +102,9 @@
     if (load && !isOtherServer) {
         m_servers.updateLoad(server, *load);
     }
+    if (id != nullptr && !isOtherServer) {
+        m_limits.record(server, readLimitField(response.fields, m_headerNames.serverLimit), LimitSource::Probe);
+    }
     finish(server, !isOtherServer);
 }
 
--- a/packages/gateway/gateway/requestrun.cpp
+++ b/packages/gateway/gateway/requestrun.cpp
@@ -297,6 +297,7 @@
     const ServerRow *row = m_runner.m_servers.find(choice->server);
     m_tried.push_back(choice->server);
     ++m_runner.m_counters.attempts;
+    m_runner.m_limits.recordSend(choice->server, m_tried.size() > 1 ? SendKind::Further : SendKind::First);
     m_attemptStartedAt = now;
     m_start = m_runner.m_servers.recordAttemptStart(choice->server, m_route->name, now);
     UpstreamRequest request = makeRequest(now);
@@ -362,6 +363,7 @@
             m_runner.m_servers.updateLoad(m_choice.server, *load);
         }
     }
+    recordLimit(response);
     if (response.fields.find(headerNames.notExecuted) != nullptr || response.status == 421) {
         endAttempt(AttemptResult::Rejected);
         handleNotExecuted("rejected_by_server");
@@ -387,6 +389,18 @@
     handleUnknownOutcome("failure_of_server", &response);
 }
 
+void RequestRunner::Run::recordLimit(const Http::Response &response)
+{
+    const HeaderNames &headerNames = m_runner.m_headerNames;
+    const bool isRejection = response.fields.find(headerNames.notExecuted) != nullptr;
+    const bool isResponse = response.fields.find(headerNames.serverStamp) != nullptr;
+    if (response.fields.find(headerNames.requestId) == nullptr || response.status == 421 || (!isRejection && !isResponse)) {
+        return;
+    }
+    m_runner.m_limits.record(m_choice.server, readLimitField(response.fields, headerNames.serverLimit),
+                             isRejection ? LimitSource::Rejection : LimitSource::Response);
+}
+
 void RequestRunner::Run::handleFailure(AttemptFailure failure)
 {
     endAttempt(AttemptResult::Broken);
--- a/packages/gateway/gateway/requestrun.h
+++ b/packages/gateway/gateway/requestrun.h
@@ -55,6 +55,8 @@
     void onAttemptTimeout();
     void handleResponse(Http::Response response);
     void handleFailure(AttemptFailure failure);
+    /// Records the limit that the response states. A response that does not name the request, or is from another server, states none.
+    void recordLimit(const Http::Response &response);
     /// The server did not run the request: any request may be retried at another server.
     void handleNotExecuted(const char *reason);
     /// The request may have run: only a safe one may be retried. Otherwise \p response is forwarded, if there is one.
--- a/packages/gateway/gateway/requestrunner.cpp
+++ b/packages/gateway/gateway/requestrunner.cpp
@@ -34,7 +34,7 @@
     , m_budgetSettings(budget)
     , m_servers(servers)
     , m_pool(loop, m_headerNames.requestId)
-    , m_prober(loop, m_headerNames, probes, servers, m_pool)
+    , m_prober(loop, m_headerNames, probes, servers, m_limits, m_pool)
     , m_splits(random)
     , m_createdAt(loop.now())
     , m_log(RequestLogSettings {})
@@ -141,6 +141,7 @@
 {
     for (const ServerId &it : servers) {
         m_pool.retire(it);
+        m_limits.remove(it);
     }
 }
 
@@ -207,7 +208,7 @@
     text.family("galenabarrow_gateway_config_version", Kind::Gauge, "Version of the routing configuration in force.");
     text.sample({}, m_version.value());
     m_latencies.write(text);
-    return text.text();
+    return text.text() + m_limits.metrics();
 }
 
 RetryBudget &RequestRunner::budgetOf(const ServiceId &service)
--- a/packages/gateway/gateway/requestrunner.h
+++ b/packages/gateway/gateway/requestrunner.h
@@ -9,6 +9,7 @@
 #include "gateway/requestlog.h"
 #include "gateway/retrybudget.h"
 #include "gateway/routelatencies.h"
+#include "gateway/serverlimits.h"
 #include "gateway/servertable.h"
 #include "gateway/splitchooser.h"
 #include "gateway/upstreampool.h"
@@ -91,6 +92,7 @@
     HeaderNames m_headerNames;
     RetryBudgetSettings m_budgetSettings;
     ServerTable &m_servers;
+    ServerLimits m_limits;
     UpstreamPool m_pool;
     LoadProber m_prober;
     SplitChooser m_splits;
--- a/packages/gateway/tests/requestrunnertest.cpp
+++ b/packages/gateway/tests/requestrunnertest.cpp
@@ -12,7 +12,7 @@
 
 HeaderNames testHeaderNames()
 {
-    return HeaderNames { "x-id", "x-wait", "x-sign", "x-for", "x-load", "x-not-run", "x-server", "retry-after" };
+    return HeaderNames { "x-id", "x-wait", "x-sign", "x-for", "x-load", "x-not-run", "x-server", "retry-after", "x-max" };
 }
 
 /// How a scripted server handles a request.
