--- a/packages/gateway/tests/requestrunnertest.cpp
+++ b/packages/gateway/tests/requestrunnertest.cpp
@@ -2,133 +2,14 @@
 
 #include <catch2/catch.hpp>
 
+#include "scriptedserver.h"
+
 using namespace Galenabarrow;
 using namespace Galenabarrow::Gateway;
 
 namespace
 {
 
-constexpr std::uint16_t FirstPort = 28500;
-
-HeaderNames testHeaderNames()
-{
-    return HeaderNames { "x-id", "x-wait", "x-sign", "x-for", "x-load", "x-not-run", "x-server", "retry-after", "x-max" };
-}
-
-/// How a scripted server handles a request.
-enum class Behaviour {
-    Answer,
-    /// States that it did not run the request.
-    Shed,
-    /// Fails after it ran the request.
-    Fail,
-    /// Closes the connection without an answer.
-    Break,
-    Hang,
-    /// Answers without the signature field.
-    Unsigned,
-    /// Answers with the id of another request.
-    WrongId,
-    /// Answers with a status that is reserved for rejections by an entry, without the field that marks a request as not run.
-    Unmarked503,
-    /// As Unmarked503, with the status 429.
-    Unmarked429,
-};
-
-/// A backend server on the event loop of the test.
-class ScriptedServer
-{
-public:
-    ScriptedServer(Net::EventLoop &loop, std::size_t number)
-        : address { "127.0.0.1", static_cast<std::uint16_t>(FirstPort + number) }
-        , name("s" + std::to_string(number))
-        , m_loop(loop)
-        , m_server(loop, [this](const Http::ExchangePointer &it) { handle(it); })
-    {
-        REQUIRE(m_server.listen(address));
-    }
-
-    std::size_t requests() const
-    {
-        return received.size();
-    }
-
-    std::size_t connections() const
-    {
-        return m_server.connectionCount();
-    }
-
-    /// Handles requests as soon as their header section has been received.
-    void handleBeforeBody()
-    {
-        Http::ServerLimits limits = m_server.limits();
-        limits.forwardFrom = 1;
-        m_server.setLimits(limits);
-    }
-
-    Net::SocketAddress address;
-    std::string name;
-    Behaviour behaviour = Behaviour::Answer;
-    std::string load = "0,0,2,100";
-    /// Time until a probe is answered.
-    Duration probeDelay {};
-    std::size_t probes = 0;
-    std::vector<Http::Request> received;
-    std::vector<Http::ExchangePointer> hanging;
-    std::size_t cancelled = 0;
-
-private:
-    void handle(const Http::ExchangePointer &exchange)
-    {
-        if (exchange->request().path() == "/health") {
-            ++probes;
-            m_loop.after(probeDelay, [this, exchange] { answerProbe(*exchange); });
-            return;
-        }
-        received.push_back(exchange->request());
-        if (behaviour == Behaviour::Hang || behaviour == Behaviour::Break) {
-            hanging.push_back(exchange);
-            exchange->onDisconnected([this] { ++cancelled; });
-            if (behaviour == Behaviour::Break) {
-                exchange->abort();
-            }
-            return;
-        }
-        exchange->respond(makeAnswer(exchange->request()));
-    }
-
-    void answerProbe(Http::Exchange &exchange) const
-    {
-        Http::Response response = Http::makeResponse(200);
-        response.fields.add("x-server", name);
-        response.fields.add("x-load", load);
-        exchange.respond(std::move(response));
-    }
-
-    Http::Response makeAnswer(const Http::Request &request) const
-    {
-        Http::Response response = Http::makeResponse(200, "whole");
-        if (behaviour == Behaviour::Shed || behaviour == Behaviour::Unmarked503) {
-            response = Http::makeResponse(503);
-        } else if (behaviour == Behaviour::Unmarked429) {
-            response = Http::makeResponse(429);
-        } else if (behaviour == Behaviour::Fail) {
-            response = Http::makeResponse(500, "bad");
-        }
-        if (behaviour == Behaviour::Shed) {
-            response.fields.add("x-not-run", "1");
-        }
-        if (behaviour != Behaviour::Unsigned) {
-            response.fields.add("x-sign", name);
-        }
-        response.fields.add("x-id", behaviour == Behaviour::WrongId ? "another" : *request.fields.find("x-id"));
-        return response;
-    }
-
-    Net::EventLoop &m_loop;
-    Http::Server m_server;
-};
-
 constexpr std::uint16_t EntryPort = 28490;
 
 /// An entry with scripted servers and a caller.
--- /dev/null
+++ b/packages/gateway/tests/scriptedserver.cpp
@@ -0,0 +1,94 @@
+#include "scriptedserver.h"
+
+#include <catch2/catch.hpp>
+
+namespace Galenabarrow::Gateway
+{
+
+HeaderNames testHeaderNames()
+{
+    return HeaderNames { "x-id", "x-wait", "x-sign", "x-for", "x-load", "x-not-run", "x-server", "retry-after", "x-max" };
+}
+
+ScriptedServer::ScriptedServer(Net::EventLoop &loop, std::size_t number)
+    : address { "127.0.0.1", static_cast<std::uint16_t>(FirstPort + number) }
+    , name("s" + std::to_string(number))
+    , m_loop(loop)
+    , m_server(loop, [this](const Http::ExchangePointer &it) { handle(it); })
+{
+    REQUIRE(m_server.listen(address));
+}
+
+std::size_t ScriptedServer::requests() const
+{
+    return received.size();
+}
+
+std::size_t ScriptedServer::connections() const
+{
+    return m_server.connectionCount();
+}
+
+void ScriptedServer::handleBeforeBody()
+{
+    Http::ServerLimits limits = m_server.limits();
+    limits.forwardFrom = 1;
+    m_server.setLimits(limits);
+}
+
+void ScriptedServer::handle(const Http::ExchangePointer &exchange)
+{
+    if (exchange->request().path() == "/health") {
+        ++probes;
+        m_loop.after(probeDelay, [this, exchange] { answerProbe(*exchange); });
+        return;
+    }
+    received.push_back(exchange->request());
+    arrivals.push_back(m_loop.now());
+    if (behaviour == Behaviour::Hang || behaviour == Behaviour::Break) {
+        hanging.push_back(exchange);
+        exchange->onDisconnected([this] { ++cancelled; });
+        if (behaviour == Behaviour::Break) {
+            exchange->abort();
+        }
+        return;
+    }
+    if (work > Duration {}) {
+        m_loop.after(work, [this, exchange] { exchange->respond(makeAnswer(exchange->request())); });
+    } else {
+        exchange->respond(makeAnswer(exchange->request()));
+    }
+}
+
+void ScriptedServer::answerProbe(Http::Exchange &exchange) const
+{
+    Http::Response response = Http::makeResponse(200);
+    response.fields.add("x-server", name);
+    response.fields.add("x-load", load);
+    exchange.respond(std::move(response));
+}
+
+Http::Response ScriptedServer::makeAnswer(const Http::Request &request) const
+{
+    Http::Response response = Http::makeResponse(200, "whole");
+    if (behaviour == Behaviour::Shed || behaviour == Behaviour::Unmarked503) {
+        response = Http::makeResponse(503);
+    } else if (behaviour == Behaviour::Unmarked429) {
+        response = Http::makeResponse(429);
+    } else if (behaviour == Behaviour::Fail) {
+        response = Http::makeResponse(500, "bad");
+    }
+    if (behaviour == Behaviour::Shed) {
+        response.fields.add("x-not-run", "1");
+    }
+    if (behaviour != Behaviour::Unsigned) {
+        response.fields.add("x-sign", name);
+    }
+    if (!limit.empty()) {
+        response.fields.add("x-max", limit);
+    }
+    response.fields.add("x-id", behaviour == Behaviour::WrongId ? "another" : *request.fields.find("x-id"));
+    return response;
+}
+
+}
--- /dev/null
+++ b/packages/gateway/tests/scriptedserver.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "gateway/headernames.h"
+#include "http/server.h"
+
+namespace Galenabarrow::Gateway
+{
+
+/// Names of header fields that no deployment uses.
+HeaderNames testHeaderNames();
+
+/// How a scripted server handles a request.
+enum class Behaviour {
+    Answer,
+    /// States that it did not run the request.
+    Shed,
+    /// Fails after it ran the request.
+    Fail,
+    /// Closes the connection without an answer.
+    Break,
+    Hang,
+    /// Answers without the signature field.
+    Unsigned,
+    /// Answers with the id of another request.
+    WrongId,
+    /// Answers with a status that is reserved for rejections by an entry, without the field that marks a request as not run.
+    Unmarked503,
+    /// As Unmarked503, with the status 429.
+    Unmarked429,
+};
+
+/// A backend server on the event loop of the test.
+class ScriptedServer
+{
+public:
+    static constexpr std::uint16_t FirstPort = 28500;
+
+    ScriptedServer(Net::EventLoop &loop, std::size_t number);
+
+    std::size_t requests() const;
+    std::size_t connections() const;
+    /// Handles requests as soon as their header section has been received.
+    void handleBeforeBody();
+
+    Net::SocketAddress address;
+    std::string name;
+    Behaviour behaviour = Behaviour::Answer;
+    std::string load = "0,0,2,100";
+    /// The limit that responses to requests state; none when empty.
+    std::string limit;
+    /// Time until a request is answered.
+    Duration work {};
+    /// Time until a probe is answered.
+    Duration probeDelay {};
+    std::size_t probes = 0;
+    std::vector<Http::Request> received;
+    /// When the requests arrived.
+    std::vector<Instant> arrivals;
+    std::vector<Http::ExchangePointer> hanging;
+    std::size_t cancelled = 0;
+
+private:
+    void handle(const Http::ExchangePointer &exchange);
+    void answerProbe(Http::Exchange &exchange) const;
+    Http::Response makeAnswer(const Http::Request &request) const;
+
+    Net::EventLoop &m_loop;
+    Http::Server m_server;
+};
+
+}
