--- /dev/null
+++ b/packages/gateway/tests/cluster.cpp
@@ -0,0 +1,194 @@
+#include "cluster.h"
+
+#include <algorithm>
+
+#include <catch2/catch.hpp>
+
+#include "control/memorylogstore.h"
+
+namespace Galenabarrow::Gateway
+{
+
+namespace
+{
+
+constexpr std::uint16_t FirstCorePort = 28440;
+constexpr std::uint16_t FirstEntryPort = 28450;
+constexpr Duration AnnouncementInterval = std::chrono::milliseconds(1000);
+constexpr std::chrono::milliseconds CallerPatience(2000);
+
+InstanceId coreName(std::size_t number)
+{
+    return InstanceId("127.0.0.1:" + std::to_string(FirstCorePort + number));
+}
+
+Net::SocketAddress entryAddress(std::size_t number)
+{
+    return { "127.0.0.1", static_cast<std::uint16_t>(FirstEntryPort + number) };
+}
+
+Routing::ConfigChange makeConfig(Routing::RequestKind kind, unsigned maxAttempts)
+{
+    Routing::Route route;
+    route.name = std::string("r");
+    route.host = "h";
+    route.prefix = "/";
+    route.kind = kind;
+    route.maxAttempts = maxAttempts;
+    route.objective = std::chrono::milliseconds(200);
+    route.timeout = std::chrono::milliseconds(1000);
+    route.split = { { ServiceId("desk"), 1 } };
+    Routing::ConfigChange change;
+    change.version = Version(1);
+    change.config.version = Version(1);
+    change.config.routes = { route };
+    change.config.services = { { ServiceId("desk"), "/health", 0, "" } };
+    return change;
+}
+
+}
+
+Cluster::Cluster(Size size, Routing::RequestKind kind, unsigned maxAttempts)
+{
+    startCore(size.core);
+    runFor(std::chrono::seconds(3));
+    bool isAccepted = false;
+    core.front()->submit(makeConfig(kind, maxAttempts), [&](const Result<void> &result) { isAccepted = result.has_value(); });
+    for (std::size_t n = 0; n < size.servers; ++n) {
+        servers.push_back(std::make_unique<ScriptedServer>(loop, n));
+    }
+    announceServers();
+    for (std::size_t n = 0; n < size.entries; ++n) {
+        startEntry(n);
+    }
+    runFor(std::chrono::seconds(2));
+    REQUIRE(isAccepted);
+    REQUIRE(std::all_of(entries.begin(), entries.end(), [](const auto &it) { return it->isReady(); }));
+}
+
+void Cluster::startCore(std::size_t count)
+{
+    std::vector<InstanceId> names;
+    for (std::size_t n = 0; n < count; ++n) {
+        names.push_back(coreName(n));
+    }
+    for (const InstanceId &it : names) {
+        Coordination::CoreSettings settings;
+        settings.replica.instance = it;
+        settings.replica.seeds = names;
+        settings.replica.bootstrap = true;
+        settings.replica.voters = static_cast<std::uint32_t>(count);
+        settings.announcementInterval = AnnouncementInterval;
+        auto disk = std::make_shared<Control::MemoryDisk>(Incarnation(7 + core.size()));
+        auto replica = Coordination::Replica::open(settings.replica, std::make_unique<Control::MemoryLogStore>(disk), random, loop.now());
+        REQUIRE(replica);
+        core.push_back(std::make_unique<Coordination::CoreNode>(loop, settings, std::move(*replica), codec, random));
+        REQUIRE(core.back()->start());
+    }
+}
+
+void Cluster::startEntry(std::size_t number)
+{
+    GatewaySettings settings;
+    settings.listen = entryAddress(number);
+    settings.self =
+        Coordination::EntryInfo { InstanceId("e" + std::to_string(number)), settings.listen.text(), DataCentreId("north"), false };
+    // Each entry begins with another core instance.
+    for (std::size_t n = 0; n < core.size(); ++n) {
+        settings.seeds.push_back(coreName((number + n) % core.size()));
+    }
+    settings.headerNames = testHeaderNames();
+    settings.budget.floor = 1000;
+    entries.push_back(std::make_unique<GatewayNode>(loop, settings, codec, random));
+    REQUIRE(entries.back()->start());
+}
+
+void Cluster::announceServers()
+{
+    for (const auto &it : servers) {
+        Routing::BackendServer server;
+        server.id = ServerId(it->name);
+        server.address = it->address.text();
+        server.service = ServiceId("desk");
+        server.dataCentre = DataCentreId("north");
+        server.slots = Slots;
+        server.born = 1;
+        server.sequence = 1;
+        core.front()->announce(server, [](const Result<void> &) {});
+    }
+    loop.after(AnnouncementInterval, [this] { announceServers(); });
+}
+
+void Cluster::runFor(Duration time)
+{
+    loop.after(time, [this] { loop.stop(); });
+    loop.run();
+}
+
+void Cluster::startCallers(double perSecond)
+{
+    const bool isStarted = m_callInterval > Duration {};
+    m_callInterval = Duration(static_cast<Duration::rep>(1e6 / perSecond));
+    if (!isStarted) {
+        sendNext();
+    }
+}
+
+void Cluster::sendNext()
+{
+    send(m_sent % entries.size());
+    loop.after(m_callInterval, [this] { sendNext(); });
+}
+
+void Cluster::send(std::size_t entry, const std::string &path, const std::string &body)
+{
+    const auto call = std::make_shared<Call>();
+    call->stream = Net::Stream::connect(loop, entryAddress(entry));
+    REQUIRE(call->stream != nullptr);
+    call->stream->onData([this, call](std::string_view bytes) {
+        call->received.append(bytes);
+        constexpr std::size_t StatusAt = 9; // after "HTTP/1.1 "
+        if (call->received.find("\r\n\r\n") != std::string::npos) {
+            count(*call, static_cast<unsigned>(std::stoul(call->received.substr(StatusAt))));
+        }
+    });
+    call->stream->onEnd([this, call](Net::StreamEnd) { count(*call, 0); });
+    call->stream->write("POST " + path + " HTTP/1.1\r\nHost: h\r\nx-id: id" + std::to_string(++m_sent)
+                        + "\r\nx-wait: " + std::to_string(CallerPatience.count()) + "\r\nContent-Length: " + std::to_string(body.size())
+                        + "\r\n\r\n" + body);
+}
+
+void Cluster::count(Call &call, unsigned status)
+{
+    if (!call.isCounted) {
+        call.isCounted = true;
+        ++statuses[status];
+        // The callbacks hold the call: they are replaced after this one has returned.
+        loop.defer([stream = call.stream] {
+            stream->close();
+            stream->onData({});
+            stream->onEnd({});
+        });
+    }
+}
+
+std::size_t Cluster::requests() const
+{
+    std::size_t count = 0;
+    for (const auto &it : servers) {
+        count += it->requests();
+    }
+    return count;
+}
+
+std::size_t mostArrivals(const std::vector<Instant> &arrivals, Instant from, Duration window)
+{
+    std::size_t most = 0;
+    for (auto first = std::lower_bound(arrivals.begin(), arrivals.end(), from); first != arrivals.end(); ++first) {
+        const auto end = std::lower_bound(first, arrivals.end(), *first + window);
+        most = std::max(most, static_cast<std::size_t>(end - first));
+    }
+    return most;
+}
+
+}
--- /dev/null
+++ b/packages/gateway/tests/cluster.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <map>
+
+#include "coordination/corenode.h"
+#include "gateway/gatewaynode.h"
+#include "scriptedserver.h"
+
+namespace Galenabarrow::Gateway
+{
+
+/// Core instances, entries and scripted servers on one event loop and a manual clock, with callers that send requests at a fixed rate.
+class Cluster
+{
+public:
+    static constexpr std::size_t Slots = 2;
+
+    struct Size {
+        std::size_t core = 1;
+        std::size_t entries = 4;
+        std::size_t servers = 3;
+    };
+
+    /// Starts all instances and runs until every entry is ready. Requests of the only route are sent to all servers.
+    explicit Cluster(Size size, Routing::RequestKind kind = Routing::RequestKind::Safe, unsigned maxAttempts = 2);
+
+    void runFor(Duration time);
+    /// Sends requests to the entries in turn from now on.
+    void startCallers(double perSecond);
+    /// Sends one request to an entry; its final status is counted in \c statuses.
+    void send(std::size_t entry, const std::string &path = "/a", const std::string &body = "ok");
+    /// Requests that all servers received.
+    std::size_t requests() const;
+
+    ManualClock clock;
+    Net::EventLoop loop { clock };
+    SeededRandom random { 4 };
+    Wire::FrameCodec codec { "test", "key" };
+    std::vector<std::unique_ptr<ScriptedServer>> servers;
+    std::vector<std::unique_ptr<Coordination::CoreNode>> core;
+    std::vector<std::unique_ptr<GatewayNode>> entries;
+    /// Requests of the callers by the status of their response; 0 for connections that ended without one.
+    std::map<unsigned, std::size_t> statuses;
+
+private:
+    struct Call {
+        std::shared_ptr<Net::Stream> stream;
+        std::string received;
+        bool isCounted = false;
+    };
+
+    void startCore(std::size_t count);
+    void startEntry(std::size_t number);
+    void announceServers();
+    void sendNext();
+    void count(Call &call, unsigned status);
+
+    Duration m_callInterval {};
+    std::size_t m_sent = 0;
+};
+
+/// The most arrivals in any \p window that begins at \p from or later.
+std::size_t mostArrivals(const std::vector<Instant> &arrivals, Instant from, Duration window);
+
+}
