Divide the limits of servers among the entries

Cause: a sum over all entries that nobody kept.

Change: an entry reports a limit to its core instance as soon as it hears of it, and in each report while the core knows otherwise. Core instances pass it on at once and divide it alike, by rendezvous hashing over the ready entries, among as many of them as leave each 0.5 requests a second; the server's own data centre comes first. Each entry is sent its shares in its own update. An entry keeps to its share by a token bucket that starts empty; a server without a token is neither chosen nor probed. Until a share is known an equal part is used. When all servers are excluded a request waits within the usual time for a token, or is rejected at once if that comes too late. Only the response to a request that was sent after the limit became known ends it; the newest statement counts, of one incarnation of the server.

Why few holders: equal parts of 1.8 a second are a request in 9 s at 17 entries and in 173 s at 312, and the tokens of all would come at once. With at most two holders for each request a second, a burst is at most twice the limit.

--- a/packages/coordination/coordination/corelink.cpp
+++ b/packages/coordination/coordination/corelink.cpp
@@ -53,6 +53,16 @@
     m_updateCallback = std::move(callback);
 }
 
+void CoreLink::setLimitSource(LimitSource source)
+{
+    m_limitSource = std::move(source);
+}
+
+void CoreLink::reportNow()
+{
+    report(m_feed);
+}
+
 void CoreLink::start()
 {
     connectNext("start");
@@ -244,7 +254,11 @@
     envelope.senderAddress = m_self.address;
     envelope.kind = Wire::MessageKind::EntryReport;
     connection.reportedBytes = connection.frames->received();
-    envelope.payload = encode(EntryReport { m_self, m_knownIndex, connection.reportedBytes });
+    EntryReport report { m_self, m_knownIndex, connection.reportedBytes, {} };
+    if (m_limitSource) {
+        report.limits = m_limitSource(!std::exchange(connection.hasReported, true));
+    }
+    envelope.payload = encode(report);
     connection.frames->send(Wire::encode(envelope));
 }
 
--- a/packages/coordination/coordination/corelink.h
+++ b/packages/coordination/coordination/corelink.h
@@ -22,13 +22,19 @@
 {
 public:
     using UpdateCallback = std::function<void(const FeedUpdate &)>;
+    /// Returns the limits of servers to report; all known ones when the core instance has none from this entry yet.
+    using LimitSource = std::function<std::vector<ServerLimit>(bool isFirstReport)>;
 
     /// \p seeds are the instances to try first, and later in addition to the members of the core that updates have named.
     /// \p codec, \p loop and \p random must outlive the link.
     CoreLink(Net::EventLoop &loop, const Wire::FrameCodec &codec, RandomSource &random, std::vector<InstanceId> seeds, EntryInfo self);
 
     void onUpdate(UpdateCallback callback);
+    /// Sets the source of the limits in the reports to core instances.
+    void setLimitSource(LimitSource source);
     void start();
+    /// Reports to the core instance now rather than at the next interval.
+    void reportNow();
     /// Sets whether the entry accepts calls. A change is reported to the core instance at once.
     void setReady(bool isReady);
     /// Replaces the seeds, for a change of the settings at run time.
@@ -49,6 +55,7 @@
         std::uint64_t receivedBytes = 0;
         /// Received bytes as stated in the last report.
         std::uint64_t reportedBytes = 0;
+        bool hasReported = false;
         /// Whether an update was received on this connection.
         bool hasUpdate = false;
         /// The time up to which the state of this instance was confirmed when it was last up to date; absent if it has never
@@ -78,6 +85,7 @@
     std::vector<InstanceId> m_seeds;
     EntryInfo m_self;
     UpdateCallback m_updateCallback;
+    LimitSource m_limitSource;
     std::vector<CoreInstance> m_coreInstances;
     Connection m_feed;
     /// A connection to an instance in the local data centre that may replace m_feed.
--- a/packages/coordination/coordination/corenode.cpp
+++ b/packages/coordination/coordination/corenode.cpp
@@ -27,6 +27,8 @@
 constexpr Duration MaxConfirmationAge = std::chrono::milliseconds(1500);
 /// Consecutive announcements that may be late or lost before a server counts as silent.
 constexpr int SilentIntervals = 3;
+/// While servers state limits, these are divided again at this interval if entries have come or gone.
+constexpr Duration DivisionInterval = std::chrono::milliseconds(200);
 
 }
 
@@ -39,6 +41,9 @@
     Instant lastContactAt {};
     LogIndex knownIndex;
     FeedWindow window;
+    /// The limits and shares that the entry has from this instance, and the revision of the division that they are from.
+    std::map<ServerId, LimitShare> limits;
+    std::uint64_t limitRevision = 0;
     bool isAcknowledgementDue = false;
 };
 
@@ -123,6 +128,9 @@
     }
     processReplicaOutput();
     expireForwarded();
+    if (!m_limits.isEmpty() && m_loop.now() - m_dividedAt >= DivisionInterval) {
+        divideLimits();
+    }
     if (m_loop.now() - m_lastFeed >= FeedInterval) {
         feedAll(true);
     }
@@ -453,6 +461,16 @@
     if (m_entries.update(report->entry, m_loop.now())) {
         m_reporter.recordEntryChange(report->entry.name);
     }
+    bool hasNewLimit = false;
+    for (const ServerLimit &it : report->limits) {
+        if (m_limits.record(it, m_loop.now())) {
+            hasNewLimit = true;
+            m_reporter.recordLimitChange(it.server);
+        }
+    }
+    if (hasNewLimit) {
+        divideLimits();
+    }
     const bool isBehind = !wasOpen && peer->window.isOpen() && peer->knownIndex < m_replica->state().changedAt();
     if (isFirst || isBehind) {
         FeedFrames frames;
@@ -479,6 +497,63 @@
     for (const CoreReport::Alive &it : report->alive) {
         m_entries.refresh(it.name, m_loop.now() - it.age);
     }
+    bool hasNewLimit = false;
+    for (const ServerLimit &it : report->limits) {
+        hasNewLimit = m_limits.record(it, m_loop.now()) || hasNewLimit;
+    }
+    if (hasNewLimit) {
+        divideLimits();
+    }
+}
+
+void CoreNode::divideLimits()
+{
+    m_dividedAt = m_loop.now();
+    if (!isUpToDate()) {
+        return; // an instance that is cut off would divide the limits among too few entries
+    }
+    std::vector<EntryInfo> ready = m_entries.live(m_loop.now());
+    std::erase_if(ready, [](const EntryInfo &it) { return !it.isReady; });
+    if (!m_limits.divide(ready, m_replica->state().servers(), m_loop.now())) {
+        return;
+    }
+    ++m_limitRevision;
+    m_log.info("limits_divided",
+               { { "limits", std::to_string(m_limits.size()) },
+                 { "entries", std::to_string(ready.size()) },
+                 { "revision", std::to_string(m_limitRevision) } });
+    FeedFrames frames;
+    for (const auto &it : m_peers) {
+        if (it->entry && it->frames->isOpen()) {
+            feed(*it, frames);
+        }
+    }
+}
+
+std::vector<LimitShare> CoreNode::takeLimitChanges(Peer &peer)
+{
+    if (peer.limitRevision == m_limitRevision) {
+        return {};
+    }
+    peer.limitRevision = m_limitRevision;
+    std::map<ServerId, LimitShare> shares = m_limits.shares(peer.entry->name, m_loop.now());
+    std::vector<LimitShare> changes;
+    for (const auto &[server, share] : shares) {
+        const auto known = peer.limits.find(server);
+        const bool isKnown = known != peer.limits.end() && known->second.limit.born == share.limit.born
+            && known->second.limit.perSecond == share.limit.perSecond && known->second.perSecond == share.perSecond;
+        const bool isEndOfUnknown = known == peer.limits.end() && !share.limit.perSecond;
+        if (!isKnown && !isEndOfUnknown) {
+            changes.push_back(share);
+        }
+    }
+    for (const auto &[server, share] : peer.limits) {
+        if (!shares.contains(server) && share.limit.perSecond) {
+            changes.push_back(LimitShare { ServerLimit { server, share.limit.born, std::nullopt, {} }, 0 });
+        }
+    }
+    peer.limits = std::move(shares);
+    return changes;
 }
 
 void CoreNode::feedAll(bool isPeriodic)
@@ -505,11 +580,16 @@
         return; // pending changes are sent after the entry's next report
     }
     const bool hasState = maySendStateTo(peer);
-    const auto [it, isNew] = frames.try_emplace({ peer.knownIndex, hasState });
-    std::vector<std::uint8_t> &frame = it->second;
-    if (isNew) {
-        frame = encodeFeed(peer.knownIndex, hasState);
+    std::vector<LimitShare> limits = takeLimitChanges(peer);
+    std::vector<std::uint8_t> ownFrame;
+    if (!limits.empty()) {
+        ownFrame = encodeFeed(peer.knownIndex, hasState, std::move(limits)); // no other entry has these shares
+    }
+    const auto it = ownFrame.empty() ? frames.try_emplace({ peer.knownIndex, hasState }).first : frames.end();
+    if (it != frames.end() && it->second.empty()) {
+        it->second = encodeFeed(peer.knownIndex, hasState);
     }
+    const std::vector<std::uint8_t> &frame = it == frames.end() ? ownFrame : it->second;
     peer.frames->send(frame);
     peer.window.recordSent(Wire::FrameHeaderSize + frame.size());
     m_feedBytes += Wire::FrameHeaderSize + frame.size();
@@ -534,7 +614,7 @@
     return !isReferred && maySendState(peer.knownIndex);
 }
 
-std::vector<std::uint8_t> CoreNode::encodeFeed(LogIndex known, bool hasState) const
+std::vector<std::uint8_t> CoreNode::encodeFeed(LogIndex known, bool hasState, std::vector<LimitShare> limits) const
 {
     const Routing::RoutingState &state = m_replica->state();
     FeedUpdate update;
@@ -553,6 +633,7 @@
     update.silent = silentServers();
     update.entryCount = static_cast<unsigned>(std::max<std::size_t>(1, m_entries.liveCount(m_loop.now())));
     update.core = coreInstances();
+    update.limits = std::move(limits);
     Wire::Envelope envelope;
     envelope.sender = m_settings.replica.instance;
     envelope.senderAddress = m_settings.replica.instance.value();
@@ -620,7 +701,7 @@
         }
     }
     const CoreInstance self { m_settings.replica.instance, m_settings.dataCentre };
-    const std::vector<std::uint8_t> payload = encode(m_reporter.takeReport(self, fed, m_loop.now()));
+    const std::vector<std::uint8_t> payload = encode(m_reporter.takeReport(self, fed, m_limits.limits(m_loop.now()), m_loop.now()));
     for (const Control::Member &it : m_replica->membership().members) {
         if (it.id.instance != m_settings.replica.instance) {
             m_links.send(it.id.instance, Wire::MessageKind::CoreReport, 0, payload);
--- a/packages/coordination/coordination/corenode.h
+++ b/packages/coordination/coordination/corenode.h
@@ -13,6 +13,7 @@
 #include "coordination/entrydirectory.h"
 #include "coordination/feed.h"
 #include "coordination/feedwindow.h"
+#include "coordination/limitdivider.h"
 #include "coordination/peerlinks.h"
 #include "coordination/replica.h"
 
@@ -96,7 +97,11 @@
     bool maySendState(LogIndex known) const;
     /// As maySendState(), and \p peer is not referred to a core instance of its own data centre.
     bool maySendStateTo(const Peer &peer) const;
-    std::vector<std::uint8_t> encodeFeed(LogIndex known, bool hasState) const;
+    std::vector<std::uint8_t> encodeFeed(LogIndex known, bool hasState, std::vector<LimitShare> limits = {}) const;
+    /// Divides the limits of servers again when they or the ready entries have changed, and sends the shares that differ.
+    void divideLimits();
+    /// Limits and shares that the entry does not know yet from this instance.
+    std::vector<LimitShare> takeLimitChanges(Peer &peer);
     std::vector<ServerId> silentServers() const;
     std::vector<CoreInstance> coreInstances() const;
     void reportToCore();
@@ -137,6 +142,10 @@
     /// When each server last announced itself to any core instance.
     std::map<ServerId, Instant> m_lastAnnouncedAt;
     CoreDirectory m_coreDirectory;
+    LimitDivider m_limits;
+    /// Counts the divisions that changed a limit or a share.
+    std::uint64_t m_limitRevision = 0;
+    Instant m_dividedAt {};
     std::optional<InstanceId> m_knownLeader;
     bool m_wasUpToDate = false;
 };
--- a/packages/coordination/coordination/corereporter.cpp
+++ b/packages/coordination/coordination/corereporter.cpp
@@ -1,5 +1,7 @@
 #include "coordination/corereporter.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace Galenabarrow::Coordination
@@ -35,6 +37,11 @@
     }
 }
 
+void CoreReporter::recordLimitChange(const ServerId &server)
+{
+    m_changedLimits.insert(server);
+}
+
 void CoreReporter::recordAnnouncement(const ServerId &server)
 {
     m_announcedServers.insert(server);
@@ -42,10 +49,12 @@
 
 bool CoreReporter::isDue(Instant now) const
 {
-    return !m_changedEntries.empty() || !m_lostEntries.empty() || m_isRegularReportDue || now - m_lastRegularReportAt >= Interval;
+    return !m_changedEntries.empty() || !m_lostEntries.empty() || !m_changedLimits.empty() || m_isRegularReportDue
+        || now - m_lastRegularReportAt >= Interval;
 }
 
-CoreReport CoreReporter::takeReport(const CoreInstance &self, const std::vector<FedEntry> &entries, Instant now)
+CoreReport CoreReporter::takeReport(const CoreInstance &self, const std::vector<FedEntry> &entries, const std::vector<ServerLimit> &limits,
+                                    Instant now)
 {
     const bool isRegular = m_isRegularReportDue || now - m_lastRegularReportAt >= Interval;
     const bool isFull = isRegular && (m_isFullReportDue || now - m_lastFullReportAt >= FullInterval);
@@ -73,6 +82,9 @@
             report.alive.push_back(CoreReport::Alive { it.info.name, age });
         }
     }
+    const std::set<ServerId> changedLimits = std::exchange(m_changedLimits, {});
+    std::copy_if(limits.begin(), limits.end(), std::back_inserter(report.limits),
+                 [&](const ServerLimit &it) { return isFull || changedLimits.contains(it.server); });
     for (EntryInfo &it : std::exchange(m_lostEntries, {})) {
         report.entries.push_back(CoreReport::Entry { std::move(it), {} });
     }
--- a/packages/coordination/coordination/corereporter.h
+++ b/packages/coordination/coordination/corereporter.h
@@ -38,17 +38,22 @@
     /// Records the members of the core. When they change, a regular report is due at once: new members know neither the entries nor the
     /// data centres of the others.
     void updateMembers(const std::set<InstanceId> &members);
+    /// Records that an entry has reported a limit that is new; the next report is due at once and contains it.
+    void recordLimitChange(const ServerId &server);
     /// Records that a server announced itself to this instance.
     void recordAnnouncement(const ServerId &server);
     bool isDue(Instant now) const;
     /// Builds the report to send now, and clears what was recorded for it. Entries that have been silent for longer than
     /// EntryDirectory::Lifetime are left out.
-    CoreReport takeReport(const CoreInstance &self, const std::vector<FedEntry> &entries, Instant now);
+    /// \p limits: all limits of servers that this instance knows.
+    CoreReport takeReport(const CoreInstance &self, const std::vector<FedEntry> &entries, const std::vector<ServerLimit> &limits,
+                          Instant now);
 
 private:
     std::set<ServerId> m_announcedServers;
     std::set<InstanceId> m_changedEntries;
     std::vector<EntryInfo> m_lostEntries;
+    std::set<ServerId> m_changedLimits;
     std::map<InstanceId, Incarnation> m_peers;
     std::set<InstanceId> m_members;
     bool m_isRegularReportDue = false;
--- a/packages/coordination/coordination/feed.cpp
+++ b/packages/coordination/coordination/feed.cpp
@@ -1,6 +1,7 @@
 #include "coordination/feed.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 #include "routing/codec.h"
@@ -50,6 +51,31 @@
     return static_cast<std::uint16_t>(std::clamp<std::int64_t>(milliseconds, 0, std::numeric_limits<std::uint16_t>::max()));
 }
 
+std::unique_ptr<Fb::LimitRowT> packLimit(const ServerLimit &limit, double share = 0)
+{
+    auto to = std::make_unique<Fb::LimitRowT>();
+    to->server = limit.server.value();
+    to->born = limit.born;
+    to->per_second = limit.perSecond.value_or(-1);
+    to->age = limit.age.count();
+    to->share = share;
+    return to;
+}
+
+ServerLimit unpackLimit(const Fb::LimitRowT &from)
+{
+    ServerLimit limit { ServerId(from.server), from.born, std::nullopt, Duration(from.age) };
+    if (from.per_second >= 0) {
+        limit.perSecond = from.per_second;
+    }
+    return limit;
+}
+
+bool areValid(const std::vector<std::unique_ptr<Fb::LimitRowT>> &rows)
+{
+    return std::all_of(rows.begin(), rows.end(), [](const auto &it) { return std::isfinite(it->per_second) && std::isfinite(it->share); });
+}
+
 CoreInstance unpackCore(const Fb::CoreRowT &from)
 {
     return CoreInstance { InstanceId(from.address), DataCentreId(from.data_centre) };
@@ -63,16 +89,23 @@
     to.row = packEntry(report.entry, {});
     to.known_index = report.knownIndex.value();
     to.received_bytes = report.receivedBytes;
+    for (const ServerLimit &it : report.limits) {
+        to.limits.push_back(packLimit(it));
+    }
     return encodeTable<Fb::EntryReport>(to);
 }
 
 Result<EntryReport> decodeEntryReport(std::span<const std::uint8_t> bytes)
 {
     const auto from = decodeTable<Fb::EntryReport>(bytes);
-    if (from == nullptr || from->row == nullptr) {
+    if (from == nullptr || from->row == nullptr || !areValid(from->limits)) {
         return malformed("entry report");
     }
-    return EntryReport { unpackEntry(*from->row), LogIndex(from->known_index), from->received_bytes };
+    EntryReport report { unpackEntry(*from->row), LogIndex(from->known_index), from->received_bytes, {} };
+    for (const auto &it : from->limits) {
+        report.limits.push_back(unpackLimit(*it));
+    }
+    return report;
 }
 
 std::vector<std::uint8_t> encode(const FeedUpdate &update)
@@ -95,13 +128,16 @@
     for (const CoreInstance &it : update.core) {
         to.core.push_back(packCore(it));
     }
+    for (const LimitShare &it : update.limits) {
+        to.limits.push_back(packLimit(it.limit, it.perSecond));
+    }
     return encodeTable<Fb::FeedUpdate>(to);
 }
 
 Result<FeedUpdate> decodeFeedUpdate(std::span<const std::uint8_t> bytes)
 {
     const auto from = decodeTable<Fb::FeedUpdate>(bytes);
-    if (from == nullptr) {
+    if (from == nullptr || !areValid(from->limits)) {
         return malformed("feed update");
     }
     FeedUpdate update;
@@ -124,6 +160,9 @@
     for (const auto &it : from->core) {
         update.core.push_back(unpackCore(*it));
     }
+    for (const auto &it : from->limits) {
+        update.limits.push_back(LimitShare { unpackLimit(*it), std::max(0.0, it->share) });
+    }
     return update;
 }
 
@@ -141,13 +180,16 @@
         to.alive.push_back(it.name.value());
         to.alive_ages_ms.push_back(toShortMilliseconds(it.age));
     }
+    for (const ServerLimit &it : report.limits) {
+        to.limits.push_back(packLimit(it));
+    }
     return encodeTable<Fb::CoreReport>(to);
 }
 
 Result<CoreReport> decodeCoreReport(std::span<const std::uint8_t> bytes)
 {
     const auto from = decodeTable<Fb::CoreReport>(bytes);
-    if (from == nullptr || from->row == nullptr || from->alive.size() != from->alive_ages_ms.size()) {
+    if (from == nullptr || from->row == nullptr || from->alive.size() != from->alive_ages_ms.size() || !areValid(from->limits)) {
         return malformed("core report");
     }
     CoreReport report;
@@ -161,6 +203,9 @@
     for (const auto &it : from->entries) {
         report.entries.push_back(CoreReport::Entry { unpackEntry(*it), Duration(it->age) });
     }
+    for (const auto &it : from->limits) {
+        report.limits.push_back(unpackLimit(*it));
+    }
     return report;
 }
 
--- a/packages/coordination/coordination/feed.h
+++ b/packages/coordination/coordination/feed.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "coordination/entrydirectory.h"
+#include "coordination/serverlimit.h"
 #include "routing/routingstate.h"
 
 namespace Galenabarrow::Coordination
@@ -25,6 +26,8 @@
     LogIndex knownIndex;
     /// Bytes of frames received on this connection so far. The core instance derives from it how many are in flight.
     std::uint64_t receivedBytes = 0;
+    /// Limits of servers that the core instance does not know from this entry yet.
+    std::vector<ServerLimit> limits;
 };
 
 /// Update of the routing state that a core instance sends to an entry.
@@ -44,6 +47,8 @@
     /// Entries that share the retry budgets.
     unsigned entryCount = 1;
     std::vector<CoreInstance> core;
+    /// Limits of servers that have changed, and this entry's shares of them. A core instance repeats all when an entry connects.
+    std::vector<LimitShare> limits;
 };
 
 /// Report of a core instance to the others about the servers and entries that contact only this instance. It crosses data
@@ -66,6 +71,8 @@
     };
     /// Entries that are unchanged since their last description.
     std::vector<Alive> alive;
+    /// Limits of servers: those that have changed, or all in a full report.
+    std::vector<ServerLimit> limits;
 };
 
 // All decoders verify the buffer first and fail with FrameMalformed.
--- a/packages/coordination/tests/corereportertest.cpp
+++ b/packages/coordination/tests/corereportertest.cpp
@@ -19,12 +19,14 @@
         { EntryInfo { InstanceId("e2"), "10.0.0.2:80", DataCentreId("north"), true }, {} },
     };
 
+    std::vector<ServerLimit> limits;
+
     CoreReport takeReport()
     {
         for (CoreReporter::FedEntry &it : entries) {
             it.lastContactAt = now;
         }
-        return reporter.takeReport(Self, entries, now);
+        return reporter.takeReport(Self, entries, limits, now);
     }
 
     CoreReport takeNextReport()
@@ -139,7 +141,23 @@
     CHECK(fixture.takeReport().heard == std::vector { ServerId("s1") });
     CHECK(fixture.takeNextReport().heard.empty());
     fixture.now += EntryDirectory::Lifetime + std::chrono::milliseconds(1);
-    const CoreReport report = fixture.reporter.takeReport(Self, fixture.entries, fixture.now);
+    const CoreReport report = fixture.reporter.takeReport(Self, fixture.entries, {}, fixture.now);
     CHECK(report.entries.empty());
     CHECK(report.alive.empty());
 }
+
+// Guards against limits of which entries of other core instances hear late, and against their full list in each report.
+TEST_CASE("a changed limit is reported at once and alone, and all limits in full reports")
+{
+    Fixture fixture;
+    fixture.limits = { ServerLimit { ServerId("s1"), 1, 2, {} }, ServerLimit { ServerId("s2"), 1, 3, {} } };
+    CHECK(fixture.takeReport().limits.size() == 2);
+    CHECK(fixture.takeNextReport().limits.empty());
+    fixture.reporter.recordLimitChange(ServerId("s2"));
+    CHECK(fixture.reporter.isDue(fixture.now));
+    const CoreReport urgent = fixture.takeReport();
+    REQUIRE(urgent.limits.size() == 1);
+    CHECK(urgent.limits.front().server == ServerId("s2"));
+    CHECK(urgent.alive.empty());
+    CHECK_FALSE(fixture.reporter.isDue(fixture.now));
+}
--- a/packages/gateway/gateway/gatewaynode.cpp
+++ b/packages/gateway/gateway/gatewaynode.cpp
@@ -38,6 +38,8 @@
     if (!m_server.listen(m_settings.listen)) {
         return failure(ResultCode::AddressUnavailable, "cannot listen at " + m_settings.listen.text());
     }
+    m_link.setLimitSource([this](bool isFirstReport) { return m_servers.limits().toReport(isFirstReport, m_loop.now()); });
+    m_servers.onUrgentLimit([this] { m_link.reportNow(); });
     m_link.onUpdate([this](const Coordination::FeedUpdate &update) { apply(update); });
     m_link.start();
     return {};
--- a/packages/gateway/gateway/loadprober.cpp
+++ b/packages/gateway/gateway/loadprober.cpp
@@ -13,12 +13,11 @@
 }
 
 LoadProber::LoadProber(Net::EventLoop &loop, const HeaderNames &headerNames, ProbeSettings settings, ServerTable &servers,
-                       ServerLimits &limits, UpstreamPool &pool)
+                       UpstreamPool &pool)
     : m_loop(loop)
     , m_headerNames(headerNames)
     , m_settings(settings)
     , m_servers(servers)
-    , m_limits(limits)
     , m_pool(pool)
     , m_refilledAt(loop.now())
 {
@@ -61,7 +60,7 @@
     probe.attempt->onFailure([this, server](AttemptFailure) { finish(server, false); });
     probe.timer = m_loop.after(m_settings.lateAfter, [this, server] { markLate(server); });
     ++m_sent;
-    m_limits.recordSend(server, SendKind::Probe);
+    m_servers.limits().recordSend(server, SendKind::Probe, m_loop.now());
     return true;
 }
 
@@ -103,7 +102,8 @@
         m_servers.updateLoad(server, *load);
     }
     if (id != nullptr && !isOtherServer) {
-        m_limits.record(server, readLimitField(response.fields, m_headerNames.serverLimit), LimitSource::Probe);
+        const LimitField limit = readLimitField(response.fields, m_headerNames.serverLimit);
+        m_servers.recordLimit(server, limit, LimitSource::Probe, m_loop.now(), m_loop.now());
     }
     finish(server, !isOtherServer);
 }
--- a/packages/gateway/gateway/loadprober.h
+++ b/packages/gateway/gateway/loadprober.h
@@ -7,7 +7,6 @@
 #include <vector>
 
 #include "gateway/headernames.h"
-#include "gateway/serverlimits.h"
 #include "gateway/servertable.h"
 #include "gateway/upstreampool.h"
 
@@ -39,8 +38,7 @@
     /// Called with a server that answered a late probe.
     using LateAnswerCallback = std::function<void(const ServerId &)>;
 
-    LoadProber(Net::EventLoop &loop, const HeaderNames &headerNames, ProbeSettings settings, ServerTable &servers, ServerLimits &limits,
-               UpstreamPool &pool);
+    LoadProber(Net::EventLoop &loop, const HeaderNames &headerNames, ProbeSettings settings, ServerTable &servers, UpstreamPool &pool);
 
     /// Sets the paths of the health checks by service.
     void setPaths(std::map<ServiceId, std::string> paths);
@@ -68,7 +66,6 @@
     HeaderNames m_headerNames;
     ProbeSettings m_settings;
     ServerTable &m_servers;
-    ServerLimits &m_limits;
     UpstreamPool &m_pool;
     std::map<ServiceId, std::string> m_paths;
     std::map<ServerId, Probe> m_probes;
--- a/packages/gateway/gateway/requestrun.cpp
+++ b/packages/gateway/gateway/requestrun.cpp
@@ -138,8 +138,7 @@
         attempt();
         return;
     }
-    const ChoiceInput input { m_service, m_route->objective, m_tried, ChoiceInput::Need::Any };
-    const std::vector<ServerId> candidates = m_runner.m_servers.candidates(input, ProbesPerRound, now);
+    const std::vector<ServerId> candidates = m_runner.m_servers.candidates(choiceInput(ChoiceInput::Need::Any), ProbesPerRound, now);
     const bool isBestFree = !candidates.empty() && m_runner.m_servers.isKnownFreeAndFast(candidates.front(), now);
     if (isBestFree || mayUseLastSlot(candidates, now)) {
         attempt();
@@ -185,18 +184,19 @@
 void RequestRunner::Run::waitOrReject()
 {
     const Instant now = m_runner.m_loop.now();
-    if (!m_runner.m_servers.hasFreshReports(m_service, now)) {
-        attempt();
+    const Instant until = std::min(m_startedAt + m_route->objective / WaitDivisor, m_deadline);
+    const std::optional<Duration> limitWait = m_runner.m_servers.limitWait(choiceInput(ChoiceInput::Need::Any), now);
+    if (limitWait ? *limitWait > until - now : !m_runner.m_servers.hasFreshReports(m_service, now)) {
+        attempt(); // at once: waiting would not help, or is not known to be necessary
         return;
     }
-    const Instant until = std::min(m_startedAt + m_route->objective / WaitDivisor, m_deadline);
     if (now >= until) {
         leaveQueue();
         // A rejection states that the request has not run. One that may have run is sent to the best server instead.
         if (m_mayHaveRun || chooseWith(ChoiceInput::Need::FreeButSlow, now)) {
             attempt();
         } else {
-            reject("busy", true);
+            reject("busy", retryAfter());
         }
         return;
     }
@@ -264,9 +264,14 @@
     }
 }
 
+ChoiceInput RequestRunner::Run::choiceInput(ChoiceInput::Need need) const
+{
+    return ChoiceInput { m_service, m_route->objective, m_tried, need };
+}
+
 std::optional<ServerChoice> RequestRunner::Run::chooseWith(ChoiceInput::Need need, Instant now) const
 {
-    return m_runner.m_servers.choose(ChoiceInput { m_service, m_route->objective, m_tried, need }, now);
+    return m_runner.m_servers.choose(choiceInput(need), now);
 }
 
 std::optional<ServerChoice> RequestRunner::Run::choose(Instant now) const
@@ -289,7 +294,7 @@
     }
     const std::optional<ServerChoice> choice = choose(now);
     if (!choice) {
-        reject(m_tried.empty() ? "no_server" : "no_other_server");
+        rejectWithoutServer(now);
         return;
     }
     m_choice = *choice;
@@ -297,7 +302,8 @@
     const ServerRow *row = m_runner.m_servers.find(choice->server);
     m_tried.push_back(choice->server);
     ++m_runner.m_counters.attempts;
-    m_runner.m_limits.recordSend(choice->server, m_tried.size() > 1 ? SendKind::Further : SendKind::First);
+    m_runner.m_servers.limits().recordSend(choice->server, m_tried.size() > 1 ? SendKind::Further : SendKind::First, now);
+    m_sentAt = now;
     m_attemptStartedAt = now;
     m_start = m_runner.m_servers.recordAttemptStart(choice->server, m_route->name, now);
     UpstreamRequest request = makeRequest(now);
@@ -309,6 +315,17 @@
     startAttemptTimer();
 }
 
+void RequestRunner::Run::rejectWithoutServer(Instant now)
+{
+    const std::optional<Duration> limitWait = m_runner.m_servers.limitWait(choiceInput(ChoiceInput::Need::Any), now);
+    if (!limitWait) {
+        reject(m_tried.empty() ? "no_server" : "no_other_server", ShortRetryAfter);
+        return;
+    }
+    ++m_runner.m_counters.limited;
+    reject("server_limit", std::clamp(*limitWait, retryAfter(), MaxRetryAfter));
+}
+
 UpstreamRequest RequestRunner::Run::makeRequest(Instant now) const
 {
     const HeaderNames &headerNames = m_runner.m_headerNames;
@@ -397,8 +414,8 @@
     if (response.fields.find(headerNames.requestId) == nullptr || response.status == 421 || (!isRejection && !isResponse)) {
         return;
     }
-    m_runner.m_limits.record(m_choice.server, readLimitField(response.fields, headerNames.serverLimit),
-                             isRejection ? LimitSource::Rejection : LimitSource::Response);
+    m_runner.m_servers.recordLimit(m_choice.server, readLimitField(response.fields, headerNames.serverLimit),
+                                   isRejection ? LimitSource::Rejection : LimitSource::Response, m_sentAt, m_runner.m_loop.now());
 }
 
 void RequestRunner::Run::handleFailure(AttemptFailure failure)
@@ -411,7 +428,7 @@
         } else if (m_tried.size() < MaxConnectAttempts) {
             retry("not_connected");
         } else {
-            reject("not_connected");
+            reject("not_connected", ShortRetryAfter);
         }
         return;
     }
@@ -431,7 +448,7 @@
     } else if (m_mayHaveRun) {
         fail(502, reason);
     } else {
-        reject(mayRetry ? "retry_budget_spent" : reason);
+        reject(mayRetry ? "retry_budget_spent" : reason, ShortRetryAfter);
     }
 }
 
@@ -503,7 +520,7 @@
         ++m_runner.m_counters.timedOut;
         fail(504, "deadline");
     } else {
-        reject("deadline");
+        reject("deadline", ShortRetryAfter);
     }
 }
 
@@ -524,14 +541,14 @@
     finish("failed", status);
 }
 
-void RequestRunner::Run::reject(const char *reason, bool isBusy)
+void RequestRunner::Run::reject(const char *reason, Duration callerWait)
 {
     if (m_mayHaveRun) {
         fail(502, reason);
         return;
     }
     ++m_runner.m_counters.rejected;
-    m_exchange->respond(m_runner.makeRejection(isBusy ? retryAfter() : ShortRetryAfter));
+    m_exchange->respond(m_runner.makeRejection(callerWait));
     m_reason = reason;
     finish("rejected", 503);
 }
--- a/packages/gateway/gateway/requestrun.h
+++ b/packages/gateway/gateway/requestrun.h
@@ -45,6 +45,7 @@
     WaitKey waitKey() const;
     void leaveQueue();
     void onProbeFinished(unsigned selectionId, const ServerId &server, bool hasAnswered);
+    ChoiceInput choiceInput(ChoiceInput::Need need) const;
     std::optional<ServerChoice> chooseWith(ChoiceInput::Need need, Instant now) const;
     /// The best server that is known to be free, else one that is free but slow, else any.
     std::optional<ServerChoice> choose(Instant now) const;
@@ -67,9 +68,12 @@
     void onDeadlineExpired();
     void forwardResponse(Http::Response response);
     void fail(unsigned status, const char *reason);
-    /// \p isBusy: no server was free. Otherwise the caller may retry almost at once.
-    void reject(const char *reason, bool isBusy = false);
-    /// Time after which a rejected caller should retry; grows with the time left, as a later retry is likelier to find a free slot.
+    /// \p callerWait: when the caller should retry.
+    void reject(const char *reason, Duration callerWait);
+    /// Rejects the request because no server can be chosen for it: none is left, or all have reached the limits that they state.
+    void rejectWithoutServer(Instant now);
+    /// Time after which a caller should retry when no server was free; grows with the time left, as a later retry is likelier to find a
+    /// free slot.
     Duration retryAfter() const;
     void finish(const char *outcome, unsigned status);
     void writeLogLine(const char *outcome, unsigned status, Instant now) const;
@@ -83,6 +87,8 @@
     Instant m_deadline {};
     /// Bytes of the body that were passed on to the current attempt.
     std::uint64_t m_sentBody = 0;
+    /// When the current attempt was sent, and from when on its duration counts as work of the server.
+    Instant m_sentAt {};
     Instant m_attemptStartedAt {};
     ServerChoice m_choice;
     AttemptStart m_start;
--- a/packages/gateway/gateway/requestrunner.cpp
+++ b/packages/gateway/gateway/requestrunner.cpp
@@ -34,7 +34,7 @@
     , m_budgetSettings(budget)
     , m_servers(servers)
     , m_pool(loop, m_headerNames.requestId)
-    , m_prober(loop, m_headerNames, probes, servers, m_limits, m_pool)
+    , m_prober(loop, m_headerNames, probes, servers, m_pool)
     , m_splits(random)
     , m_createdAt(loop.now())
     , m_log(RequestLogSettings {})
@@ -141,7 +141,6 @@
 {
     for (const ServerId &it : servers) {
         m_pool.retire(it);
-        m_limits.remove(it);
     }
 }
 
@@ -185,6 +184,7 @@
         { "no_route", m_counters.noRoute },
         { "waited", m_counters.waited },
         { "waited_for_config", m_counters.waitedForConfig },
+        { "limited", m_counters.limited },
         { "attempt", m_counters.attempts },
         { "further_attempt", m_counters.furtherAttempts },
         { "retry_budget_spent", m_counters.retryBudgetSpent },
@@ -208,7 +208,7 @@
     text.family("galenabarrow_gateway_config_version", Kind::Gauge, "Version of the routing configuration in force.");
     text.sample({}, m_version.value());
     m_latencies.write(text);
-    return text.text() + m_limits.metrics();
+    return text.text() + m_servers.limits().metrics();
 }
 
 RetryBudget &RequestRunner::budgetOf(const ServiceId &service)
--- a/packages/gateway/gateway/requestrunner.h
+++ b/packages/gateway/gateway/requestrunner.h
@@ -9,7 +9,6 @@
 #include "gateway/requestlog.h"
 #include "gateway/retrybudget.h"
 #include "gateway/routelatencies.h"
-#include "gateway/serverlimits.h"
 #include "gateway/servertable.h"
 #include "gateway/splitchooser.h"
 #include "gateway/upstreampool.h"
@@ -41,6 +40,8 @@
     std::uint64_t waited = 0;
     /// Requests that waited for the first configuration of this entry.
     std::uint64_t waitedForConfig = 0;
+    /// Rejected requests that no server would have taken by its own limit.
+    std::uint64_t limited = 0;
 };
 
 /// Serves the requests of callers: finds the route, chooses servers, sends attempts within the limits of the route and the
@@ -92,7 +93,6 @@
     HeaderNames m_headerNames;
     RetryBudgetSettings m_budgetSettings;
     ServerTable &m_servers;
-    ServerLimits m_limits;
     UpstreamPool m_pool;
     LoadProber m_prober;
     SplitChooser m_splits;
--- a/packages/gateway/gateway/servertable.cpp
+++ b/packages/gateway/gateway/servertable.cpp
@@ -88,6 +88,7 @@
     for (auto &[id, row] : m_rows) {
         row.isSilent = std::find(update.silent.begin(), update.silent.end(), id) != update.silent.end();
     }
+    m_limits.apply(update.limits, update.entryCount, now);
     if (!update.servers.empty() || update.isWhole) {
         rebuildServices();
     }
@@ -118,6 +119,7 @@
 {
     if (m_rows.erase(server) > 0) {
         m_removed.push_back(server);
+        m_limits.remove(server);
     }
 }
 
@@ -146,7 +148,7 @@
         if (std::find(input.tried.begin(), input.tried.end(), id) != input.tried.end()) {
             continue;
         }
-        const bool isExcluded = (input.need == ChoiceInput::Need::Free && !isKnownFree(id, now))
+        const bool isExcluded = !isWithinLimit(m_rows.at(id), now) || (input.need == ChoiceInput::Need::Free && !isKnownFree(id, now))
             || (input.need == ChoiceInput::Need::FreeButSlow && !isKnownSlowButFree(id, now));
         if (isExcluded) {
             continue;
@@ -185,7 +187,7 @@
     for (const ServerId &id : service->second.servers) {
         const bool isTried = std::find(input.tried.begin(), input.tried.end(), id) != input.tried.end();
         const bool isKnownWorse = isFresh(id, now) && !isKnownFreeAndFast(id, now);
-        if (!isTried && !isKnownWorse && !m_rows.at(id).hasLateProbe) {
+        if (!isTried && !isKnownWorse && !m_rows.at(id).hasLateProbe && isWithinLimit(m_rows.at(id), now)) {
             const double noise = m_random.unit() * EqualScoreSeconds;
             scored.emplace_back(score(m_rows.at(id), service->second, input, now) + noise, id);
         }
@@ -214,7 +216,13 @@
 bool ServerTable::isKnownFree(const ServerId &server, Instant now) const
 {
     const ServerRow *row = find(server);
-    return isFresh(server, now) && now >= row->avoidedUntil && row->load->slowness <= UndisturbedSlowness && spareSlots(*row) >= 0;
+    return isFresh(server, now) && now >= row->avoidedUntil && row->load->slowness <= UndisturbedSlowness && spareSlots(*row) >= 0
+        && isWithinLimit(*row, now);
+}
+
+bool ServerTable::isWithinLimit(const ServerRow &row, Instant now) const
+{
+    return m_limits.maySend(row.server.id, row.server.born, now);
 }
 
 bool ServerTable::isKnownFreeAndFast(const ServerId &server, Instant now) const
@@ -236,7 +244,7 @@
 {
     const ServerRow *row = find(server);
     return isFresh(server, now) && now >= row->avoidedUntil && row->load->slowness <= UndisturbedSlowness * row->sustainedSlowness
-        && spareSlots(*row) >= 0;
+        && spareSlots(*row) >= 0 && isWithinLimit(*row, now);
 }
 
 double ServerTable::expectedOthers(const ServerRow &row, const ServiceRow &service, Instant now) const
@@ -402,6 +410,49 @@
     }
 }
 
+void ServerTable::recordLimit(const ServerId &server, const LimitField &field, LimitSource source, Instant sentAt, Instant now)
+{
+    const ServerRow *row = find(server);
+    if (row != nullptr && m_limits.record(server, row->server.born, field, source, sentAt, now) && m_urgentLimitCallback) {
+        m_urgentLimitCallback();
+    }
+}
+
+void ServerTable::onUrgentLimit(std::function<void()> callback)
+{
+    m_urgentLimitCallback = std::move(callback);
+}
+
+ServerLimits &ServerTable::limits()
+{
+    return m_limits;
+}
+
+const ServerLimits &ServerTable::limits() const
+{
+    return m_limits;
+}
+
+std::optional<Duration> ServerTable::limitWait(const ChoiceInput &input, Instant now) const
+{
+    const auto service = m_services.find(input.service);
+    if (!m_limits.isAnyLimited() || service == m_services.end()) {
+        return std::nullopt;
+    }
+    std::optional<Duration> shortest;
+    for (const ServerId &id : service->second.servers) {
+        if (std::find(input.tried.begin(), input.tried.end(), id) != input.tried.end()) {
+            continue;
+        }
+        const Duration wait = m_limits.wait(id, m_rows.at(id).server.born, now);
+        if (wait == Duration {}) {
+            return std::nullopt;
+        }
+        shortest = std::min(shortest.value_or(wait), wait);
+    }
+    return shortest;
+}
+
 Duration ServerTable::workTime(const ServiceId &service) const
 {
     return Duration(static_cast<Duration::rep>(m_workTimes.usualSeconds(service) * 1e6));
--- a/packages/gateway/gateway/servertable.h
+++ b/packages/gateway/gateway/servertable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -8,6 +9,7 @@
 #include "base/random.h"
 #include "coordination/feed.h"
 #include "gateway/loadreport.h"
+#include "gateway/serverlimits.h"
 #include "gateway/worktimes.h"
 #include "routing/model.h"
 
@@ -100,12 +102,12 @@
 
     /// Applies the servers of a feed update.
     void apply(const Coordination::FeedUpdate &update, Instant now);
-    /// The server with the best score for a request; absent when no server of the service meets \p input.
+    /// The server with the best score for a request; absent when no server of the service meets \p input and its own limit.
     std::optional<ServerChoice> choose(const ChoiceInput &input, Instant now) const;
     /// At most \p maxCount servers with the best scores, best first; excludes those with a late probe, and those that a fresh report
-    /// shows to be full, disturbed or left with a slow last slot only.
+    /// shows to be full, disturbed or left with a slow last slot only, or that take no request by their own limit.
     std::vector<ServerId> candidates(const ChoiceInput &input, std::size_t maxCount, Instant now) const;
-    /// Whether a fresh report shows the server to be undisturbed and to have a free slot.
+    /// Whether a fresh report shows the server to be undisturbed and to have a free slot, and its limit allows a request.
     bool isKnownFree(const ServerId &server, Instant now) const;
     /// As isKnownFree(), and the slot has the usual speed: it is not the last free one, or the last one is not slower.
     bool isKnownFreeAndFast(const ServerId &server, Instant now) const;
@@ -127,6 +129,15 @@
     void recordLateProbe(const ServerId &server);
     /// Records that a probe was answered or abandoned, and clears the mark of recordLateProbe().
     void recordProbe(const ServerId &server, bool hasAnswered, Instant now);
+    /// Records what a response of the server says about its limit, see ServerLimits::record().
+    void recordLimit(const ServerId &server, const LimitField &field, LimitSource source, Instant sentAt, Instant now);
+    /// Sets the callback for limits that the core should be told at once.
+    void onUrgentLimit(std::function<void()> callback);
+    ServerLimits &limits();
+    const ServerLimits &limits() const;
+    /// When limits exclude every server that the request may still be sent to: the time until one of them takes a request. Absent
+    /// otherwise.
+    std::optional<Duration> limitWait(const ChoiceInput &input, Instant now) const;
     /// The usual duration of a request at the service.
     Duration workTime(const ServiceId &service) const;
     /// Number of ready servers of the service.
@@ -149,6 +160,8 @@
     double score(const ServerRow &row, const ServiceRow &service, const ChoiceInput &input, Instant now) const;
     /// Free slots in addition to the one for a new request, by the newest report; negative when there is none for the request.
     static double spareSlots(const ServerRow &row);
+    /// Whether the limit that the server states allows a request of this entry now.
+    bool isWithinLimit(const ServerRow &row, Instant now) const;
     bool mayAvoid(const ServiceRow &service, Instant now) const;
     void avoid(ServerRow &row, Instant now);
 
@@ -157,6 +170,8 @@
     std::map<ServerId, ServerRow> m_rows;
     std::map<ServiceId, ServiceRow> m_services;
     WorkTimes m_workTimes;
+    ServerLimits m_limits;
+    std::function<void()> m_urgentLimitCallback;
     std::vector<ServerId> m_removed;
 };
 
--- a/packages/gateway/tests/limitedservertest.cpp
+++ b/packages/gateway/tests/limitedservertest.cpp
@@ -38,3 +38,37 @@
     CHECK(cluster.statuses[200] >= 60 * 16);
     CHECK(cluster.statuses[503] == 0);
 }
+
+// Pattern: the whole service is in need. Guards against callers that wait in vain, and against limits that are not used up.
+TEST_CASE("when all servers state limits, these are used up and the other requests are rejected at once")
+{
+    Cluster cluster({ 1, 8, 4 });
+    cluster.startCallers(60);
+    for (const auto &it : cluster.servers) {
+        it->limit = "2.5";
+    }
+    cluster.runFor(std::chrono::seconds(4));
+    const std::size_t before = cluster.requests();
+    cluster.statuses.clear();
+    cluster.runFor(std::chrono::seconds(20));
+    const std::size_t offered = 4 * 20 * 5 / 2;
+    CHECK(cluster.requests() - before >= offered * 85 / 100);
+    CHECK(cluster.requests() - before <= offered * 110 / 100);
+    CHECK(cluster.statuses[200] + cluster.statuses[503] >= 60 * 20 - 10);
+    CHECK(cluster.statuses[0] + cluster.statuses[502] + cluster.statuses[504] == 0);
+}
+
+TEST_CASE("a server that states no limit any more gets its part again, also after a limit of 0")
+{
+    const std::string limit = GENERATE("1.5", "0");
+    Cluster cluster({ 1, 6, 2 });
+    cluster.startCallers(40);
+    cluster.servers[0]->limit = limit;
+    cluster.runFor(std::chrono::seconds(5));
+    cluster.servers[0]->limit.clear();
+    cluster.runFor(std::chrono::seconds(11));
+    const std::size_t before = cluster.servers[0]->requests();
+    cluster.runFor(std::chrono::seconds(2));
+    CHECK(cluster.servers[0]->requests() - before >= 30);
+    CHECK(cluster.statuses[503] == 0);
+}
--- a/packages/gateway/tests/scriptedserver.cpp
+++ b/packages/gateway/tests/scriptedserver.cpp
@@ -54,7 +54,11 @@
         return;
     }
     if (work > Duration {}) {
-        m_loop.after(work, [this, exchange] { exchange->respond(makeAnswer(exchange->request())); });
+        ++m_running;
+        m_loop.after(work, [this, exchange] {
+            --m_running;
+            exchange->respond(makeAnswer(exchange->request()));
+        });
     } else {
         exchange->respond(makeAnswer(exchange->request()));
     }
@@ -64,7 +68,7 @@
 {
     Http::Response response = Http::makeResponse(200);
     response.fields.add("x-server", name);
-    response.fields.add("x-load", load);
+    response.fields.add("x-load", load.empty() ? std::to_string(m_running) + ",0," + std::to_string(slots) + ",100" : load);
     exchange.respond(std::move(response));
 }
 
--- a/packages/gateway/tests/scriptedserver.h
+++ b/packages/gateway/tests/scriptedserver.h
@@ -45,7 +45,9 @@
     Net::SocketAddress address;
     std::string name;
     Behaviour behaviour = Behaviour::Answer;
+    /// The load that probes report; empty to report the requests that are running, on \c slots slots.
     std::string load = "0,0,2,100";
+    std::size_t slots = 2;
     /// The limit that responses to requests state; none when empty.
     std::string limit;
     /// Time until a request is answered.
@@ -65,6 +67,7 @@
     Http::Response makeAnswer(const Http::Request &request) const;
 
     Net::EventLoop &m_loop;
+    std::size_t m_running = 0;
     Http::Server m_server;
 };
 
