Log which request was running when a server crashed

A line named the id of a request, which differs for each attempt of a caller, and a lost connection could be a reset or a crash, so that one request could not be told from many faulty servers. Now: the mark of a request, a hash of what its attempts have in common (method, host, target, credentials, body), in its line when a connection was lost; and after each lost connection one attempt to connect, whose refusal is logged as server_crashed with the mark, and counted. Nothing is decided by it yet.

Tests: markbuildertest, crashchecktest.

--- a/packages/gateway/gateway/requestrun.cpp
+++ b/packages/gateway/gateway/requestrun.cpp
@@ -115,6 +115,11 @@
     }
 }
 
+bool RequestRunner::Run::isWhole() const
+{
+    return m_exchange->isBodyComplete() && m_exchange->discardedBody() == 0;
+}
+
 bool RequestRunner::Run::mayResend() const
 {
     return m_exchange->discardedBody() == 0;
@@ -433,6 +438,10 @@
         return;
     }
     m_mayHaveRun = true;
+    if (isWhole()) {
+        m_mark = markOf(m_exchange->request());
+        m_runner.handleLostConnection(m_choice.server, *m_mark);
+    }
     handleUnknownOutcome("connection_lost", nullptr);
 }
 
@@ -589,6 +598,7 @@
         { "service", m_service.value() },
         { "config", std::to_string(m_runner.m_version.value()) },
         { "servers", tried },
+        { "mark", m_mark ? Coordination::describe(*m_mark) : "" },
         { "expected_ms", formatMilliseconds(m_choice.expected) },
         { "occupancy", std::to_string(m_choice.occupancy) },
         { "trail", m_trail.text() },
--- a/packages/gateway/gateway/requestrun.h
+++ b/packages/gateway/gateway/requestrun.h
@@ -32,6 +32,8 @@
     void sendBody();
     /// Whether the beginning of the body is still held, so that the request can be sent to another server.
     bool mayResend() const;
+    /// Whether the whole request has been received and is still held.
+    bool isWhole() const;
     /// Probes the servers with the best scores, and sends the request as soon as one of them is known to be free. While the body is
     /// being received, the server with the best score is used without probes.
     void select();
@@ -94,6 +96,8 @@
     AttemptStart m_start;
     std::vector<ServerId> m_tried;
     std::shared_ptr<Attempt> m_attempt;
+    /// Set when a connection was lost while the request ran.
+    std::optional<Coordination::RequestMark> m_mark;
     /// The decisions on this request, for the log line.
     DecisionTrail m_trail;
     const char *m_reason = "none";
--- a/packages/gateway/gateway/requestrunner.cpp
+++ b/packages/gateway/gateway/requestrunner.cpp
@@ -35,6 +35,8 @@
     , m_servers(servers)
     , m_pool(loop, m_headerNames.requestId)
     , m_prober(loop, m_headerNames, probes, servers, m_pool)
+    , m_crashCheck(loop)
+    , m_crashLog("crashes")
     , m_splits(random)
     , m_createdAt(loop.now())
     , m_log(RequestLogSettings {})
@@ -185,6 +187,8 @@
         { "waited", m_counters.waited },
         { "waited_for_config", m_counters.waitedForConfig },
         { "limited", m_counters.limited },
+        { "server_crashed", m_crashCheck.crashes() },
+        { "connection_reset", m_crashCheck.alive() },
         { "attempt", m_counters.attempts },
         { "further_attempt", m_counters.furtherAttempts },
         { "retry_budget_spent", m_counters.retryBudgetSpent },
@@ -231,6 +235,25 @@
     }
 }
 
+void RequestRunner::handleLostConnection(const ServerId &server, const Coordination::RequestMark &mark)
+{
+    const ServerRow *row = m_servers.find(server);
+    if (row == nullptr || row->server.state != Routing::ServerState::Ready) {
+        return; // it has left as announced
+    }
+    m_crashCheck.check(row->server.address, [this, server, born = row->server.born, mark](bool hasCrashed) {
+        if (hasCrashed) {
+            recordCrash(server, born, mark);
+        }
+    });
+}
+
+void RequestRunner::recordCrash(const ServerId &server, std::uint64_t born, const Coordination::RequestMark &mark)
+{
+    m_crashLog.info("server_crashed",
+                    { { "server", server.value() }, { "born", std::to_string(born) }, { "mark", Coordination::describe(mark) } });
+}
+
 bool RequestRunner::withdrawRetryBudget(const ServiceId &service)
 {
     if (budgetOf(service).tryWithdraw(m_entryCount, m_loop.now())) {
--- a/packages/gateway/gateway/requestrunner.h
+++ b/packages/gateway/gateway/requestrunner.h
@@ -4,8 +4,10 @@
 #include <memory>
 #include <set>
 
+#include "gateway/crashcheck.h"
 #include "gateway/headernames.h"
 #include "gateway/loadprober.h"
+#include "gateway/markbuilder.h"
 #include "gateway/requestlog.h"
 #include "gateway/retrybudget.h"
 #include "gateway/routelatencies.h"
@@ -87,6 +89,9 @@
     RetryBudget &budgetOf(const ServiceId &service);
     /// If \p server is known to be free, sends it the first queued request that was not sent to it before.
     void offerSlot(const ServiceId &service, const ServerId &server);
+    /// Called when the connection was lost while the server ran a request. Finds out whether the server has crashed.
+    void handleLostConnection(const ServerId &server, const Coordination::RequestMark &mark);
+    void recordCrash(const ServerId &server, std::uint64_t born, const Coordination::RequestMark &mark);
 
     Net::EventLoop &m_loop;
     RandomSource &m_random;
@@ -95,6 +100,8 @@
     ServerTable &m_servers;
     UpstreamPool m_pool;
     LoadProber m_prober;
+    CrashCheck m_crashCheck;
+    Log m_crashLog;
     SplitChooser m_splits;
     std::unique_ptr<Routing::RouteTable> m_routes;
     Instant m_createdAt;
--- a/packages/net/net/stream.h
+++ b/packages/net/net/stream.h
@@ -28,7 +28,7 @@
 
     /// Takes ownership of a connected socket.
     static std::shared_ptr<Stream> adopt(EventLoop &loop, int fd, std::string peer = {});
-    /// Starts to connect; null if that fails at once. A later failure is reported by the end callback.
+    /// Starts to connect; null if that fails at once, with the cause in errno. A later failure is reported by the end callback.
     static std::shared_ptr<Stream> connect(EventLoop &loop, const SocketAddress &address);
     ~Stream();
     Stream(const Stream &) = delete;
