--- a/packages/gateway/tests/cluster.cpp
+++ b/packages/gateway/tests/cluster.cpp
@@ -106,13 +106,16 @@
 void Cluster::announceServers()
 {
     for (const auto &it : servers) {
+        if (it->isDown) {
+            continue;
+        }
         Routing::BackendServer server;
         server.id = ServerId(it->name);
         server.address = it->address.text();
         server.service = ServiceId("desk");
         server.dataCentre = DataCentreId("north");
         server.slots = Slots;
-        server.born = 1;
+        server.born = it->born;
         server.sequence = 1;
         core.front()->announce(server, [](const Result<void> &) {});
     }
@@ -181,6 +184,20 @@
     return count;
 }
 
+std::vector<Instant> Cluster::arrivals(const std::string &path) const
+{
+    std::vector<Instant> arrivals;
+    for (const auto &it : servers) {
+        for (std::size_t n = 0; n < it->received.size(); ++n) {
+            if (it->received[n].path() == path) {
+                arrivals.push_back(it->arrivals[n]);
+            }
+        }
+    }
+    std::sort(arrivals.begin(), arrivals.end());
+    return arrivals;
+}
+
 std::size_t mostArrivals(const std::vector<Instant> &arrivals, Instant from, Duration window)
 {
     std::size_t most = 0;
--- a/packages/gateway/tests/cluster.h
+++ b/packages/gateway/tests/cluster.h
@@ -31,6 +31,8 @@
     void send(std::size_t entry, const std::string &path = "/a", const std::string &body = "ok");
     /// Requests that all servers received.
     std::size_t requests() const;
+    /// When servers received requests for this path, in order.
+    std::vector<Instant> arrivals(const std::string &path) const;
 
     ManualClock clock;
     Net::EventLoop loop { clock };
--- a/packages/gateway/tests/scriptedserver.cpp
+++ b/packages/gateway/tests/scriptedserver.cpp
@@ -1,5 +1,7 @@
 #include "scriptedserver.h"
 
+#include <utility>
+
 #include <catch2/catch.hpp>
 
 namespace Galenabarrow::Gateway
@@ -54,21 +56,46 @@
         return;
     }
     if (work > Duration {}) {
-        ++m_running;
-        m_loop.after(work, [this, exchange] {
-            --m_running;
-            exchange->respond(makeAnswer(exchange->request()));
-        });
+        m_running.insert(exchange);
+        m_loop.after(work, [this, exchange] { run(exchange); });
+    } else {
+        exchange->respond(makeAnswer(exchange->request()));
+    }
+}
+
+void ScriptedServer::run(const Http::ExchangePointer &exchange)
+{
+    if (m_running.erase(exchange) == 0) {
+        return; // the server has crashed
+    }
+    if (exchange->request().path() == deadlyPath) {
+        exchange->abort();
+        crash();
     } else {
         exchange->respond(makeAnswer(exchange->request()));
     }
 }
 
+void ScriptedServer::crash()
+{
+    isDown = true;
+    for (const Http::ExchangePointer &it : std::exchange(m_running, {})) {
+        it->abort();
+    }
+    m_server.stopListening();
+    m_server.closeIdle();
+    m_loop.after(downFor, [this] {
+        REQUIRE(m_server.listen(address));
+        isDown = false;
+        ++born;
+    });
+}
+
 void ScriptedServer::answerProbe(Http::Exchange &exchange) const
 {
     Http::Response response = Http::makeResponse(200);
     response.fields.add("x-server", name);
-    response.fields.add("x-load", load.empty() ? std::to_string(m_running) + ",0," + std::to_string(slots) + ",100" : load);
+    response.fields.add("x-load", load.empty() ? std::to_string(m_running.size()) + ",0," + std::to_string(slots) + ",100" : load);
     exchange.respond(std::move(response));
 }
 
--- a/packages/gateway/tests/scriptedserver.h
+++ b/packages/gateway/tests/scriptedserver.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <set>
+
 #include "gateway/headernames.h"
 #include "http/server.h"
 
@@ -52,6 +54,12 @@
     std::string limit;
     /// Time until a request is answered.
     Duration work {};
+    /// A request for this path crashes the server after \c work: all connections are lost, and it starts again after \c downFor.
+    std::string deadlyPath;
+    Duration downFor = std::chrono::seconds(3);
+    bool isDown = false;
+    /// Number of its starts.
+    std::uint64_t born = 1;
     /// Time until a probe is answered.
     Duration probeDelay {};
     std::size_t probes = 0;
@@ -62,12 +70,14 @@
     std::size_t cancelled = 0;
 
 private:
+    void crash();
     void handle(const Http::ExchangePointer &exchange);
+    void run(const Http::ExchangePointer &exchange);
     void answerProbe(Http::Exchange &exchange) const;
     Http::Response makeAnswer(const Http::Request &request) const;
 
     Net::EventLoop &m_loop;
-    std::size_t m_running = 0;
+    std::set<Http::ExchangePointer> m_running;
     Http::Server m_server;
 };
 
