--- a/packages/gateway/gateway/gatewaynode.cpp
+++ b/packages/gateway/gateway/gatewaynode.cpp
@@ -40,10 +40,10 @@
     }
     m_link.setReportSource([this](Coordination::EntryReport &report, bool isFirstReport) {
         report.limits = m_servers.limits().toReport(isFirstReport, m_loop.now());
-        report.crashes = m_runner.takeCrashFacts(isFirstReport);
+        report.crashes = m_runner.crashWatch().takeFacts(isFirstReport);
     });
     m_servers.onUrgentLimit([this] { m_link.reportNow(); });
-    m_runner.onCrashFact([this] { m_link.reportNow(); });
+    m_runner.crashWatch().onFact([this] { m_link.reportNow(); });
     m_link.onUpdate([this](const Coordination::FeedUpdate &update) { apply(update); });
     m_link.start();
     return {};
@@ -89,7 +89,7 @@
     m_servers.apply(update, now);
     m_runner.retire(m_servers.takeRemoved());
     m_runner.setEntryCount(update.entryCount);
-    m_runner.applyCrashFacts(update.crashes);
+    m_runner.crashWatch().apply(update.crashes);
     m_hasServers = m_hasServers || m_servers.size() > 0;
     // An update from a lagging core instance must not restore an older configuration.
     if (update.config && update.configAt > m_configIndex) {
--- a/packages/gateway/gateway/requestrun.cpp
+++ b/packages/gateway/gateway/requestrun.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "gateway/markbuilder.h"
 #include "gateway/requestfields.h"
 
 namespace Galenabarrow::Gateway
@@ -126,7 +127,7 @@
 
 bool RequestRunner::Run::isSuspected() const
 {
-    return m_runner.m_crashes.size() > 0 && m_runner.m_crashes.knowsPlace(placeOf(m_exchange->request()));
+    return m_runner.m_crashes.isSuspected(m_exchange->request());
 }
 
 const Coordination::RequestMark &RequestRunner::Run::mark()
@@ -142,7 +143,7 @@
     if (!isSuspected() || !isWhole()) {
         return false;
     }
-    const Duration hold = m_runner.m_crashes.holdTime(mark(), m_runner.m_loop.now());
+    const Duration hold = m_runner.m_crashes.holdTime(mark());
     if (hold == Duration {}) {
         return false;
     }
@@ -155,7 +156,7 @@
 void RequestRunner::Run::recordRunToEnd()
 {
     if (isSuspected() && isWhole() && m_runner.m_crashes.crashes(mark()) > 0) {
-        m_runner.recordCrashFact(Coordination::CrashFact { mark(), ServerId(), 0, {} });
+        m_runner.m_crashes.recordEnd(mark());
     }
 }
 
@@ -484,8 +485,8 @@
         return;
     }
     m_mayHaveRun = true;
-    if (isWhole()) {
-        m_runner.handleLostConnection(m_choice.server, mark());
+    if (const ServerRow *row = m_runner.m_servers.find(m_choice.server); row != nullptr && isWhole()) {
+        m_runner.m_crashes.handleLostConnection(row->server, mark());
     }
     handleUnknownOutcome("connection_lost", nullptr);
 }
--- a/packages/gateway/gateway/requestrunner.cpp
+++ b/packages/gateway/gateway/requestrunner.cpp
@@ -35,8 +35,7 @@
     , m_servers(servers)
     , m_pool(loop, m_headerNames.requestId)
     , m_prober(loop, m_headerNames, probes, servers, m_pool)
-    , m_crashCheck(loop)
-    , m_crashLog("crashes")
+    , m_crashes(loop)
     , m_splits(random)
     , m_createdAt(loop.now())
     , m_log(RequestLogSettings {})
@@ -188,8 +187,8 @@
         { "waited_for_config", m_counters.waitedForConfig },
         { "limited", m_counters.limited },
         { "held_back", m_counters.heldBack },
-        { "server_crashed", m_crashCheck.crashes() },
-        { "connection_reset", m_crashCheck.alive() },
+        { "server_crashed", m_crashes.checks().crashes() },
+        { "connection_reset", m_crashes.checks().alive() },
         { "attempt", m_counters.attempts },
         { "further_attempt", m_counters.furtherAttempts },
         { "retry_budget_spent", m_counters.retryBudgetSpent },
@@ -210,10 +209,7 @@
     text.sample({}, std::uint64_t { m_runs.size() });
     text.family("galenabarrow_gateway_servers", Kind::Gauge, "Backend servers known to this entry.");
     text.sample({}, std::uint64_t { m_servers.size() });
-    text.family("galenabarrow_gateway_requests_suspected", Kind::Gauge, "Requests that were running when servers crashed, by state.");
-    const std::size_t held = m_crashes.heldCount(m_loop.now());
-    text.sample({ { "state", "held_back" } }, std::uint64_t { held });
-    text.sample({ { "state", "watched" } }, std::uint64_t { m_crashes.size() - held });
+    m_crashes.writeMetrics(text);
     text.family("galenabarrow_gateway_config_version", Kind::Gauge, "Version of the routing configuration in force.");
     text.sample({}, m_version.value());
     m_latencies.write(text);
@@ -240,55 +236,9 @@
     }
 }
 
-void RequestRunner::handleLostConnection(const ServerId &server, const Coordination::RequestMark &mark)
+CrashWatch &RequestRunner::crashWatch()
 {
-    const ServerRow *row = m_servers.find(server);
-    if (row == nullptr || row->server.state != Routing::ServerState::Ready) {
-        return; // it has left as announced
-    }
-    m_crashCheck.check(row->server.address, [this, server, born = row->server.born, mark](bool hasCrashed) {
-        if (hasCrashed) {
-            m_crashLog.info("server_crashed",
-                            { { "server", server.value() }, { "born", std::to_string(born) }, { "mark", Coordination::describe(mark) } });
-            recordCrashFact(Coordination::CrashFact { mark, server, born, {} });
-        }
-    });
-}
-
-void RequestRunner::recordCrashFact(const Coordination::CrashFact &fact)
-{
-    if (!m_crashes.record(fact, m_loop.now())) {
-        return;
-    }
-    m_unreportedFacts.push_back(SeenFact { fact, m_loop.now() });
-    if (m_crashFactCallback) {
-        m_crashFactCallback();
-    }
-}
-
-void RequestRunner::applyCrashFacts(const std::vector<Coordination::CrashFact> &facts)
-{
-    for (const Coordination::CrashFact &it : facts) {
-        m_crashes.record(it, m_loop.now());
-    }
-}
-
-std::vector<Coordination::CrashFact> RequestRunner::takeCrashFacts(bool all)
-{
-    if (all) {
-        return m_crashes.factsAfter(0, m_loop.now());
-    }
-    std::vector<Coordination::CrashFact> facts;
-    for (SeenFact &it : std::exchange(m_unreportedFacts, {})) {
-        it.fact.age = m_loop.now() - it.at;
-        facts.push_back(std::move(it.fact));
-    }
-    return facts;
-}
-
-void RequestRunner::onCrashFact(std::function<void()> callback)
-{
-    m_crashFactCallback = std::move(callback);
+    return m_crashes;
 }
 
 bool RequestRunner::withdrawRetryBudget(const ServiceId &service)
--- a/packages/gateway/gateway/requestrunner.h
+++ b/packages/gateway/gateway/requestrunner.h
@@ -4,10 +4,9 @@
 #include <memory>
 #include <set>
 
-#include "gateway/crashcheck.h"
+#include "gateway/crashwatch.h"
 #include "gateway/headernames.h"
 #include "gateway/loadprober.h"
-#include "gateway/markbuilder.h"
 #include "gateway/requestlog.h"
 #include "gateway/retrybudget.h"
 #include "gateway/routelatencies.h"
@@ -66,12 +65,7 @@
     void handle(const Http::ExchangePointer &exchange);
     /// Closes the idle connections to servers that have left.
     void retire(const std::vector<ServerId> &servers);
-    /// Adds what other entries have seen of requests that were running when servers crashed.
-    void applyCrashFacts(const std::vector<Coordination::CrashFact> &facts);
-    /// What this entry has seen since the last call; or all that it knows, also from others.
-    std::vector<Coordination::CrashFact> takeCrashFacts(bool all);
-    /// Sets the callback for facts that the core should be told at once.
-    void onCrashFact(std::function<void()> callback);
+    CrashWatch &crashWatch();
     std::size_t running() const;
     const RequestCounters &counters() const;
     /// The counters and gauges of this entry in the Prometheus text format.
@@ -80,12 +74,6 @@
 private:
     class Run;
 
-    /// A fact about a crash that this entry has seen.
-    struct SeenFact {
-        Coordination::CrashFact fact;
-        Instant at {};
-    };
-
     /// A request that waits for the first configuration.
     struct WaitingExchange {
         Http::ExchangePointer exchange;
@@ -103,9 +91,6 @@
     RetryBudget &budgetOf(const ServiceId &service);
     /// If \p server is known to be free, sends it the first queued request that was not sent to it before.
     void offerSlot(const ServiceId &service, const ServerId &server);
-    /// Called when the connection was lost while the server ran a request. Finds out whether the server has crashed.
-    void handleLostConnection(const ServerId &server, const Coordination::RequestMark &mark);
-    void recordCrashFact(const Coordination::CrashFact &fact);
 
     Net::EventLoop &m_loop;
     RandomSource &m_random;
@@ -114,12 +99,7 @@
     ServerTable &m_servers;
     UpstreamPool m_pool;
     LoadProber m_prober;
-    CrashCheck m_crashCheck;
-    Coordination::CrashLedger m_crashes;
-    /// Facts of this entry that have not been reported.
-    std::vector<SeenFact> m_unreportedFacts;
-    std::function<void()> m_crashFactCallback;
-    Log m_crashLog;
+    CrashWatch m_crashes;
     SplitChooser m_splits;
     std::unique_ptr<Routing::RouteTable> m_routes;
     Instant m_createdAt;
