Move limits and crashes from CoreNode into a class of their own

ServerFacts holds what entries report of servers and what each entry has received of it. No behaviour changes.

--- a/packages/coordination/coordination/corenode.cpp
+++ b/packages/coordination/coordination/corenode.cpp
@@ -27,8 +27,6 @@
 constexpr Duration MaxConfirmationAge = std::chrono::milliseconds(1500);
 /// Consecutive announcements that may be late or lost before a server counts as silent.
 constexpr int SilentIntervals = 3;
-/// While servers state limits, these are divided again at this interval if entries have come or gone.
-constexpr Duration DivisionInterval = std::chrono::milliseconds(200);
 
 }
 
@@ -41,11 +39,7 @@
     Instant lastContactAt {};
     LogIndex knownIndex;
     FeedWindow window;
-    /// The limits and shares that the entry has from this instance, and the revision of the division that they are from.
-    std::map<ServerId, LimitShare> limits;
-    std::uint64_t limitRevision = 0;
-    /// The facts about crashes up to this revision have been sent.
-    std::uint64_t crashRevision = 0;
+    ServerFacts::Receiver facts;
     bool isAcknowledgementDue = false;
 };
 
@@ -130,7 +124,7 @@
     }
     processReplicaOutput();
     expireForwarded();
-    if (!m_limits.isEmpty() && m_loop.now() - m_dividedAt >= DivisionInterval) {
+    if (m_facts.isDivisionDue(m_loop.now())) {
         divideLimits();
     }
     if (m_loop.now() - m_lastFeed >= FeedInterval) {
@@ -463,17 +457,14 @@
     if (m_entries.update(report->entry, m_loop.now())) {
         m_reporter.recordEntryChange(report->entry.name);
     }
-    bool hasNewLimit = false;
-    for (const ServerLimit &it : report->limits) {
-        if (m_limits.record(it, m_loop.now())) {
-            hasNewLimit = true;
-            m_reporter.recordLimitChange(it.server);
-        }
+    const std::vector<ServerId> limited = m_facts.record(report->limits, m_loop.now());
+    for (const ServerId &it : limited) {
+        m_reporter.recordLimitChange(it);
     }
-    if (hasNewLimit) {
+    if (!limited.empty()) {
         divideLimits();
     }
-    if (recordCrashes(report->crashes)) {
+    if (m_facts.record(report->crashes, m_loop.now())) {
         m_reporter.recordCrash();
         feedEach();
     }
@@ -503,35 +494,20 @@
     for (const CoreReport::Alive &it : report->alive) {
         m_entries.refresh(it.name, m_loop.now() - it.age);
     }
-    bool hasNewLimit = false;
-    for (const ServerLimit &it : report->limits) {
-        hasNewLimit = m_limits.record(it, m_loop.now()) || hasNewLimit;
-    }
-    if (hasNewLimit) {
+    if (!m_facts.record(report->limits, m_loop.now()).empty()) {
         divideLimits();
     }
-    if (recordCrashes(report->crashes)) {
+    if (m_facts.record(report->crashes, m_loop.now())) {
         feedEach();
     }
 }
 
 void CoreNode::divideLimits()
 {
-    m_dividedAt = m_loop.now();
-    if (!isUpToDate()) {
-        return; // an instance that is cut off would divide the limits among too few entries
-    }
-    std::vector<EntryInfo> ready = m_entries.live(m_loop.now());
-    std::erase_if(ready, [](const EntryInfo &it) { return !it.isReady; });
-    if (!m_limits.divide(ready, m_replica->state().servers(), m_loop.now())) {
-        return;
+    // An instance that is cut off would divide the limits among too few entries.
+    if (isUpToDate() && m_facts.divideLimits(m_entries.live(m_loop.now()), m_replica->state().servers(), m_loop.now())) {
+        feedEach();
     }
-    ++m_limitRevision;
-    m_log.info("limits_divided",
-               { { "limits", std::to_string(m_limits.size()) },
-                 { "entries", std::to_string(ready.size()) },
-                 { "revision", std::to_string(m_limitRevision) } });
-    feedEach();
 }
 
 void CoreNode::feedEach()
@@ -544,47 +520,6 @@
     }
 }
 
-bool CoreNode::recordCrashes(const std::vector<CrashFact> &facts)
-{
-    bool isAnyNew = false;
-    for (const CrashFact &it : facts) {
-        const bool wasHeld = m_crashes.holdTime(it.mark, m_loop.now()) > Duration {};
-        const bool isNew = m_crashes.record(it, m_loop.now());
-        isAnyNew = isAnyNew || isNew;
-        const bool isHeld = m_crashes.holdTime(it.mark, m_loop.now()) > Duration {};
-        if (isHeld != wasHeld) {
-            m_log.info(isHeld ? "request_held_back" : "request_cleared", { { "mark", describe(it.mark) } });
-        }
-    }
-    return isAnyNew;
-}
-
-std::vector<LimitShare> CoreNode::takeLimitChanges(Peer &peer)
-{
-    if (peer.limitRevision == m_limitRevision) {
-        return {};
-    }
-    peer.limitRevision = m_limitRevision;
-    std::map<ServerId, LimitShare> shares = m_limits.shares(peer.entry->name, m_loop.now());
-    std::vector<LimitShare> changes;
-    for (const auto &[server, share] : shares) {
-        const auto known = peer.limits.find(server);
-        const bool isKnown = known != peer.limits.end() && known->second.limit.born == share.limit.born
-            && known->second.limit.perSecond == share.limit.perSecond && known->second.perSecond == share.perSecond;
-        const bool isEndOfUnknown = known == peer.limits.end() && !share.limit.perSecond;
-        if (!isKnown && !isEndOfUnknown) {
-            changes.push_back(share);
-        }
-    }
-    for (const auto &[server, share] : peer.limits) {
-        if (!shares.contains(server) && share.limit.perSecond) {
-            changes.push_back(LimitShare { ServerLimit { server, share.limit.born, std::nullopt, {} }, 0 });
-        }
-    }
-    peer.limits = std::move(shares);
-    return changes;
-}
-
 void CoreNode::feedAll(bool isPeriodic)
 {
     if (isPeriodic) {
@@ -609,8 +544,8 @@
         return; // pending changes are sent after the entry's next report
     }
     const bool hasState = maySendStateTo(peer);
-    const FeedKey key { peer.knownIndex, hasState, std::exchange(peer.crashRevision, m_crashes.revision()) };
-    std::vector<LimitShare> limits = takeLimitChanges(peer);
+    const FeedKey key { peer.knownIndex, hasState, std::exchange(peer.facts.crashRevision, m_facts.crashes().revision()) };
+    std::vector<LimitShare> limits = m_facts.takeLimitChanges(peer.entry->name, peer.facts, m_loop.now());
     std::vector<std::uint8_t> ownFrame;
     if (!limits.empty()) {
         ownFrame = encodeFeed(key, std::move(limits)); // no other entry has these shares
@@ -664,7 +599,7 @@
     update.entryCount = static_cast<unsigned>(std::max<std::size_t>(1, m_entries.liveCount(m_loop.now())));
     update.core = coreInstances();
     update.limits = std::move(limits);
-    update.crashes = m_crashes.factsAfter(key.crashes, m_loop.now());
+    update.crashes = m_facts.crashes().factsAfter(key.crashes, m_loop.now());
     Wire::Envelope envelope;
     envelope.sender = m_settings.replica.instance;
     envelope.senderAddress = m_settings.replica.instance.value();
@@ -733,7 +668,7 @@
     }
     const CoreInstance self { m_settings.replica.instance, m_settings.dataCentre };
     const std::vector<std::uint8_t> payload =
-        encode(m_reporter.takeReport(self, fed, m_limits.limits(m_loop.now()), m_crashes, m_loop.now()));
+        encode(m_reporter.takeReport(self, fed, m_facts.limits().limits(m_loop.now()), m_facts.crashes(), m_loop.now()));
     for (const Control::Member &it : m_replica->membership().members) {
         if (it.id.instance != m_settings.replica.instance) {
             m_links.send(it.id.instance, Wire::MessageKind::CoreReport, 0, payload);
--- a/packages/coordination/coordination/corenode.h
+++ b/packages/coordination/coordination/corenode.h
@@ -13,9 +13,9 @@
 #include "coordination/entrydirectory.h"
 #include "coordination/feed.h"
 #include "coordination/feedwindow.h"
-#include "coordination/limitdivider.h"
 #include "coordination/peerlinks.h"
 #include "coordination/replica.h"
+#include "coordination/serverfacts.h"
 
 namespace Galenabarrow::Coordination
 {
@@ -110,12 +110,8 @@
     std::vector<std::uint8_t> encodeFeed(const FeedKey &key, std::vector<LimitShare> limits = {}) const;
     /// Divides the limits of servers again when they or the ready entries have changed, and sends the shares that differ.
     void divideLimits();
-    /// Records facts about crashes; true when one of them is new.
-    bool recordCrashes(const std::vector<CrashFact> &facts);
     /// Sends an update to each connected entry.
     void feedEach();
-    /// Limits and shares that the entry does not know yet from this instance.
-    std::vector<LimitShare> takeLimitChanges(Peer &peer);
     std::vector<ServerId> silentServers() const;
     std::vector<CoreInstance> coreInstances() const;
     void reportToCore();
@@ -156,11 +152,7 @@
     /// When each server last announced itself to any core instance.
     std::map<ServerId, Instant> m_lastAnnouncedAt;
     CoreDirectory m_coreDirectory;
-    CrashLedger m_crashes;
-    LimitDivider m_limits;
-    /// Counts the divisions that changed a limit or a share.
-    std::uint64_t m_limitRevision = 0;
-    Instant m_dividedAt {};
+    ServerFacts m_facts;
     std::optional<InstanceId> m_knownLeader;
     bool m_wasUpToDate = false;
 };
