--- a/packages/coordination/coordination/limitdivider.cpp
+++ b/packages/coordination/coordination/limitdivider.cpp
@@ -80,6 +80,7 @@
         const auto count = std::min(entries.size(), static_cast<std::size_t>(std::max(1.0, limit / MinShare)));
         const std::uint64_t seed = XXH3_64bits(server.value().data(), server.value().size());
         std::vector<Candidate> candidates;
+        candidates.reserve(entries.size());
         for (const EntryInfo &it : entries) {
             candidates.push_back(Candidate { it.dataCentre != dataCentre, weight(it.name, seed), &it.name });
         }
