Let entries try a request that was held back at different times

All entries stopped holding a request back at the same moment. One that comes 20 times a second would then have crashed several servers before the first crash was known everywhere (about 0.1 s, by the work of one request). Each entry now holds it back for up to twice the time, by a share that it draws when it starts, so that one entry tries it first.

Test: 'instances hold a request back for different times'.

--- a/packages/coordination/coordination/crashledger.cpp
+++ b/packages/coordination/coordination/crashledger.cpp
@@ -16,6 +16,11 @@
 
 }
 
+CrashLedger::CrashLedger(double lateness)
+    : m_lateness(lateness)
+{
+}
+
 bool CrashLedger::record(const CrashFact &fact, Instant now)
 {
     const Instant at = now - fact.age;
@@ -65,7 +70,7 @@
     return true;
 }
 
-Instant CrashLedger::heldUntil(const Row &row)
+Instant CrashLedger::heldUntil(const Row &row) const
 {
     if (row.crashes.size() < HoldAfter) {
         return {};
@@ -78,7 +83,7 @@
             until = std::max(until, row.crashes[n].at + hold);
         }
     }
-    return until;
+    return until + std::chrono::duration_cast<Duration>(hold * m_lateness);
 }
 
 bool CrashLedger::knowsPlace(std::uint64_t place) const
@@ -101,7 +106,7 @@
 std::size_t CrashLedger::heldCount(Instant now) const
 {
     return static_cast<std::size_t>(
-        std::count_if(m_rows.begin(), m_rows.end(), [now](const auto &it) { return heldUntil(it.second) > now; }));
+        std::count_if(m_rows.begin(), m_rows.end(), [this, now](const auto &it) { return heldUntil(it.second) > now; }));
 }
 
 std::size_t CrashLedger::size() const
@@ -154,7 +159,7 @@
         erase(it);
     }
     if (m_rows.size() >= MaxRequests) {
-        const auto rank = [now](const auto &it) { return std::make_pair(heldUntil(it.second) > now, it.second.lastFactAt); };
+        const auto rank = [this, now](const auto &it) { return std::make_pair(heldUntil(it.second) > now, it.second.lastFactAt); };
         const auto oldest = std::min_element(m_rows.begin(), m_rows.end(), [&](const auto &a, const auto &b) { return rank(a) < rank(b); });
         erase(RequestMark(oldest->first));
     }
--- a/packages/coordination/coordination/crashledger.h
+++ b/packages/coordination/coordination/crashledger.h
@@ -32,7 +32,8 @@
 ///
 /// When a server crashes, all that ran there is suspected. A request is held back when HoldAfter crashes are known of it and it has not run
 /// to an end since the first of them. One that crashes every server never does; others are run to an end elsewhere, which clears
-/// them. A request that is held back is tried again after a time that doubles with each further crash.
+/// them. A request that is held back is tried again after a time that doubles with each further crash. Entries hold it back for different
+/// times: the first one that tries it again learns for all whether it still crashes servers.
 class CrashLedger
 {
 public:
@@ -45,6 +46,9 @@
     /// Most requests that are remembered; beyond it the one whose last fact is the oldest is forgotten, those that are held back last.
     static constexpr std::size_t MaxRequests = 2000;
 
+    /// \p lateness: this instance holds a request back for this share longer than others do, from 0 to 1.
+    explicit CrashLedger(double lateness = 0);
+
     /// Adds a fact. False when it is known already, or when the request has run to an end since.
     bool record(const CrashFact &fact, Instant now);
     /// Whether anything is known of requests of this place; cheap, so that other requests need no mark.
@@ -80,10 +84,11 @@
 
     bool recordCrash(Row &row, const CrashFact &fact, Instant at);
     bool recordEnd(Row &row, Instant at);
-    static Instant heldUntil(const Row &row);
+    Instant heldUntil(const Row &row) const;
     void erase(const RequestMark &mark);
     void forgetOld(Instant now);
 
+    double m_lateness;
     std::map<RequestMark, Row> m_rows;
     /// Number of requests by place.
     std::map<std::uint64_t, std::size_t> m_places;
--- a/packages/coordination/tests/corereportertest.cpp
+++ b/packages/coordination/tests/corereportertest.cpp
@@ -142,7 +142,7 @@
     CHECK(fixture.takeReport().heard == std::vector { ServerId("s1") });
     CHECK(fixture.takeNextReport().heard.empty());
     fixture.now += EntryDirectory::Lifetime + std::chrono::milliseconds(1);
-    const CoreReport report = fixture.reporter.takeReport(Self, fixture.entries, {}, {}, fixture.now);
+    const CoreReport report = fixture.reporter.takeReport(Self, fixture.entries, {}, CrashLedger(), fixture.now);
     CHECK(report.entries.empty());
     CHECK(report.alive.empty());
 }
--- a/packages/coordination/tests/crashledgertest.cpp
+++ b/packages/coordination/tests/crashledgertest.cpp
@@ -90,6 +90,26 @@
     CHECK(fixture.ledger.crashes(Mark) == 0);
 }
 
+// Guards against a request that crashes a server at each entry at the moment when all stop to hold it back.
+TEST_CASE("instances hold a request back for different times")
+{
+    CrashLedger prompt(0);
+    CrashLedger patient(0.5);
+    const Instant now = Instant {} + std::chrono::hours(1);
+    for (const char *it : { "s1", "s2", "s3" }) {
+        prompt.record(CrashFact { Mark, ServerId(it), 1, {} }, now);
+        patient.record(CrashFact { Mark, ServerId(it), 1, {} }, now);
+    }
+    CHECK(prompt.holdTime(Mark, now) == CrashLedger::FirstHold);
+    CHECK(patient.holdTime(Mark, now) == CrashLedger::FirstHold * 3 / 2);
+    const Instant later = now + CrashLedger::FirstHold + std::chrono::seconds(1);
+    const CrashFact again { Mark, ServerId("s4"), 1, {} };
+    prompt.record(again, later);
+    patient.record(again, later);
+    CHECK(prompt.holdTime(Mark, later) == CrashLedger::FirstHold * 2);
+    CHECK(patient.holdTime(Mark, later) == CrashLedger::FirstHold * 3);
+}
+
 // Guards against entries that disagree because facts reach them in another order.
 TEST_CASE("the same facts in any order hold back the same requests")
 {
--- a/packages/gateway/gateway/crashwatch.cpp
+++ b/packages/gateway/gateway/crashwatch.cpp
@@ -10,10 +10,11 @@
 using Coordination::CrashFact;
 using Coordination::RequestMark;
 
-CrashWatch::CrashWatch(Net::EventLoop &loop)
+CrashWatch::CrashWatch(Net::EventLoop &loop, RandomSource &random)
     : m_loop(loop)
     , m_log("crashes")
     , m_check(loop)
+    , m_ledger(random.unit())
 {
 }
 
--- a/packages/gateway/gateway/crashwatch.h
+++ b/packages/gateway/gateway/crashwatch.h
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "base/log.h"
+#include "base/random.h"
 #include "coordination/crashledger.h"
 #include "gateway/crashcheck.h"
 #include "http/message.h"
@@ -18,7 +19,7 @@
 class CrashWatch
 {
 public:
-    explicit CrashWatch(Net::EventLoop &loop);
+    CrashWatch(Net::EventLoop &loop, RandomSource &random);
 
     /// Called when the connection was lost while the server ran a request. Finds out whether the server has crashed.
     void handleLostConnection(const Routing::BackendServer &server, const Coordination::RequestMark &mark);
--- a/packages/gateway/gateway/requestrunner.cpp
+++ b/packages/gateway/gateway/requestrunner.cpp
@@ -35,7 +35,7 @@
     , m_servers(servers)
     , m_pool(loop, m_headerNames.requestId)
     , m_prober(loop, m_headerNames, probes, servers, m_pool)
-    , m_crashes(loop)
+    , m_crashes(loop, random)
     , m_splits(random)
     , m_createdAt(loop.now())
     , m_log(RequestLogSettings {})
