Count each slow sender once

Cause: a connection that times out is counted by its own thread, whose read timeout is the request timeout, and by closeSlowSenders() on the tick, which closes it after the same time; when both happen at once it is counted twice. Shown by a test with a tick every 0.3 ms: 970, 992 and 994 counted of 960 senders in three runs. Ruled out: refused connections (they are counted elsewhere).

Change: whoever ends the reading counts. The test passes in three runs. The counters of the same file were looked through for the same cause: the others are counted by one thread each.

--- a/packages/daemon/daemon/httpserver.cpp
+++ b/packages/daemon/daemon/httpserver.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <memory>
 #include <sstream>
+#include <utility>
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPResponse.h>
@@ -148,8 +149,8 @@
             m_server.setReading(*this, true);
             return serveOne(session);
         } catch (const Poco::TimeoutException &) {
-            ++m_server.m_counters.slowSenders;
-            m_server.setReading(*this, false);
+            // closeSlowSenders() may have counted it at the same moment.
+            m_server.m_counters.slowSenders += m_server.setReading(*this, false) ? 1 : 0;
         } catch (const Poco::Net::MessageException &) {
             sendError(session, { ResultCode::HeaderInvalid, "the header section cannot be parsed" });
         } catch (const Poco::Exception &) {
@@ -356,12 +357,12 @@
     m_connections.erase(&connection);
 }
 
-void HttpServer::setReading(Connection &connection, bool reading)
+bool HttpServer::setReading(Connection &connection, bool reading)
 {
     const std::lock_guard lock(m_mutex);
     ConnectionState &state = m_connections[&connection];
-    state.isReading = reading;
     state.readingSince = m_clock.now();
+    return std::exchange(state.isReading, reading);
 }
 
 }
--- a/packages/daemon/daemon/httpserver.h
+++ b/packages/daemon/daemon/httpserver.h
@@ -80,7 +80,8 @@
     void discardRefused();
     void add(Connection &connection, const Poco::Net::StreamSocket &socket);
     void remove(Connection &connection);
-    void setReading(Connection &connection, bool reading);
+    /// Returns whether the connection was reading before.
+    bool setReading(Connection &connection, bool reading);
 
     struct ConnectionState {
         Poco::Net::StreamSocket socket;
