--- a/review/harness.py
+++ b/review/harness.py
@@ -315,10 +315,10 @@
             'action': {'service': service, 'timeout_s': timeout_s, 'max_attempts': max_attempts}}
 
 
-def main(case, folder):
+def main(case, record_path):
     """Runs case(record, with_trouble), which returns whether the rule held."""
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
-    record = Record(pathlib.Path(folder) / 'record.txt')
+    record = Record(record_path)
     with_trouble = os.environ.get('TROUBLE', '1') != '0'
     try:
         held = asyncio.run(asyncio.wait_for(case(record, with_trouble), 115))
