Log who joins the core, who is added, promoted or removed, and why not

Cause of the gap: an instance that requests to join and gets no useful response logged nothing, a leader that did not add it logged nothing, and no line said when a member was added, promoted or removed; only leader_changed carried two counts.

No decision is changed.

--- a/packages/control/control/raftcore.h
+++ b/packages/control/control/raftcore.h
@@ -19,6 +19,14 @@
 /// Maximum number of replicas of a cluster, including learners.
 constexpr std::size_t MaxReplicas = 7;
 
+/// Why a leader has not added a replica that requests to join.
+enum class AdmissionRefusal : std::uint8_t {
+    /// A replica with the same instance id still responds.
+    PreviousReplicaResponds,
+    /// The cluster has MaxReplicas replicas.
+    ClusterFull,
+};
+
 /// A confirmation by a quorum: every change accepted before \c madeAt has at most this index.
 struct Confirmation {
     LogIndex index;
@@ -54,6 +62,8 @@
     RaftOutput persisted(WriteNumber number, Instant now);
     /// Records on the leader that \p member, which has proved to be alive, requests to become a replica.
     void addJoiner(const Member &member, Instant now);
+    /// The replicas that were not added since the last call, with the reason of the last refusal.
+    std::map<ReplicaId, AdmissionRefusal> takeRefusedJoiners();
     /// Sets the replicas that a leader removes from the membership when they no longer respond.
     void setRetiredReplicas(std::vector<ReplicaId> retired);
     /// Starts a cluster with this replica as the only voter; the store must be unused.
@@ -171,6 +181,7 @@
     Instant m_electedAt {};
     Duration m_timeBase {};
     std::map<InstanceId, Joiner> m_joiners;
+    std::map<ReplicaId, AdmissionRefusal> m_refusedJoiners;
     std::vector<ReplicaId> m_retired;
 
     WriteNumber m_lastWrite;
--- a/packages/control/control/raftjoin.cpp
+++ b/packages/control/control/raftjoin.cpp
@@ -33,9 +33,16 @@
 std::vector<RaftMessage> RaftJoin::tick(const View &view, Instant now)
 {
     const bool isSettled = view.isMember && view.hasLeader;
+    if (isSettled) {
+        m_attempt.reset();
+    }
     if (isSettled || (m_round != 0 && now - m_roundStartedAt < m_interval)) {
         return {};
     }
+    if (!m_attempt) {
+        m_attempt = Attempt { now, {}, {}, {} };
+    }
+    m_attempt->asked = m_peers;
     m_round = m_random.next() | 1U; // 0 means no round
     m_roundStartedAt = now;
     m_emptyPeers.clear();
@@ -60,10 +67,21 @@
     if (message.kind == RaftKind::JoinRequest) {
         return handleRequest(message, view, now);
     }
+    if (m_attempt && message.to == m_self) {
+        m_attempt->respondedAt[message.from.instance] = now;
+        if (message.challenge != 0) {
+            m_attempt->challengedAt[message.from.instance] = now;
+        }
+    }
     handleReply(message, now);
     return {};
 }
 
+const std::optional<RaftJoin::Attempt> &RaftJoin::attempt() const
+{
+    return m_attempt;
+}
+
 std::optional<ReplicaId> RaftJoin::takeJoiner()
 {
     return std::exchange(m_joiner, std::nullopt);
--- a/packages/control/control/raftjoin.h
+++ b/packages/control/control/raftjoin.h
@@ -50,6 +50,16 @@
         Open,
     };
 
+    /// The state of the attempt to join.
+    struct Attempt {
+        Instant startedAt {};
+        /// The instances that the last round of requests was sent to.
+        std::vector<InstanceId> asked;
+        /// When each instance last responded, and when it last sent a challenge, as only a leader does.
+        std::map<InstanceId, Instant> respondedAt;
+        std::map<InstanceId, Instant> challengedAt;
+    };
+
     /// \p peers are all control instances, including this one.
     RaftJoin(ReplicaId self, std::vector<InstanceId> peers, bool bootstrap, Duration interval, RandomSource &random,
              Admission admission = Admission::Listed);
@@ -63,6 +73,8 @@
     /// The replica that requests to join and has proved to be alive by returning its challenge in the last receive(); absent
     /// without one.
     std::optional<ReplicaId> takeJoiner();
+    /// Absent while the replica is a member and knows the leader.
+    const std::optional<Attempt> &attempt() const;
     /// True when all conditions to start the cluster are met.
     bool mayBootstrap(const View &view, Instant now) const;
 
@@ -90,6 +102,7 @@
     /// Issued challenges by the instance that has to return them, with its replica.
     std::map<InstanceId, std::pair<ReplicaId, Challenge>> m_issuedChallenges;
     std::optional<ReplicaId> m_joiner;
+    std::optional<Attempt> m_attempt;
 };
 
 }
--- a/packages/control/control/raftleader.cpp
+++ b/packages/control/control/raftleader.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <utility>
 
 namespace Galenabarrow::Control
 {
@@ -168,6 +169,11 @@
     }
 }
 
+std::map<ReplicaId, AdmissionRefusal> RaftCore::takeRefusedJoiners()
+{
+    return std::exchange(m_refusedJoiners, {});
+}
+
 void RaftCore::setRetiredReplicas(std::vector<ReplicaId> retired)
 {
     m_retired = std::move(retired);
@@ -236,7 +242,9 @@
         }
         const Progress *row = present == nullptr ? nullptr : m_progress.find(present->id);
         if (row != nullptr && now - row->lastContactAt < m_timing.election) {
-            continue; // the replica with this instance id still responds; the joiner repeats its request
+            // The joiner repeats its request.
+            m_refusedJoiners[joiner.id] = AdmissionRefusal::PreviousReplicaResponds;
+            continue;
         }
         if (present != nullptr) {
             // The instance now runs with another store. The old replica is removed first; the new one repeats its request.
@@ -244,6 +252,7 @@
         } else if (membership.members.size() < MaxReplicas) {
             membership.members.push_back(joiner);
         } else {
+            m_refusedJoiners[joiner.id] = AdmissionRefusal::ClusterFull;
             continue;
         }
         proposeMembership(std::move(membership), now);
--- a/packages/coordination/coordination/corenode.cpp
+++ b/packages/coordination/coordination/corenode.cpp
@@ -89,6 +89,11 @@
     status.configVersion = m_replica->state().config().version.value();
     status.members = m_replica->membership().members.size();
     status.voters = m_replica->membership().voterCount();
+    status.membershipChanges = m_membershipLog.changeCount();
+    status.refusedJoins = m_membershipLog.refusalCount();
+    if (const auto &attempt = m_replica->joinAttempt()) {
+        status.joinAge = m_loop.now() - attempt->startedAt;
+    }
     if (const auto confirmedAt = m_replica->confirmedAt(m_loop.now())) {
         status.confirmedAge = m_loop.now() - *confirmedAt;
     }
@@ -113,6 +118,9 @@
     m_links.tick();
     dropSilentEntries();
     logLeaderChange();
+    for (const MembershipLog::Event &it : m_membershipLog.update(*m_replica, m_loop.now())) {
+        m_log.info(it.name, it.fields);
+    }
     feedOnConfirmation();
     std::set<InstanceId> members;
     for (const Control::Member &it : m_replica->membership().members) {
--- a/packages/coordination/coordination/corenode.h
+++ b/packages/coordination/coordination/corenode.h
@@ -13,6 +13,7 @@
 #include "coordination/entrydirectory.h"
 #include "coordination/feed.h"
 #include "coordination/feedwindow.h"
+#include "coordination/membershiplog.h"
 #include "coordination/peerlinks.h"
 #include "coordination/replica.h"
 #include "coordination/serverfacts.h"
@@ -154,6 +155,7 @@
     CoreDirectory m_coreDirectory;
     ServerFacts m_facts;
     std::optional<InstanceId> m_knownLeader;
+    MembershipLog m_membershipLog;
     bool m_wasUpToDate = false;
 };
 
--- a/packages/coordination/coordination/corestatus.cpp
+++ b/packages/coordination/coordination/corestatus.cpp
@@ -24,6 +24,10 @@
         { "galenabarrow_core_config_version", Kind::Gauge, "Version of the newest accepted routing configuration.", status.configVersion },
         { "galenabarrow_core_members", Kind::Gauge, "Instances of the core.", status.members },
         { "galenabarrow_core_voters", Kind::Gauge, "Instances of the core that vote.", status.voters },
+        { "galenabarrow_core_membership_changes_total", Kind::Counter, "Replicas added to the core, promoted or removed.",
+          status.membershipChanges },
+        { "galenabarrow_core_refused_joins_total", Kind::Counter, "Requests to join that the leader could not grant yet.",
+          status.refusedJoins },
         { "galenabarrow_core_entries", Kind::Gauge, "Entries that have reported recently.", status.entries },
         { "galenabarrow_core_entries_lost_total", Kind::Counter, "Entries that fell silent at this instance.", status.entriesLost },
         { "galenabarrow_core_silent_links_total", Kind::Counter, "Connections to other core instances closed because they were silent.",
@@ -42,6 +46,9 @@
     text.family("galenabarrow_core_confirmed_age_seconds", Kind::Gauge,
                 "Time since a quorum last confirmed the state; -1 before the first confirmation.");
     text.sample({}, status.confirmedAge ? std::chrono::duration<double>(*status.confirmedAge).count() : -1.0);
+    text.family("galenabarrow_core_join_age_seconds", Kind::Gauge,
+                "Time since this instance began to request to join the core; 0 while it is a member and knows the leader.");
+    text.sample({}, status.joinAge ? std::chrono::duration<double>(*status.joinAge).count() : 0.0);
     text.family("galenabarrow_core_servers", Kind::Gauge, "Backend servers by state; silent ones are also counted as ready.");
     text.sample({ { "state", "ready" } }, status.readyServers);
     text.sample({ { "state", "draining" } }, status.drainingServers);
--- a/packages/coordination/coordination/corestatus.h
+++ b/packages/coordination/coordination/corestatus.h
@@ -20,6 +20,12 @@
     std::uint64_t configVersion = 0;
     std::uint64_t members = 0;
     std::uint64_t voters = 0;
+    /// Replicas that were added to the core, promoted or removed, as seen by this instance.
+    std::uint64_t membershipChanges = 0;
+    /// Times that this leader did not add a replica that requested to join.
+    std::uint64_t refusedJoins = 0;
+    /// Time since this instance began to request to join; absent while it is a member and knows the leader.
+    std::optional<Duration> joinAge;
     /// Time since a quorum confirmed the newest state; absent before the first confirmation.
     std::optional<Duration> confirmedAge;
     /// Entries that have recently reported to this or another core instance.
--- a/packages/coordination/coordination/replica.cpp
+++ b/packages/coordination/coordination/replica.cpp
@@ -154,6 +154,16 @@
     return m_raft.log().membership();
 }
 
+const std::optional<RaftJoin::Attempt> &Replica::joinAttempt() const
+{
+    return m_join.attempt();
+}
+
+std::map<ReplicaId, AdmissionRefusal> Replica::takeRefusedJoiners()
+{
+    return m_raft.takeRefusedJoiners();
+}
+
 std::optional<Instant> Replica::confirmedAt(Instant now) const
 {
     const std::optional<Confirmation> confirmation = m_raft.confirmation(now);
--- a/packages/coordination/coordination/replica.h
+++ b/packages/coordination/coordination/replica.h
@@ -79,6 +79,10 @@
     Term term() const;
     LogIndex commitIndex() const;
     const Control::Membership &membership() const;
+    /// The attempt to join the core; absent while this replica is a member and knows the leader.
+    const std::optional<Control::RaftJoin::Attempt> &joinAttempt() const;
+    /// The replicas that this leader did not add since the last call, although they requested to join.
+    std::map<Control::ReplicaId, Control::AdmissionRefusal> takeRefusedJoiners();
     /// The latest time for which a quorum confirms that this replica has applied every change accepted before it; absent without
     /// such a confirmation.
     std::optional<Instant> confirmedAt(Instant now) const;
--- a/packages/coordination/tests/corestatustest.cpp
+++ b/packages/coordination/tests/corestatustest.cpp
@@ -12,6 +12,10 @@
     const std::string withoutQuorum = metricsText(status);
     CHECK(withoutQuorum.find("galenabarrow_core_is_leader_known 0\n") != std::string::npos);
     CHECK(withoutQuorum.find("galenabarrow_core_confirmed_age_seconds -1") != std::string::npos);
+    // A replica that is never admitted shows by its growing age.
+    status.joinAge = std::chrono::seconds(7);
+    CHECK(metricsText(status).find("galenabarrow_core_join_age_seconds 7\n") != std::string::npos);
+    status.joinAge.reset();
     status.isLeaderKnown = true;
     status.confirmedAge = std::chrono::milliseconds(250);
     status.silentServers = 3;
@@ -22,6 +26,7 @@
     const std::string withQuorum = metricsText(status);
     CHECK(withQuorum.find("galenabarrow_core_is_leader_known 1\n") != std::string::npos);
     CHECK(withQuorum.find("galenabarrow_core_confirmed_age_seconds 0.25") != std::string::npos);
+    CHECK(withQuorum.find("galenabarrow_core_join_age_seconds 0\n") != std::string::npos);
     CHECK(withQuorum.find("galenabarrow_core_servers{state=\"silent\"} 3\n") != std::string::npos);
     // These distinguish large updates, and updates deferred for slow links, from changes that were committed late.
     CHECK(withQuorum.find("galenabarrow_core_feed_bytes_total 4096\n") != std::string::npos);
