--- /dev/null
+++ b/packages/coordination/tests/replacementtest.cpp
@@ -0,0 +1,191 @@
+#include "coordination/replica.h"
+
+#include <catch2/catch.hpp>
+
+#include "replicacluster.h"
+
+using namespace Galenabarrow;
+using namespace Galenabarrow::Coordination;
+
+namespace
+{
+
+constexpr std::size_t CoreSize = 5;
+constexpr std::size_t SeedCount = 3;
+
+std::string successorName(std::size_t n)
+{
+    return "10.0.9." + std::to_string(n + 1) + ":7000";
+}
+
+std::vector<std::string> runningNodes(const Cluster &cluster)
+{
+    std::vector<std::string> names;
+    for (const auto &[name, node] : cluster.nodes) {
+        if (node.replica != nullptr) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
+bool isVoterOfLeader(const Cluster &cluster, const std::string &name)
+{
+    const std::string leader = cluster.leader();
+    if (leader.empty()) {
+        return false;
+    }
+    const Control::Member *member = cluster.nodes.at(leader).replica->membership().findInstance(InstanceId(name));
+    return member != nullptr && member->isVoter;
+}
+
+/// The gone replica is no longer a member, and its successor votes.
+bool isReplaced(const Cluster &cluster, const std::string &successor)
+{
+    return cluster.isComplete(CoreSize) && isVoterOfLeader(cluster, successor);
+}
+
+/// Removes \p gone for good and starts \p successor with an empty disk, one second later.
+void replace(Cluster &cluster, const std::string &gone, const std::string &successor, const std::vector<std::string> &seeds)
+{
+    cluster.kill(gone);
+    cluster.nodes.erase(gone);
+    cluster.run(std::chrono::seconds(1));
+    cluster.ownSeeds[successor].clear();
+    for (const std::string &it : seeds) {
+        cluster.ownSeeds[successor].emplace_back(it);
+    }
+    cluster.addEmpty(successor);
+}
+
+/// The running replicas other than the leader, at most \p limit, starting at the \p first of them.
+std::vector<std::string> seedsWithoutLeader(const Cluster &cluster, std::size_t first, std::size_t limit)
+{
+    std::vector<std::string> names = runningNodes(cluster);
+    std::erase(names, cluster.leader());
+    std::rotate(names.begin(), names.begin() + static_cast<std::ptrdiff_t>(first % names.size()), names.end());
+    names.resize(std::min(names.size(), limit));
+    return names;
+}
+
+}
+
+// Guards against a replacement that is never admitted: only the leader responded to its join requests in a way that helped, and
+// it never asked an instance that was not among its seeds.
+TEST_CASE("a replacement whose seeds do not name the leader votes within the catch-up time", "[replacement]")
+{
+    const auto seed = static_cast<std::uint64_t>(GENERATE(range(1, 6)));
+    const auto first = static_cast<std::size_t>(GENERATE(range(0, 3)));
+    const auto seedCount = static_cast<std::size_t>(GENERATE(1, 2, 3));
+    const bool isLeaderLost = GENERATE(true, false);
+    Cluster cluster(seed, CoreSize);
+    REQUIRE(cluster.runUntil([&] { return cluster.isComplete(CoreSize); }, CatchUp));
+    REQUIRE(cluster.proposeConfig(1, 0) == ResultCode::Ok);
+    const std::string gone = isLeaderLost ? cluster.leader() : followersOf(cluster).front();
+    cluster.kill(gone);
+    REQUIRE(cluster.runUntil([&] { return !cluster.leader().empty(); }, Failover));
+    replace(cluster, gone, successorName(0), seedsWithoutLeader(cluster, first, seedCount));
+    REQUIRE(cluster.runUntil([&] { return isReplaced(cluster, successorName(0)); }, CatchUp));
+    CHECK(cluster.proposeConfig(2, 1) == ResultCode::Ok);
+    CHECK(cluster.versionAt(successorName(0)) >= Version(1));
+}
+
+// Guards against seeds that are out of date: two of the three machines that they name are gone, the third is itself new.
+TEST_CASE("a replacement is admitted through another replacement and seeds that are gone", "[replacement]")
+{
+    const auto seed = static_cast<std::uint64_t>(GENERATE(range(1, 11)));
+    Cluster cluster(seed, CoreSize);
+    REQUIRE(cluster.runUntil([&] { return cluster.isComplete(CoreSize); }, CatchUp));
+    REQUIRE(cluster.proposeConfig(1, 0) == ResultCode::Ok);
+    const std::vector<std::string> followers = followersOf(cluster);
+    cluster.kill(followers[0]);
+    replace(cluster, followers[1], successorName(0), seedsWithoutLeader(cluster, 0, 1));
+    cluster.nodes.erase(followers[0]);
+    // The second one starts right after the first and knows of no member.
+    cluster.ownSeeds[successorName(1)] = { InstanceId(followers[0]), InstanceId(followers[1]), InstanceId(successorName(0)) };
+    cluster.addEmpty(successorName(1));
+    REQUIRE(cluster.runUntil([&] { return isReplaced(cluster, successorName(0)) && isReplaced(cluster, successorName(1)); }, CatchUp));
+    CHECK(cluster.proposeConfig(2, 1) == ResultCode::Ok);
+}
+
+// Guards against an admission that is lost with the leader, at any moment between the first request and the vote.
+TEST_CASE("a replacement votes within the catch-up time after the leader changed while it was admitted", "[replacement]")
+{
+    const auto seed = static_cast<std::uint64_t>(GENERATE(range(1, 4)));
+    const Duration lossAfter = GENERATE(0, 100, 200, 260, 300, 350, 400, 500, 520, 560, 600, 800, 1000) * std::chrono::milliseconds(1);
+    const bool isPowerLost = GENERATE(true, false);
+    Cluster cluster(seed, CoreSize);
+    REQUIRE(cluster.runUntil([&] { return cluster.isComplete(CoreSize); }, CatchUp));
+    REQUIRE(cluster.proposeConfig(1, 0) == ResultCode::Ok);
+    const std::string gone = followersOf(cluster).back();
+    const std::string leader = cluster.leader();
+    std::vector<std::string> seeds = seedsWithoutLeader(cluster, 0, CoreSize);
+    std::erase(seeds, gone);
+    seeds.resize(SeedCount - 1);
+    seeds.push_back(gone);
+    replace(cluster, gone, successorName(0), seeds);
+    cluster.run(lossAfter);
+    if (isPowerLost) {
+        cluster.losePower(leader);
+    } else {
+        cluster.isolatedNodes = { leader };
+    }
+    cluster.run(std::chrono::milliseconds(1500));
+    if (isPowerLost) {
+        cluster.start(leader);
+    }
+    cluster.isolatedNodes.clear();
+    REQUIRE(cluster.runUntil([&] { return isReplaced(cluster, successorName(0)); }, CatchUp));
+    CHECK(cluster.proposeConfig(2, 1) == ResultCode::Ok);
+}
+
+// Guards against the loss of accepted changes after a series of replacements: replacements that never voted left fewer than a
+// majority of the voters once two disks were lost.
+TEST_CASE("replicas are replaced in series and then two disks are lost while the others lose power", "[replacement]")
+{
+    const auto seed = static_cast<std::uint64_t>(GENERATE(range(1, 16)));
+    const bool isLeaderLost = GENERATE(true, false);
+    Cluster cluster(seed, CoreSize);
+    REQUIRE(cluster.runUntil([&] { return cluster.isComplete(CoreSize); }, CatchUp));
+    std::uint64_t version = 1;
+    REQUIRE(cluster.proposeConfig(version, 0) == ResultCode::Ok);
+    for (std::size_t n = 0; n < CoreSize; ++n) {
+        const std::string gone = isLeaderLost ? cluster.leader() : Cluster::nameOf(n);
+        cluster.kill(gone);
+        REQUIRE(cluster.runUntil([&] { return !cluster.leader().empty(); }, Failover));
+        replace(cluster, gone, successorName(n), seedsWithoutLeader(cluster, static_cast<std::size_t>(cluster.random.below(4)), SeedCount));
+        REQUIRE(cluster.runUntil([&] { return isReplaced(cluster, successorName(n)); }, CatchUp));
+        REQUIRE(cluster.proposeConfig(version + 1, version) == ResultCode::Ok);
+        ++version;
+    }
+    const std::set<std::string> wiped { cluster.leader(), followersOf(cluster)[cluster.random.below(CoreSize - 1)] };
+    const std::vector<std::string> names = runningNodes(cluster);
+    for (const std::string &it : names) {
+        cluster.losePower(it);
+    }
+    cluster.run(std::chrono::milliseconds(1500));
+    for (const std::string &it : names) {
+        if (wiped.contains(it)) {
+            cluster.addEmpty(it);
+        } else {
+            cluster.start(it);
+        }
+    }
+    REQUIRE(cluster.runUntil([&] { return cluster.isComplete(CoreSize); }, CatchUp));
+    CHECK(cluster.versionAt(cluster.leader()) == Version(version));
+    CHECK(cluster.proposeConfig(version + 1, version) == ResultCode::Ok);
+}
+
+// Guards against a join that never ends: a challenge was accepted only within the round of its request, so a leader that took
+// longer than a round to respond could not admit anybody.
+TEST_CASE("a replacement is admitted by a leader that takes longer to respond than a round of join requests", "[replacement]")
+{
+    const auto seed = static_cast<std::uint64_t>(GENERATE(range(1, 6)));
+    Cluster cluster(seed, CoreSize);
+    REQUIRE(cluster.runUntil([&] { return cluster.isComplete(CoreSize); }, CatchUp));
+    REQUIRE(cluster.proposeConfig(1, 0) == ResultCode::Ok);
+    cluster.delay = std::chrono::milliseconds(150); // a round of join requests is 250 ms
+    const std::string gone = followersOf(cluster).front();
+    replace(cluster, gone, successorName(0), { cluster.leader() });
+    REQUIRE(cluster.runUntil([&] { return isReplaced(cluster, successorName(0)); }, 2 * CatchUp));
+}
