Refer replicas that request to join to the members of the core

Cause: a replica that is not a member asked its seeds only, and only the leader's answer (a challenge) helped it. Another member answered with nothing but "not empty". With five core instances and three seeds, a replacement whose seeds do not name the leader was never admitted; the replica that it replaced stayed a voter. After three such replacements, or one and two lost disks, no majority of the voters was left. The class of fault: a participant that can be found only by those who already know it.

Change: each member answers a join request with the members that it knows, and the replica asks these too. A replica that waits itself passes on what a member has told it, for 5 s, and not what another waiting replica has. Contacts do not count for a first start, which still needs an answer from every seed. The challenge still decides who is admitted.

Looked for elsewhere: the product's own control plane (ControlService) lists all instances in its settings and does not use referrals; entries take the core instances from their feed; a member whose log is old asks its seeds too and is now referred.

--- a/packages/control/control/raftcodec.cpp
+++ b/packages/control/control/raftcodec.cpp
@@ -121,6 +121,11 @@
     message.round = from.round();
     message.challenge = from.challenge();
     message.isEmpty = from.is_empty();
+    if (from.contacts() != nullptr) {
+        for (const flatbuffers::String *it : *from.contacts()) {
+            message.contacts.emplace_back(it->str());
+        }
+    }
 }
 
 }
@@ -135,6 +140,11 @@
     const auto entryVector = entries.empty() ? 0 : builder.CreateVector(entries);
     const auto data = message.data.empty() ? 0 : builder.CreateVector(message.data);
     const auto membership = message.membership.members.empty() ? 0 : pack(builder, message.membership);
+    std::vector<std::string> contactNames;
+    for (const InstanceId &it : message.contacts) {
+        contactNames.push_back(it.value());
+    }
+    const auto contacts = contactNames.empty() ? 0 : builder.CreateVectorOfStrings(contactNames);
     const auto from = pack(builder, message.from);
     const auto to = pack(builder, message.to);
     Fb::RaftMessageBuilder table(builder);
@@ -164,6 +174,7 @@
     table.add_round(message.round);
     table.add_challenge(message.challenge);
     table.add_is_empty(message.isEmpty);
+    table.add_contacts(contacts);
     return finish(builder, table.Finish());
 }
 
--- a/packages/control/control/raftjoin.cpp
+++ b/packages/control/control/raftjoin.cpp
@@ -9,6 +9,10 @@
 namespace
 {
 constexpr Duration ChallengeLifetime = std::chrono::seconds(2);
+/// A contact that nobody has named for this time is not asked any more; many rounds of requests.
+constexpr Duration ReferralLifetime = std::chrono::seconds(5);
+/// Twice the maximum number of replicas; further contacts are ignored until earlier ones lapse.
+constexpr std::size_t MaxReferrals = 14;
 }
 
 RaftJoin::RaftJoin(ReplicaId self, std::vector<InstanceId> peers, bool bootstrap, Duration interval, RandomSource &random,
@@ -42,25 +46,26 @@
     if (!m_attempt) {
         m_attempt = Attempt { now, {}, {}, {} };
     }
+    std::erase_if(m_referrals, [now](const auto &row) { return now - row.second.heardAt > ReferralLifetime; });
     m_attempt->asked = m_peers;
+    for (const auto &[instance, referral] : m_referrals) {
+        if (!isPeer(instance)) {
+            m_attempt->asked.push_back(instance);
+        }
+    }
     m_round = m_random.next() | 1U; // 0 means no round
     m_roundStartedAt = now;
     m_emptyPeers.clear();
     std::vector<RaftMessage> messages;
-    for (const InstanceId &other : m_peers) {
-        RaftMessage message = makeMessage(RaftKind::JoinRequest, ReplicaId { other, {} });
-        message.round = m_round;
-        message.challenge = m_receivedChallenges[other];
-        message.isEmpty = view.isEmpty;
-        messages.push_back(std::move(message));
+    for (const InstanceId &it : m_attempt->asked) {
+        messages.push_back(makeRequest(it, view));
     }
     return messages;
 }
 
 std::vector<RaftMessage> RaftJoin::receive(const RaftMessage &message, const View &view, Instant now)
 {
-    const bool isListed = std::find(m_peers.begin(), m_peers.end(), message.from.instance) != m_peers.end();
-    const bool isAdmitted = isListed || m_admission == Admission::Open;
+    const bool isAdmitted = isPeer(message.from.instance) || m_admission == Admission::Open;
     if (!isAdmitted || message.to.instance != m_self.instance) {
         return {};
     }
@@ -73,8 +78,7 @@
             m_attempt->challengedAt[message.from.instance] = now;
         }
     }
-    handleReply(message, now);
-    return {};
+    return handleReply(message, view, now);
 }
 
 const std::optional<RaftJoin::Attempt> &RaftJoin::attempt() const
@@ -98,7 +102,9 @@
     RaftMessage reply = makeMessage(RaftKind::JoinReply, message.from);
     reply.round = message.round;
     reply.isEmpty = view.isEmpty;
+    reply.contacts = knownContacts(view, now);
     if (view.isLeader) {
+        std::erase_if(m_issuedChallenges, [now](const auto &row) { return now - row.second.second.issuedAt > ChallengeLifetime; });
         auto &[replica, challenge] = m_issuedChallenges[message.from.instance];
         const bool isOpen = replica == message.from && now - challenge.issuedAt < ChallengeLifetime;
         if (isOpen && message.challenge == challenge.value) {
@@ -113,17 +119,79 @@
     return { std::move(reply) };
 }
 
-void RaftJoin::handleReply(const RaftMessage &message, Instant now)
+std::vector<RaftMessage> RaftJoin::handleReply(const RaftMessage &message, const View &view, Instant now)
 {
-    if (message.to != m_self || message.round != m_round || now - m_roundStartedAt > m_interval) {
-        return;
+    if (message.to != m_self) {
+        return {};
+    }
+    std::vector<RaftMessage> requests;
+    for (const InstanceId &it : recordReferrals(message, now)) {
+        requests.push_back(makeRequest(it, view));
+    }
+    if (message.round != m_round || now - m_roundStartedAt > m_interval) {
+        return requests;
     }
     m_receivedChallenges[message.from.instance] = message.challenge;
-    if (message.isEmpty) {
-        m_emptyPeers.insert(message.from.instance);
-    } else {
+    if (!message.isEmpty) {
         m_hasSeenCluster = true;
+    } else if (isPeer(message.from.instance)) {
+        m_emptyPeers.insert(message.from.instance);
+    }
+    return requests;
+}
+
+std::vector<InstanceId> RaftJoin::knownContacts(const View &view, Instant now) const
+{
+    std::vector<InstanceId> contacts;
+    if (view.isMember && view.membership != nullptr) {
+        for (const Member &it : view.membership->members) {
+            contacts.push_back(it.id.instance);
+        }
+        return contacts;
+    }
+    for (const auto &[instance, referral] : m_referrals) {
+        if (referral.heardFromMemberAt && now - *referral.heardFromMemberAt <= ReferralLifetime) {
+            contacts.push_back(instance);
+        }
     }
+    return contacts;
+}
+
+std::vector<InstanceId> RaftJoin::recordReferrals(const RaftMessage &message, Instant now)
+{
+    std::vector<InstanceId> added;
+    if (m_admission != Admission::Open || !m_attempt) {
+        return added;
+    }
+    const std::vector<InstanceId> &contacts = message.contacts;
+    const bool isFromMember = std::find(contacts.begin(), contacts.end(), message.from.instance) != contacts.end();
+    for (const InstanceId &it : contacts) {
+        const bool isKnown = m_referrals.contains(it);
+        if (it == m_self.instance || (!isKnown && m_referrals.size() >= MaxReferrals)) {
+            continue;
+        }
+        Referral &referral = m_referrals[it];
+        referral.heardAt = now;
+        referral.heardFromMemberAt = isFromMember ? now : referral.heardFromMemberAt;
+        if (!isKnown && !isPeer(it)) {
+            added.push_back(it);
+        }
+    }
+    return added;
+}
+
+bool RaftJoin::isPeer(const InstanceId &instance) const
+{
+    return std::find(m_peers.begin(), m_peers.end(), instance) != m_peers.end();
+}
+
+RaftMessage RaftJoin::makeRequest(const InstanceId &to, const View &view)
+{
+    RaftMessage message = makeMessage(RaftKind::JoinRequest, ReplicaId { to, {} });
+    message.round = m_round;
+    message.challenge = m_receivedChallenges[to];
+    message.isEmpty = view.isEmpty;
+    return message;
 }
 
 RaftMessage RaftJoin::makeMessage(RaftKind kind, ReplicaId to) const
--- a/packages/control/control/raftjoin.h
+++ b/packages/control/control/raftjoin.h
@@ -22,6 +22,11 @@
 /// - this instance has the lowest id of all control instances in the settings,
 /// - within one round, every other control instance answered that its store is empty.
 ///
+/// Each member answers with the members that it knows, and the replica asks these too. So it finds the leader when its settings name
+/// any instance that is a member, or that a member has answered. Contacts that nobody repeats are dropped. An instance that is not a
+/// member itself passes on only what a member has told it; otherwise replicas that wait would repeat the names of instances that are
+/// gone to each other for ever.
+///
 /// The last condition distinguishes a lost disk from a first start: once the cluster was started, a majority of the other stores
 /// is not empty. Answers contain the number of the round, which is random and belongs to one store, and a round lasts 500 ms;
 /// late answers and answers to an earlier store are ignored. An answer "not empty" ends all attempts of this process. The cluster
@@ -40,13 +45,16 @@
         bool hasLeader = false;
         /// No log, no snapshot and no vote.
         bool isEmpty = false;
+        /// The membership in the log; null if there is none.
+        const Membership *membership = nullptr;
     };
 
     /// The instances whose join messages are handled.
     enum class Admission : std::uint8_t {
         /// The control instances in the settings.
         Listed,
-        /// All instances; for clusters whose settings contain only some seeds and whose instances may be replaced.
+        /// All instances; for clusters whose settings contain only some seeds and whose instances may be replaced. Instances that
+        /// others refer to are asked as well.
         Open,
     };
 
@@ -64,11 +72,11 @@
     RaftJoin(ReplicaId self, std::vector<InstanceId> peers, bool bootstrap, Duration interval, RandomSource &random,
              Admission admission = Admission::Listed);
 
-    /// Replaces the instances that join requests are sent to. Their earlier answers are kept.
+    /// Replaces the instances that join requests are always sent to. Their earlier answers are kept.
     void setPeers(std::vector<InstanceId> peers);
 
     std::vector<RaftMessage> tick(const View &view, Instant now);
-    /// Handles JoinRequest and JoinReply; returns the answers to send.
+    /// Handles JoinRequest and JoinReply; returns the answers and further requests to send.
     std::vector<RaftMessage> receive(const RaftMessage &message, const View &view, Instant now);
     /// The replica that requests to join and has proved to be alive by returning its challenge in the last receive(); absent
     /// without one.
@@ -83,8 +91,19 @@
         std::uint64_t value = 0;
         Instant issuedAt {};
     };
+    /// An instance that another one has named as a contact.
+    struct Referral {
+        Instant heardAt {};
+        /// When a member last named it.
+        std::optional<Instant> heardFromMemberAt;
+    };
     std::vector<RaftMessage> handleRequest(const RaftMessage &message, const View &view, Instant now);
-    void handleReply(const RaftMessage &message, Instant now);
+    std::vector<RaftMessage> handleReply(const RaftMessage &message, const View &view, Instant now);
+    std::vector<InstanceId> knownContacts(const View &view, Instant now) const;
+    /// Records the contacts in \p message; returns those that have not been asked yet.
+    std::vector<InstanceId> recordReferrals(const RaftMessage &message, Instant now);
+    bool isPeer(const InstanceId &instance) const;
+    RaftMessage makeRequest(const InstanceId &to, const View &view);
     RaftMessage makeMessage(RaftKind kind, ReplicaId to) const;
 
     ReplicaId m_self;
@@ -97,6 +116,7 @@
     Instant m_roundStartedAt {};
     bool m_hasSeenCluster = false;
     std::set<InstanceId> m_emptyPeers;
+    std::map<InstanceId, Referral> m_referrals;
     /// Received challenges by the instance that issued them.
     std::map<InstanceId, std::uint64_t> m_receivedChallenges;
     /// Issued challenges by the instance that has to return them, with its replica.
--- a/packages/control/control/rafttypes.h
+++ b/packages/control/control/rafttypes.h
@@ -137,6 +137,8 @@
     std::uint64_t round = 0;
     std::uint64_t challenge = 0;
     bool isEmpty = false;
+    /// JoinReply: instances that the sender knows to be or to have been members; it includes itself if it is a member.
+    std::vector<InstanceId> contacts;
 };
 
 /// Consecutive number of a write of a RaftCore.
--- a/packages/control/tests/raftjointest.cpp
+++ b/packages/control/tests/raftjointest.cpp
@@ -1,5 +1,8 @@
 #include "control/raftjoin.h"
 
+#include <set>
+#include <string>
+
 #include <catch2/catch.hpp>
 
 using namespace Galenabarrow;
@@ -16,9 +19,9 @@
     return { ReplicaId { InstanceId(name), Incarnation(store) }, peers, true, Interval, random };
 }
 
-constexpr RaftJoin::View EmptyView { false, false, false, true };
-constexpr RaftJoin::View MemberView { true, false, true, false };
-constexpr RaftJoin::View LeaderView { true, true, true, false };
+constexpr RaftJoin::View EmptyView { false, false, false, true, nullptr };
+constexpr RaftJoin::View MemberView { true, false, true, false, nullptr };
+constexpr RaftJoin::View LeaderView { true, true, true, false, nullptr };
 
 }
 
@@ -99,3 +102,125 @@
         REQUIRE_FALSE(second.mayBootstrap(EmptyView, now));
     }
 }
+
+namespace
+{
+
+Membership membershipOf(const std::vector<std::string> &names)
+{
+    Membership membership;
+    for (const std::string &it : names) {
+        membership.members.push_back(Member { ReplicaId { InstanceId(it), Incarnation(1) }, it, true });
+    }
+    return membership;
+}
+
+RaftJoin makeOpenJoin(const std::string &name, const std::string &seed, RandomSource &random)
+{
+    return { ReplicaId { InstanceId(name), Incarnation(7) }, { InstanceId(seed) }, false, Interval, random, RaftJoin::Admission::Open };
+}
+
+std::set<std::string> recipients(const std::vector<RaftMessage> &messages)
+{
+    std::set<std::string> names;
+    for (const RaftMessage &it : messages) {
+        names.insert(it.to.instance.value());
+    }
+    return names;
+}
+
+}
+
+// Guards against a replica that waits for ever, because no instance in its settings leads.
+TEST_CASE("a replica asks the instances that a member refers it to", "[join]")
+{
+    SeededRandom random(1);
+    Instant now {};
+    const Membership membership = membershipOf({ "c1", "c2", "c3" });
+    const RaftJoin::View followerView { true, false, true, false, &membership };
+    RaftJoin follower = makeOpenJoin("c2", "c1", random);
+    RaftJoin joiner = makeOpenJoin("c9", "c2", random);
+    const std::vector<RaftMessage> first = joiner.tick(EmptyView, now);
+    REQUIRE(recipients(first) == std::set<std::string> { "c2" });
+    const RaftMessage reply = follower.receive(first.at(0), followerView, now).at(0);
+    CHECK(recipients(joiner.receive(reply, EmptyView, now)) == std::set<std::string> { "c1", "c3" });
+    now += Interval;
+    CHECK(recipients(joiner.tick(EmptyView, now)) == std::set<std::string> { "c1", "c2", "c3" });
+
+    SECTION("a contact that nobody repeats is dropped")
+    {
+        now += std::chrono::seconds(6);
+        CHECK(recipients(joiner.tick(EmptyView, now)) == std::set<std::string> { "c2" });
+    }
+    SECTION("a replica that waits passes on what a member has told it, and no more")
+    {
+        RaftJoin second = makeOpenJoin("c8", "c9", random);
+        RaftJoin third = makeOpenJoin("c7", "c8", random);
+        const RaftMessage secondReply = joiner.receive(second.tick(EmptyView, now).at(0), EmptyView, now).at(0);
+        CHECK(recipients(second.receive(secondReply, EmptyView, now)) == std::set<std::string> { "c1", "c2", "c3" });
+        const RaftMessage thirdReply = second.receive(third.tick(EmptyView, now).at(0), EmptyView, now).at(0);
+        CHECK(third.receive(thirdReply, EmptyView, now).empty());
+    }
+    SECTION("an answer to an earlier store of the instance is ignored")
+    {
+        RaftJoin later {
+            ReplicaId { InstanceId("c9"), Incarnation(8) }, { InstanceId("c2") }, false, Interval, random, RaftJoin::Admission::Open
+        };
+        (void)later.tick(EmptyView, now);
+        CHECK(later.receive(reply, EmptyView, now).empty());
+    }
+    SECTION("the settings list all instances")
+    {
+        RaftJoin listed = makeJoin("c3", random);
+        const RaftMessage request = listed.tick(EmptyView, now).at(1);
+        RaftMessage answer = follower.receive(request, followerView, now).at(0);
+        answer.contacts.emplace_back("c5");
+        CHECK(listed.receive(answer, EmptyView, now).empty());
+        now += Interval;
+        CHECK(recipients(listed.tick(EmptyView, now)) == std::set<std::string> { "c1", "c2" });
+    }
+}
+
+// Guards against names of instances that are gone, which two replicas that wait would repeat to each other for ever.
+TEST_CASE("replicas that wait do not keep each other's contacts alive", "[join]")
+{
+    SeededRandom random(1);
+    Instant now {};
+    const Membership membership = membershipOf({ "c1", "c2" });
+    const RaftJoin::View followerView { true, false, true, false, &membership };
+    RaftJoin follower = makeOpenJoin("c2", "c1", random);
+    RaftJoin first = makeOpenJoin("c8", "c9", random);
+    RaftJoin second = makeOpenJoin("c9", "c8", random);
+    for (RaftJoin *it : { &first, &second }) {
+        RaftMessage request = it->tick(EmptyView, now).at(0);
+        request.to.instance = InstanceId("c2");
+        (void)it->receive(follower.receive(request, followerView, now).at(0), EmptyView, now);
+    }
+    for (int n = 0; n < 30; ++n) {
+        now += Interval;
+        const std::vector<RaftMessage> ofFirst = first.tick(EmptyView, now);
+        const std::vector<RaftMessage> ofSecond = second.tick(EmptyView, now);
+        (void)first.receive(second.receive(ofFirst.at(0), EmptyView, now).at(0), EmptyView, now);
+        (void)second.receive(first.receive(ofSecond.at(0), EmptyView, now).at(0), EmptyView, now);
+    }
+    CHECK(recipients(first.tick(EmptyView, now + Interval)) == std::set<std::string> { "c9" });
+    CHECK(recipients(second.tick(EmptyView, now + Interval)) == std::set<std::string> { "c8" });
+}
+
+// Guards against a second cluster: instances that others refer to do not count as the empty seeds that a first start requires.
+TEST_CASE("an empty instance that others refer to is not counted for a first start", "[join]")
+{
+    SeededRandom random(1);
+    Instant now {};
+    const std::vector<InstanceId> seeds { InstanceId("c1"), InstanceId("c2"), InstanceId("c3") };
+    RaftJoin starter { ReplicaId { InstanceId("c1"), Incarnation(7) }, seeds, true, Interval, random, RaftJoin::Admission::Open };
+    RaftJoin second = makeOpenJoin("c2", "c1", random);
+    RaftJoin other = makeOpenJoin("c4", "c1", random);
+    const std::vector<RaftMessage> requests = starter.tick(EmptyView, now);
+    RaftMessage reply = second.receive(requests.at(0), EmptyView, now).at(0);
+    reply.contacts.emplace_back("c4");
+    const std::vector<RaftMessage> further = starter.receive(reply, EmptyView, now);
+    REQUIRE(recipients(further) == std::set<std::string> { "c4" });
+    (void)starter.receive(other.receive(further.at(0), EmptyView, now).at(0), EmptyView, now);
+    CHECK_FALSE(starter.mayBootstrap(EmptyView, now));
+}
--- a/packages/coordination/coordination/replica.cpp
+++ b/packages/coordination/coordination/replica.cpp
@@ -301,7 +301,8 @@
 RaftJoin::View Replica::joinView() const
 {
     RaftJoin::View view;
-    view.isMember = m_raft.log().membership().find(m_raft.self()) != nullptr;
+    view.membership = &m_raft.log().membership();
+    view.isMember = view.membership->find(m_raft.self()) != nullptr;
     view.isLeader = isLeader();
     view.hasLeader = m_raft.leader().has_value();
     view.isEmpty = m_raft.log().lastIndex() == LogIndex() && m_raft.term() == Term();
--- a/packages/coordination/tests/replacementtest.cpp
+++ b/packages/coordination/tests/replacementtest.cpp
@@ -99,7 +99,7 @@
     REQUIRE(cluster.proposeConfig(1, 0) == ResultCode::Ok);
     const std::vector<std::string> followers = followersOf(cluster);
     cluster.kill(followers[0]);
-    replace(cluster, followers[1], successorName(0), seedsWithoutLeader(cluster, 0, 1));
+    replace(cluster, followers[1], successorName(0), { followers[3] });
     cluster.nodes.erase(followers[0]);
     // The second one starts right after the first and knows of no member.
     cluster.ownSeeds[successorName(1)] = { InstanceId(followers[0]), InstanceId(followers[1]), InstanceId(successorName(0)) };
