Let core instances take new seeds without a restart

What callers would see: as with replacements that are never admitted (docs/incidents/2026-12-05-replacement-not-admitted.md), when all three seeds of a new core instance are gone or cut off.

Cause: a core instance read its seeds once, at its start. SIGHUP passed new seeds to the entry's link only, and a settings file that changes without a signal was never read. An instance with three seeds that are gone therefore waited until its next restart.

Change: SIGHUP passes the seeds to the replica too. An unused store that may start a cluster keeps its first seeds besides, since a first start needs an answer from each.

"new seeds do not replace those that a first start requires" guards the exception.

--- a/packages/coordination/coordination/corenode.cpp
+++ b/packages/coordination/coordination/corenode.cpp
@@ -69,6 +69,11 @@
     return {};
 }
 
+void CoreNode::setSeeds(const std::vector<InstanceId> &seeds)
+{
+    m_replica->setSeeds(seeds);
+}
+
 void CoreNode::onStoreFailure(std::function<void(const Error &)> callback)
 {
     m_storeFailureCallback = std::move(callback);
--- a/packages/coordination/coordination/corenode.h
+++ b/packages/coordination/coordination/corenode.h
@@ -46,6 +46,8 @@
 
     /// Listens for frames. Fails with AddressUnavailable.
     Result<void> start();
+    /// Replaces the seeds, for a change of the settings at run time.
+    void setSeeds(const std::vector<InstanceId> &seeds);
     /// \p callback is called when the store has failed; the process should then exit.
     void onStoreFailure(std::function<void(const Error &)> callback);
 
--- a/packages/coordination/coordination/replica.cpp
+++ b/packages/coordination/coordination/replica.cpp
@@ -60,6 +60,20 @@
     finishUndecided();
 }
 
+void Replica::setSeeds(const std::vector<InstanceId> &seeds)
+{
+    std::vector<InstanceId> kept;
+    if (m_settings.bootstrap && joinView().isEmpty) {
+        kept = std::move(m_settings.seeds);
+    }
+    m_settings.seeds = seeds;
+    for (InstanceId &it : kept) {
+        if (std::find(m_settings.seeds.begin(), m_settings.seeds.end(), it) == m_settings.seeds.end()) {
+            m_settings.seeds.push_back(std::move(it));
+        }
+    }
+}
+
 Result<void> Replica::receive(ByteView bytes, Instant now)
 {
     const Result<RaftMessage> message = decodeRaftMessage(bytes);
--- a/packages/coordination/coordination/replica.h
+++ b/packages/coordination/coordination/replica.h
@@ -59,6 +59,9 @@
 
     /// Runs the timers of elections and of the join protocol. To be called every 20 to 50 ms.
     void tick(Instant now);
+    /// Replaces the seeds, for a change of the settings at run time. An unused store that may start a cluster keeps the earlier
+    /// ones as well, since a first start requires an answer from each of them.
+    void setSeeds(const std::vector<InstanceId> &seeds);
     /// Processes an encoded Raft message. Fails with FrameMalformed.
     Result<void> receive(ByteView message, Instant now);
     /// Proposes an encoded command. Absent when this replica is not the leader of a complete cluster, or when too many
--- a/packages/coordination/tests/replacementtest.cpp
+++ b/packages/coordination/tests/replacementtest.cpp
@@ -189,3 +189,36 @@
     replace(cluster, gone, successorName(0), { cluster.leader() });
     REQUIRE(cluster.runUntil([&] { return isReplaced(cluster, successorName(0)); }, CatchUp));
 }
+
+// Guards against a replica that keeps to the seeds of its start, all of which may be gone.
+TEST_CASE("a replacement joins through seeds that it is given later", "[replacement]")
+{
+    Cluster cluster(1, CoreSize);
+    REQUIRE(cluster.runUntil([&] { return cluster.isComplete(CoreSize); }, CatchUp));
+    REQUIRE(cluster.proposeConfig(1, 0) == ResultCode::Ok);
+    replace(cluster, followersOf(cluster).front(), successorName(0), { "10.0.8.1:7000", "10.0.8.2:7000" });
+    cluster.run(CatchUp);
+    REQUIRE_FALSE(isReplaced(cluster, successorName(0)));
+    cluster.nodes[successorName(0)].replica->setSeeds({ InstanceId("10.0.8.1:7000"), InstanceId(followersOf(cluster).front()) });
+    REQUIRE(cluster.runUntil([&] { return isReplaced(cluster, successorName(0)); }, CatchUp));
+}
+
+// Guards against a second cluster: an empty seed could be given other seeds, all of them empty, before it reached its first ones.
+TEST_CASE("new seeds do not replace those that a first start requires", "[replacement]")
+{
+    Cluster cluster(1);
+    cluster.isNetworkDown = true;
+    cluster.run(std::chrono::milliseconds(100));
+    const std::string other = "10.0.8.1:7000";
+    cluster.ownSeeds[other] = { InstanceId(other) };
+    cluster.addEmpty(other);
+    cluster.kill(Cluster::nameOf(1));
+    cluster.kill(Cluster::nameOf(2));
+    cluster.nodes[Cluster::nameOf(0)].replica->setSeeds({ InstanceId(Cluster::nameOf(0)), InstanceId(other) });
+    cluster.isNetworkDown = false;
+    cluster.run(CatchUp);
+    CHECK(cluster.leader().empty());
+    cluster.start(Cluster::nameOf(1), true);
+    cluster.start(Cluster::nameOf(2), true);
+    CHECK(cluster.runUntil([&] { return !cluster.leader().empty(); }, CatchUp));
+}
--- a/packages/gateway/gateway/gatewaynode.cpp
+++ b/packages/gateway/gateway/gatewaynode.cpp
@@ -70,13 +70,19 @@
     m_link.setSeeds(std::move(seeds));
 }
 
+std::optional<Duration> GatewayNode::stateAge() const
+{
+    const std::optional<Instant> confirmedAt = m_link.confirmedAt();
+    return confirmedAt ? std::optional(m_loop.now() - *confirmedAt) : std::nullopt;
+}
+
 std::string GatewayNode::metrics() const
 {
     Report::MetricsText text;
     text.family("galenabarrow_gateway_state_age_seconds", Report::MetricsText::Kind::Gauge,
                 "Time since the routing state was last confirmed to be up to date; -1 before the first confirmation.");
-    const std::optional<Instant> confirmedAt = m_link.confirmedAt();
-    text.sample({}, confirmedAt ? std::chrono::duration<double>(m_loop.now() - *confirmedAt).count() : -1.0);
+    const std::optional<Duration> age = stateAge();
+    text.sample({}, age ? std::chrono::duration<double>(*age).count() : -1.0);
     text.family("galenabarrow_log_lines_lost_total", Report::MetricsText::Kind::Counter,
                 "Log lines dropped because the log reader was too slow.");
     text.sample({}, Log::lostLines());
--- a/packages/gateway/gateway/gatewaynode.h
+++ b/packages/gateway/gateway/gatewaynode.h
@@ -33,6 +33,8 @@
     bool isReady() const;
     /// Drains: accepts requests for a part of the grace period, finishes those in progress, then calls \p done.
     void stop(std::function<void()> done);
+    /// Time since the routing state was last confirmed to be up to date; absent before the first confirmation.
+    std::optional<Duration> stateAge() const;
     void setSeeds(std::vector<InstanceId> seeds);
     /// The metrics page of this entry, with the age of its routing state.
     std::string metrics() const;
