Test admissions that are cut off, short-lived, slow or copied

The cluster of the tests can now delay the messages of single replicas, and deliver a late copy of each message.

--- a/packages/coordination/tests/replacementtest.cpp
+++ b/packages/coordination/tests/replacementtest.cpp
@@ -222,3 +222,94 @@
     cluster.start(Cluster::nameOf(2), true);
     CHECK(cluster.runUntil([&] { return !cluster.leader().empty(); }, CatchUp));
 }
+
+// Guards against a replica that was removed while it was cut off and keeps to its old membership, or that stays as a seventh voter.
+TEST_CASE("a replica that was removed while it was cut off votes again", "[replacement]")
+{
+    const auto seed = static_cast<std::uint64_t>(GENERATE(range(1, 6)));
+    const bool isLeaderCutOff = GENERATE(true, false);
+    const bool isGoneFirst = GENERATE(true, false);
+    const auto replacements = static_cast<std::size_t>(GENERATE(1, 2, 3));
+    Cluster cluster(seed, CoreSize);
+    REQUIRE(cluster.runUntil([&] { return cluster.isComplete(CoreSize); }, CatchUp));
+    REQUIRE(cluster.proposeConfig(1, 0) == ResultCode::Ok);
+    const std::string cutOff = isLeaderCutOff ? cluster.leader() : isGoneFirst ? followersOf(cluster).back() : followersOf(cluster).front();
+    cluster.isolatedNodes = { cutOff };
+    cluster.run(std::chrono::seconds(3));
+    for (std::size_t n = 0; n < replacements; ++n) {
+        std::vector<std::string> running = runningNodes(cluster);
+        std::erase(running, cutOff);
+        std::erase(running, cluster.leader());
+        const std::string gone = running.front();
+        std::vector<std::string> seeds { running.back() };
+        replace(cluster, gone, successorName(n), seeds);
+        REQUIRE(cluster.runUntil([&] { return isVoterOfLeader(cluster, successorName(n)); }, CatchUp));
+    }
+    REQUIRE(cluster.proposeConfig(2, 1) == ResultCode::Ok);
+    cluster.isolatedNodes.clear();
+    REQUIRE(cluster.runUntil([&] { return isReplaced(cluster, cutOff) && cluster.versionAt(cutOff) == Version(2); }, CatchUp));
+    CHECK(cluster.proposeConfig(3, 2) == ResultCode::Ok);
+}
+
+// Guards against a core that is full of replicas that joined and were removed at once.
+TEST_CASE("replicas that join and stop at once do not keep a replacement out", "[replacement]")
+{
+    const auto seed = static_cast<std::uint64_t>(GENERATE(range(1, 6)));
+    const auto lifetime = GENERATE(200, 300, 500, 1000, 2000) * std::chrono::milliseconds(1);
+    Cluster cluster(seed, CoreSize);
+    REQUIRE(cluster.runUntil([&] { return cluster.isComplete(CoreSize); }, CatchUp));
+    REQUIRE(cluster.proposeConfig(1, 0) == ResultCode::Ok);
+    const std::vector<std::string> seeds = seedsWithoutLeader(cluster, 0, SeedCount);
+    const std::string gone = followersOf(cluster).front();
+    constexpr std::size_t Passing = 6;
+    for (std::size_t n = 0; n < Passing; ++n) {
+        cluster.ownSeeds[successorName(n)] = { InstanceId(seeds[1]) };
+        cluster.addEmpty(successorName(n));
+        if (n % 2 == 1) {
+            cluster.run(lifetime);
+            for (const std::size_t it : { n - 1, n }) {
+                cluster.kill(successorName(it));
+                cluster.nodes.erase(successorName(it));
+            }
+        }
+    }
+    replace(cluster, gone, successorName(Passing), { seeds[1] });
+    REQUIRE(cluster.runUntil([&] { return isReplaced(cluster, successorName(Passing)); }, CatchUp));
+    CHECK(cluster.proposeConfig(2, 1) == ResultCode::Ok);
+}
+
+// Guards against an admission that takes too many round trips for a slow link or a slow disk of the replacement.
+TEST_CASE("a replacement whose messages are slow votes within the catch-up time", "[replacement]")
+{
+    const auto seed = static_cast<std::uint64_t>(GENERATE(range(1, 6)));
+    const auto delay = GENERATE(20, 60, 120, 250) * std::chrono::milliseconds(1);
+    Cluster cluster(seed, CoreSize);
+    REQUIRE(cluster.runUntil([&] { return cluster.isComplete(CoreSize); }, CatchUp));
+    REQUIRE(cluster.proposeConfig(1, 0) == ResultCode::Ok);
+    cluster.nodeDelays[successorName(0)] = delay;
+    replace(cluster, followersOf(cluster).front(), successorName(0), { seedsWithoutLeader(cluster, 0, CoreSize).back() });
+    CHECK(cluster.runUntil([&] { return isReplaced(cluster, successorName(0)); }, CatchUp));
+}
+
+// Guards against a join that late copies of its messages disturb: the challenge of an earlier leader or round replaces the current one.
+TEST_CASE("late copies of messages do not keep a replacement out", "[replacement]")
+{
+    const auto seed = static_cast<std::uint64_t>(GENERATE(range(1, 6)));
+    const auto copyDelay = GENERATE(200, 400, 1000, 1900, 3000) * std::chrono::milliseconds(1);
+    const bool isLeaderLost = GENERATE(true, false);
+    Cluster cluster(seed, CoreSize);
+    REQUIRE(cluster.runUntil([&] { return cluster.isComplete(CoreSize); }, CatchUp));
+    REQUIRE(cluster.proposeConfig(1, 0) == ResultCode::Ok);
+    cluster.copyDelay = copyDelay;
+    const std::string gone = isLeaderLost ? cluster.leader() : followersOf(cluster).front();
+    const std::vector<std::string> seeds = seedsWithoutLeader(cluster, 1, 2);
+    replace(cluster, gone, successorName(0), seeds);
+    REQUIRE(cluster.runUntil([&] { return isReplaced(cluster, successorName(0)); }, CatchUp));
+    // The replacement loses its disk while copies of its messages are still on their way.
+    cluster.kill(successorName(0));
+    cluster.run(std::chrono::milliseconds(300));
+    cluster.addEmpty(successorName(0));
+    REQUIRE(cluster.runUntil([&] { return isReplaced(cluster, successorName(0)) && cluster.versionAt(successorName(0)) == Version(1); },
+                             CatchUp));
+    CHECK(cluster.proposeConfig(2, 1) == ResultCode::Ok);
+}
--- a/packages/coordination/tests/replicacluster.h
+++ b/packages/coordination/tests/replicacluster.h
@@ -35,6 +35,7 @@
         Instant at;
         std::string from;
         RaftEnvelope envelope;
+        bool isCopy = false;
     };
 
     /// \p count replicas, all of which are seeds and voters.
@@ -96,10 +97,13 @@
         std::swap(due, inFlight);
         for (Message &it : due) {
             const std::string to = it.envelope.to.value();
-            if (now - it.at < delay) {
+            if (now - it.at < delay + delayOf(it.from) + delayOf(to)) {
                 inFlight.push_back(std::move(it));
                 continue;
             }
+            if (copyDelay != Duration {} && !it.isCopy) {
+                inFlight.push_back(Message { now + copyDelay, it.from, it.envelope, true });
+            }
             const bool isDropped = isNetworkDown || isolatedNodes.contains(it.from) != isolatedNodes.contains(to);
             if (!isDropped && nodes.contains(to) && nodes[to].replica != nullptr) {
                 REQUIRE(nodes[to].replica->receive(it.envelope.payload, now));
@@ -136,6 +140,13 @@
         runUntil([] { return false; }, time);
     }
 
+    /// The time that \p name adds to each message it sends or receives.
+    Duration delayOf(const std::string &name) const
+    {
+        const auto it = nodeDelays.find(name);
+        return it == nodeDelays.end() ? Duration {} : it->second;
+    }
+
     /// The name of a leader that a quorum has confirmed recently; empty without one.
     std::string leader() const
     {
@@ -206,6 +217,10 @@
     std::map<std::string, std::vector<InstanceId>> ownSeeds;
     /// Added to the one step that each message takes.
     Duration delay {};
+    /// Added to the messages from and to single nodes.
+    std::map<std::string, Duration> nodeDelays;
+    /// When set, a copy of each message arrives this much later.
+    Duration copyDelay {};
     std::map<std::string, Node> nodes;
     std::deque<Message> inFlight;
     /// Nodes on one side of a partition.
