Add failing tests: wiped replicas whose seeds are gone are admitted

A core instance that lost its disk asks its seeds only. When these have all been replaced since its settings were written, it never returns, and its previous replica stays a voter.

The leader sends to the previous replica at the same address all the time, but a message to another store is ignored, although it names a member.

The landed test "replicas are replaced in series and then two disks are lost while the others lose power" does not see this: it waits for five members that vote, and the previous replicas of the wiped ones count.

--- a/packages/coordination/tests/replacementtest.cpp
+++ b/packages/coordination/tests/replacementtest.cpp
@@ -313,3 +313,54 @@
                              CatchUp));
     CHECK(cluster.proposeConfig(2, 1) == ResultCode::Ok);
 }
+
+// Guards against a wiped replica that is never admitted: its seeds are gone, and it ignored the messages that the leader sends to its
+// previous store, which name a member.
+TEST_CASE("a wiped replica whose seeds are gone is admitted at its old address", "[replacement]")
+{
+    const auto seed = static_cast<std::uint64_t>(GENERATE(range(1, 6)));
+    Cluster cluster(seed, CoreSize);
+    REQUIRE(cluster.runUntil([&] { return cluster.isComplete(CoreSize); }, CatchUp));
+    REQUIRE(cluster.proposeConfig(1, 0) == ResultCode::Ok);
+    const std::string wiped = followersOf(cluster).front();
+    cluster.ownSeeds[wiped] = { InstanceId("10.0.8.1:7000"), InstanceId("10.0.8.2:7000"), InstanceId("10.0.8.3:7000") };
+    cluster.kill(wiped);
+    cluster.run(std::chrono::seconds(1));
+    cluster.addEmpty(wiped);
+    CHECK(cluster.runUntil([&] { return isReplaced(cluster, wiped) && cluster.versionAt(wiped) == Version(1); }, CatchUp));
+}
+
+// Guards against wiped replicas that do not return after a series of replacements: the seeds of the early replacements are all gone by
+// then, and a replica that lost its disk knows nobody else.
+TEST_CASE("replicas that are wiped after all seeds were replaced vote again", "[replacement]")
+{
+    const auto seed = static_cast<std::uint64_t>(GENERATE(range(1, 11)));
+    Cluster cluster(seed, CoreSize);
+    REQUIRE(cluster.runUntil([&] { return cluster.isComplete(CoreSize); }, CatchUp));
+    REQUIRE(cluster.proposeConfig(1, 0) == ResultCode::Ok);
+    for (std::size_t n = 0; n < CoreSize; ++n) {
+        const std::string gone = Cluster::nameOf(n);
+        cluster.kill(gone);
+        REQUIRE(cluster.runUntil([&] { return !cluster.leader().empty(); }, Failover));
+        replace(cluster, gone, successorName(n), seedsWithoutLeader(cluster, 0, SeedCount));
+        REQUIRE(cluster.runUntil([&] { return isReplaced(cluster, successorName(n)); }, CatchUp));
+    }
+    const std::set<std::string> wiped { successorName(0), successorName(1) };
+    const std::vector<std::string> names = runningNodes(cluster);
+    for (const std::string &it : names) {
+        cluster.losePower(it);
+    }
+    cluster.run(std::chrono::milliseconds(1500));
+    for (const std::string &it : names) {
+        if (wiped.contains(it)) {
+            cluster.addEmpty(it);
+        } else {
+            cluster.start(it);
+        }
+    }
+    const auto isBack = [&] {
+        return std::all_of(wiped.begin(), wiped.end(),
+                           [&](const std::string &it) { return isReplaced(cluster, it) && cluster.versionAt(it) == Version(1); });
+    };
+    CHECK(cluster.runUntil(isBack, CatchUp));
+}
