Add a failing test: a replacement votes while changes are accepted in quick succession

What callers would see: a replacement that stays a learner, so that its predecessor's loss counts on.

Cause: promoteLearner() compares match with the current commit index. With a change at each interval there is no moment at which the learner has everything, when its round trip exceeds that of the voters by more than the interval.

--- a/packages/coordination/tests/replacementtest.cpp
+++ b/packages/coordination/tests/replacementtest.cpp
@@ -364,3 +364,32 @@
     };
     CHECK(cluster.runUntil(isBack, CatchUp));
 }
+
+// Guards against a replacement that never votes: the leader promoted a learner only at a moment at which it had every committed entry,
+// and with changes in quick succession there is none when its messages take longer than those of the voters.
+TEST_CASE("a replacement votes while changes are accepted in quick succession", "[replacement]")
+{
+    // The time between two changes, and the time that a message from or to the replacement takes longer than another one.
+    const auto [interval, delay] = GENERATE(std::pair(20, 5), std::pair(20, 20), std::pair(50, 20), std::pair(50, 50), std::pair(100, 20),
+                                            std::pair(100, 100), std::pair(200, 100), std::pair(200, 200));
+    Cluster cluster(1, CoreSize);
+    REQUIRE(cluster.runUntil([&] { return cluster.isComplete(CoreSize); }, CatchUp));
+    REQUIRE(cluster.proposeConfig(1, 0) == ResultCode::Ok);
+    cluster.nodeDelays[successorName(0)] = delay * std::chrono::milliseconds(1);
+    replace(cluster, followersOf(cluster).front(), successorName(0), seedsWithoutLeader(cluster, 0, SeedCount));
+    std::uint64_t version = 1;
+    Instant nextChangeAt = cluster.now;
+    const bool isVoter = cluster.runUntil(
+        [&] {
+            const std::string leader = cluster.leader();
+            if (!leader.empty() && cluster.now >= nextChangeAt) {
+                nextChangeAt = cluster.now + interval * std::chrono::milliseconds(1);
+                cluster.nodes[leader].replica->propose(Cluster::encodeChange(version + 1, version), cluster.now);
+                ++version;
+            }
+            return isReplaced(cluster, successorName(0));
+        },
+        CatchUp);
+    CAPTURE(interval, delay, version);
+    CHECK(isVoter);
+}
