Add a failing test: a first start does not wait for seeds that are given later

Cause: setSeeds() adds new seeds to those that an unused store which may start the cluster requires. A first start then needs an answer from the new ones too. If one of them is gone, the cluster never starts.

Rare: the settings file has to change before the first start has succeeded.

--- a/packages/coordination/tests/replacementtest.cpp
+++ b/packages/coordination/tests/replacementtest.cpp
@@ -393,3 +393,17 @@
     CAPTURE(interval, delay, version);
     CHECK(isVoter);
 }
+
+// Guards against a first start that waits for ever for a seed that was written to the settings later and is gone.
+TEST_CASE("a first start does not wait for seeds that are given later", "[replacement]")
+{
+    Cluster cluster(1);
+    cluster.isNetworkDown = true;
+    cluster.run(std::chrono::milliseconds(1100));
+    const std::vector<InstanceId> later { InstanceId(Cluster::nameOf(0)), InstanceId(Cluster::nameOf(1)), InstanceId("10.0.8.1:7000") };
+    for (auto &[name, node] : cluster.nodes) {
+        node.replica->setSeeds(later);
+    }
+    cluster.isNetworkDown = false;
+    CHECK(cluster.runUntil([&] { return cluster.isComplete(3); }, CatchUp));
+}
