Add a failing test: entries keep the core instances they know

Cause: an entry replaces its list of core instances with that of any update, also of an instance that no quorum confirms. Such an instance may be cut off with an old membership, or may have received only a part of the log. An empty list is ignored, an outdated one is not.

--- a/packages/coordination/tests/corelinktest.cpp
+++ b/packages/coordination/tests/corelinktest.cpp
@@ -275,3 +275,28 @@
     CHECK(fixture.updates > before);
     CHECK(fixture.first.connections + fixture.second.connections == 1);
 }
+
+// Guards against an entry that forgets the core: an instance that is cut off, or that has received only a part of the log, lists
+// instances that are gone. Only a list that a quorum has confirmed recently may replace the one that the entry knows.
+TEST_CASE("an entry keeps the core instances that it knows when an instance that is not up to date lists others")
+{
+    Fixture fixture;
+    fixture.core = { { fixture.third.name, DataCentreId("south") }, { fixture.fourth.name, DataCentreId("south") } };
+    fixture.third.update = fixture.encodeUpdate(true, 1);
+    fixture.fourth.update = fixture.third.update;
+    fixture.first.update = fixture.third.update;
+    fixture.second.update = fixture.third.update;
+    fixture.link->start();
+    fixture.runFor(300);
+    REQUIRE(fixture.updates > 0);
+    // From now on, the two seeds list an instance that is gone, and the entry is connected to one of them.
+    fixture.core = { { InstanceId("127.0.0.1:" + std::to_string(FirstPort + 9)), DataCentreId("south") } };
+    fixture.first.update = fixture.encodeUpdate(false, 0);
+    fixture.second.update = fixture.first.update;
+    fixture.third.update.clear();
+    fixture.fourth.update.clear();
+    fixture.runFor(9000);
+    const std::size_t before = fixture.third.connections + fixture.fourth.connections;
+    fixture.runFor(6000);
+    CHECK(fixture.third.connections + fixture.fourth.connections > before);
+}
