Let the last replacement catch up before disks are lost in a failing test

"replicas that are wiped after all seeds were replaced vote again" lost two disks as soon as the leader had appended the promotion of the last replacement. The test now waits for the catch-up time first.

--- a/packages/coordination/tests/replacementtest.cpp
+++ b/packages/coordination/tests/replacementtest.cpp
@@ -345,6 +345,7 @@
         replace(cluster, gone, successorName(n), seedsWithoutLeader(cluster, 0, SeedCount));
         REQUIRE(cluster.runUntil([&] { return isReplaced(cluster, successorName(n)); }, CatchUp));
     }
+    cluster.run(CatchUp); // until then, the last replacement counts as lost
     const std::set<std::string> wiped { successorName(0), successorName(1) };
     const std::vector<std::string> names = runningNodes(cluster);
     for (const std::string &it : names) {
