Let a replica that lost its disk ask whoever addresses its earlier store

An instance that comes back with an empty disk knows its seeds only. After a series of replacements these may all be gone, while the leader keeps sending to the instance's address, for its earlier store; the new one ignored these messages.

Change: the sender of a message for an earlier store of this instance is asked as if a member had named it, with the same limits (14 contacts, 5 s). Only members send such messages. It counts neither for a first start nor as an admission.

--- a/packages/control/control/raftjoin.cpp
+++ b/packages/control/control/raftjoin.cpp
@@ -63,6 +63,13 @@
     return messages;
 }
 
+void RaftJoin::recordMember(const InstanceId &member, Instant now)
+{
+    if (m_admission == Admission::Open && m_attempt) {
+        recordReferral(member, true, now);
+    }
+}
+
 std::vector<RaftMessage> RaftJoin::receive(const RaftMessage &message, const View &view, Instant now)
 {
     const bool isAdmitted = isPeer(message.from.instance) || m_admission == Admission::Open;
@@ -170,20 +177,25 @@
     const std::vector<InstanceId> &contacts = message.contacts;
     const bool isFromMember = std::find(contacts.begin(), contacts.end(), message.from.instance) != contacts.end();
     for (const InstanceId &it : contacts) {
-        const bool isKnown = m_referrals.contains(it);
-        if (it == m_self.instance || (!isKnown && m_referrals.size() >= MaxReferrals)) {
-            continue;
-        }
-        Referral &referral = m_referrals[it];
-        referral.heardAt = now;
-        referral.heardFromMemberAt = isFromMember ? now : referral.heardFromMemberAt;
-        if (!isKnown && !isPeer(it)) {
+        if (recordReferral(it, isFromMember, now) && !isPeer(it)) {
             added.push_back(it);
         }
     }
     return added;
 }
 
+bool RaftJoin::recordReferral(const InstanceId &instance, bool isFromMember, Instant now)
+{
+    const bool isKnown = m_referrals.contains(instance);
+    if (instance == m_self.instance || (!isKnown && m_referrals.size() >= MaxReferrals)) {
+        return false;
+    }
+    Referral &referral = m_referrals[instance];
+    referral.heardAt = now;
+    referral.heardFromMemberAt = isFromMember ? now : referral.heardFromMemberAt;
+    return !isKnown;
+}
+
 bool RaftJoin::isPeer(const InstanceId &instance) const
 {
     return std::find(m_peers.begin(), m_peers.end(), instance) != m_peers.end();
--- a/packages/control/control/raftjoin.h
+++ b/packages/control/control/raftjoin.h
@@ -76,6 +76,8 @@
     void setPeers(std::vector<InstanceId> peers);
 
     std::vector<RaftMessage> tick(const View &view, Instant now);
+    /// Records that \p member sends messages to an earlier store of this instance, so that it can be asked. Only members do.
+    void recordMember(const InstanceId &member, Instant now);
     /// Handles JoinRequest and JoinReply; returns the answers and further requests to send.
     std::vector<RaftMessage> receive(const RaftMessage &message, const View &view, Instant now);
     /// The replica that requests to join and has proved to be alive by returning its challenge in the last receive(); absent
@@ -100,6 +102,8 @@
     std::vector<RaftMessage> handleRequest(const RaftMessage &message, const View &view, Instant now);
     std::vector<RaftMessage> handleReply(const RaftMessage &message, const View &view, Instant now);
     std::vector<InstanceId> knownContacts(const View &view, Instant now) const;
+    /// Returns whether \p instance was not known before.
+    bool recordReferral(const InstanceId &instance, bool isFromMember, Instant now);
     /// Records the contacts in \p message; returns those that have not been asked yet.
     std::vector<InstanceId> recordReferrals(const RaftMessage &message, Instant now);
     bool isPeer(const InstanceId &instance) const;
--- a/packages/coordination/coordination/replica.cpp
+++ b/packages/coordination/coordination/replica.cpp
@@ -84,6 +84,9 @@
         return {};
     }
     if (message->kind != RaftKind::JoinRequest && message->kind != RaftKind::JoinReply) {
+        if (message->to != m_raft.self()) {
+            m_join.recordMember(message->from.instance, now);
+        }
         processOutput(m_raft.receive(*message, now));
         return {};
     }
