Require for a first start the answers of the first seeds only

What callers would see: no configuration is ever accepted after the first start of the system, if the settings of a seed are changed before it has heard from all others, and the change names an instance that is gone.

Cause: the condition of a first start counted the answers of all instances that are asked, and new seeds are asked besides the first ones.

Change: it names the instances of the settings at the start. A "not empty" from any other instance still forbids the start.

"an empty instance that others refer to is not counted for a first start" and "new seeds do not replace those that a first start requires" pass before and after.

--- a/packages/control/control/raftjoin.cpp
+++ b/packages/control/control/raftjoin.cpp
@@ -24,6 +24,7 @@
     , m_admission(admission)
 {
     std::erase(m_peers, m_self.instance);
+    m_firstPeers = m_peers;
     const bool isLowest = std::all_of(m_peers.begin(), m_peers.end(), [this](const InstanceId &it) { return m_self.instance < it; });
     m_isBootstrapCandidate = bootstrap && isLowest;
 }
@@ -55,7 +56,7 @@
     }
     m_round = m_random.next() | 1U; // 0 means no round
     m_roundStartedAt = now;
-    m_emptyPeers.clear();
+    m_emptyInstances.clear();
     std::vector<RaftMessage> messages;
     for (const InstanceId &it : m_attempt->asked) {
         messages.push_back(makeRequest(it, view));
@@ -101,7 +102,8 @@
 bool RaftJoin::mayBootstrap(const View &view, Instant now) const
 {
     const bool isRoundOpen = m_round != 0 && now - m_roundStartedAt <= m_interval;
-    return m_isBootstrapCandidate && view.isEmpty && !m_hasSeenCluster && isRoundOpen && m_emptyPeers.size() == m_peers.size();
+    return m_isBootstrapCandidate && view.isEmpty && !m_hasSeenCluster && isRoundOpen
+        && std::all_of(m_firstPeers.begin(), m_firstPeers.end(), [this](const InstanceId &it) { return m_emptyInstances.contains(it); });
 }
 
 std::vector<RaftMessage> RaftJoin::handleRequest(const RaftMessage &message, const View &view, Instant now)
@@ -145,8 +147,8 @@
     }
     if (!message.isEmpty) {
         m_hasSeenCluster = true;
-    } else if (isPeer(message.from.instance)) {
-        m_emptyPeers.insert(message.from.instance);
+    } else {
+        m_emptyInstances.insert(message.from.instance);
     }
     return requests;
 }
--- a/packages/control/control/raftjoin.h
+++ b/packages/control/control/raftjoin.h
@@ -20,7 +20,7 @@
 /// A cluster is started only when all of these hold:
 /// - the settings enable it (bootstrap), and the store was never used,
 /// - this instance has the lowest id of all control instances in the settings,
-/// - within one round, every other control instance answered that its store is empty.
+/// - within one round, every other control instance in the settings of the start answered that its store is empty.
 ///
 /// Each member answers with the members that it knows, and the replica asks these too. So it finds the leader when its settings name
 /// any instance that is a member, or that a member has answered. Contacts that nobody repeats are dropped. An instance that is not a
@@ -72,7 +72,8 @@
     RaftJoin(ReplicaId self, std::vector<InstanceId> peers, bool bootstrap, Duration interval, RandomSource &random,
              Admission admission = Admission::Listed);
 
-    /// Replaces the instances that join requests are always sent to. Their earlier answers are kept.
+    /// Replaces the instances that join requests are always sent to. Their earlier answers are kept. A first start still requires the
+    /// answers of those given to the constructor, and of no others.
     void setPeers(std::vector<InstanceId> peers);
 
     std::vector<RaftMessage> tick(const View &view, Instant now);
@@ -112,6 +113,8 @@
 
     ReplicaId m_self;
     std::vector<InstanceId> m_peers;
+    /// The instances whose answers a first start requires.
+    std::vector<InstanceId> m_firstPeers;
     bool m_isBootstrapCandidate;
     Duration m_interval;
     RandomSource &m_random;
@@ -119,7 +122,7 @@
     std::uint64_t m_round = 0;
     Instant m_roundStartedAt {};
     bool m_hasSeenCluster = false;
-    std::set<InstanceId> m_emptyPeers;
+    std::set<InstanceId> m_emptyInstances;
     std::map<InstanceId, Referral> m_referrals;
     /// Received challenges by the instance that issued them.
     std::map<InstanceId, std::uint64_t> m_receivedChallenges;
