Promote a learner that has caught up within an election timeout

What callers would see: a replaced core instance that is admitted but not a voter when the next disks are lost (CONFIG), while changes come in quick succession and its disk or links are slow.

Cause: a leader promoted a learner only when it had every committed entry at the moment of a tick. With changes closer together than the learner's extra round trip, there is no such moment.

Change: the rule of Ongaro's thesis, section 4.2.1: a learner has also caught up when the entries that were committed at some moment are synced on it within an election timeout. Safe: a membership entry and all later ones are committed only by a quorum of the new membership, each member of which has all entries before them.

--- a/packages/control/control/raftcore.h
+++ b/packages/control/control/raftcore.h
@@ -141,6 +141,7 @@
     // membership on the leader
     void manageMembership(Instant now);
     bool promoteLearner(Instant now);
+    bool hasCaughtUp(Progress &row, Instant now) const;
     bool admitJoiner(Instant now);
     bool removeRetired(Instant now);
     void proposeMembership(Membership membership, Instant now);
--- a/packages/control/control/raftleader.cpp
+++ b/packages/control/control/raftleader.cpp
@@ -215,13 +215,11 @@
 {
     Membership membership = m_log.membership();
     for (Member &member : membership.members) {
-        const Progress *row = m_progress.find(member.id);
+        Progress *row = m_progress.find(member.id);
         if (member.isVoter || row == nullptr) {
             continue;
         }
-        // match covers synced entries only, so a promoted replica has every accepted change on its disk.
-        const bool isCaughtUp = row->match >= m_commit && now - row->lastContactAt < m_timing.election;
-        if (isCaughtUp) {
+        if (hasCaughtUp(*row, now) && now - row->lastContactAt < m_timing.election) {
             member.isVoter = true;
             proposeMembership(std::move(membership), now);
             return true;
@@ -230,6 +228,19 @@
     return false;
 }
 
+bool RaftCore::hasCaughtUp(Progress &row, Instant now) const
+{
+    // While changes are accepted in quick succession, a learner never has all of them at once. So it has also caught up when the
+    // entries committed at some moment were synced on it within an election timeout (Ongaro's thesis, section 4.2.1).
+    const bool isRoundOver = row.roundEnd != LogIndex() && row.match >= row.roundEnd;
+    const bool isRoundShort = isRoundOver && now - row.roundStartedAt < m_timing.election;
+    if (isRoundOver || row.roundEnd == LogIndex()) {
+        row.roundEnd = m_commit;
+        row.roundStartedAt = now;
+    }
+    return isRoundShort || row.match >= m_commit;
+}
+
 bool RaftCore::admitJoiner(Instant now)
 {
     while (!m_joiners.empty()) {
--- a/packages/control/control/raftprogress.h
+++ b/packages/control/control/raftprogress.h
@@ -24,6 +24,9 @@
     /// Set while the replica receives a snapshot.
     SnapshotPointer snapshot;
     std::uint64_t offset = 0;
+    /// Only for learners: the commit index at \c roundStartedAt. A learner that reaches it soon has caught up.
+    LogIndex roundEnd;
+    Instant roundStartedAt {};
 };
 
 /// The replication state of all other replicas, and what a quorum of them has acknowledged.
