Keep the core instances that an entry knows when an outdated one lists others

What callers would see: an entry that serves by what it knew for longer than needed, because it tries only core instances that are gone.

Cause: an entry replaced its list of core instances by that of any update. An instance that is cut off, or that replays an old log after its start, lists instances that are gone.

--- a/packages/coordination/coordination/corelink.cpp
+++ b/packages/coordination/coordination/corelink.cpp
@@ -279,7 +279,9 @@
             m_consecutiveUnconfirmed = 0;
         }
     }
-    if (!update->core.empty()) {
+    // An instance that is cut off, or that has received only a part of the log, may list instances that are gone.
+    const bool isListCurrent = update->confirmedAge && *update->confirmedAge <= MaxConfirmationAge;
+    if (!update->core.empty() && (isListCurrent || m_coreInstances.empty())) {
         const bool knewLocalInstance = knowsLocalInstance();
         m_coreInstances = update->core;
         if (!knewLocalInstance && knowsLocalInstance()) {
