Access the disk of a store through one interface

Only the syncs of a store went through an interface, so no test could stop it between two operations. Disk has all system calls that a data folder makes. Reading uses it too: a read error was thrown by the iterators of the standard library and is now reported as StoreCorrupt with its reason, and a failure to create the data folder as StoreWriteFailed with its reason.

--- a/packages/control/control/datafolder.cpp
+++ b/packages/control/control/datafolder.cpp
@@ -1,14 +1,11 @@
 #include "control/datafolder.h"
 
+#include <algorithm>
+#include <array>
 #include <cerrno>
-#include <cstring>
-#include <fstream>
-#include <iterator>
 #include <system_error>
 
 #include <fcntl.h>
-#include <sys/file.h>
-#include <unistd.h>
 
 namespace Galenabarrow::Control
 {
@@ -16,17 +13,17 @@
 namespace
 {
 
-constexpr mode_t FileMode = 0600; // contracts are confidential
+constexpr std::size_t ReadBufferBytes = 16384;
 
 tl::unexpected<Error> writeFailed(const std::string &what)
 {
     return failure(ResultCode::StoreWriteFailed, what + ": " + std::system_category().message(errno));
 }
 
-Result<void> writeAll(int file, ByteView bytes)
+Result<void> writeAll(int file, ByteView bytes, Disk &disk)
 {
     while (!bytes.empty()) {
-        const ssize_t written = ::write(file, bytes.data(), bytes.size());
+        const ssize_t written = disk.write(file, bytes);
         if (written < 0 && errno != EINTR) {
             return writeFailed("cannot write to the data folder");
         }
@@ -35,44 +32,49 @@
     return {};
 }
 
-Result<void> writeAndSync(const std::string &path, ByteView content, DiskSync &sync)
+Result<void> writeAndSync(const std::string &path, ByteView content, Disk &disk)
 {
-    const int file = ::open(path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, FileMode);
+    const int file = disk.open(path, O_WRONLY | O_CREAT | O_TRUNC);
     if (file < 0) {
         return writeFailed("cannot create " + path);
     }
-    Result<void> done = writeAll(file, content);
-    if (done && !sync.syncAll(file)) {
+    Result<void> done = writeAll(file, content, disk);
+    if (done && !disk.syncAll(file)) {
         done = writeFailed("cannot sync " + path);
     }
-    ::close(file);
+    disk.close(file);
     return done;
 }
 
 }
 
-DataFolder::DataFolder(std::filesystem::path path, DiskSync &sync)
+DataFolder::DataFolder(std::filesystem::path path, Disk &disk)
     : m_path(std::move(path))
-    , m_sync(sync)
+    , m_disk(disk)
 {
 }
 
 DataFolder::~DataFolder()
 {
     if (m_lock >= 0) {
-        ::close(m_lock);
+        m_disk.close(m_lock);
     }
 }
 
 Result<void> DataFolder::lock()
 {
-    std::error_code ec;
-    std::filesystem::create_directories(m_path, ec);
-    m_lock = ::open(pathOf("lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, FileMode);
+    const std::string path = pathOf("lock");
+    m_lock = m_disk.open(path, O_RDWR | O_CREAT);
+    if (m_lock < 0 && errno == ENOENT) {
+        if (Result<void> created = createFolder(std::filesystem::absolute(m_path).lexically_normal()); !created) {
+            return created;
+        }
+        m_lock = m_disk.open(path, O_RDWR | O_CREAT);
+    }
     if (m_lock < 0) {
         return writeFailed("cannot open the lock file in " + m_path.string());
     }
-    if (::flock(m_lock, LOCK_EX | LOCK_NB) != 0) {
+    if (!m_disk.lock(m_lock)) {
         return failure(ResultCode::StoreLocked, "another process has locked " + m_path.string());
     }
     return {};
@@ -80,14 +82,23 @@
 
 Result<std::optional<Bytes>> DataFolder::read(const std::string &name) const
 {
-    std::error_code ec;
-    if (!std::filesystem::exists(pathOf(name), ec) && !ec) {
+    const int file = m_disk.open(pathOf(name), O_RDONLY);
+    if (file < 0 && errno == ENOENT) {
         return std::nullopt;
     }
-    std::ifstream in(pathOf(name), std::ios::binary);
-    Bytes content { std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>() };
-    if (ec || !in.is_open() || in.bad()) {
-        return failure(ResultCode::StoreCorrupt, "cannot read " + pathOf(name));
+    Bytes content;
+    std::array<std::uint8_t, ReadBufferBytes> buf {};
+    ssize_t n = file < 0 ? -1 : m_disk.read(file, buf);
+    while (n > 0 || (n < 0 && file >= 0 && errno == EINTR)) {
+        content.insert(content.end(), buf.begin(), buf.begin() + std::max<ssize_t>(n, 0));
+        n = m_disk.read(file, buf);
+    }
+    const std::string reason = n < 0 ? std::system_category().message(errno) : "";
+    if (file >= 0) {
+        m_disk.close(file);
+    }
+    if (n < 0) {
+        return failure(ResultCode::StoreCorrupt, "cannot read " + pathOf(name) + ": " + reason);
     }
     return content;
 }
@@ -95,14 +106,14 @@
 Result<void> DataFolder::replace(const std::string &name, ByteView content) const
 {
     const std::string temporary = pathOf(name + ".new");
-    Result<void> written = writeAndSync(temporary, content, m_sync);
+    Result<void> written = writeAndSync(temporary, content, m_disk);
     if (!written) {
         return written;
     }
-    if (::rename(temporary.c_str(), pathOf(name).c_str()) != 0) {
+    if (!m_disk.rename(temporary, pathOf(name))) {
         return writeFailed("cannot rename " + temporary);
     }
-    return syncFolder();
+    return syncFolder(m_path);
 }
 
 std::string DataFolder::pathOf(const std::string &name) const
@@ -110,37 +121,49 @@
     return (m_path / name).string();
 }
 
-Result<void> DataFolder::syncFolder() const
+Result<void> DataFolder::createFolder(const std::filesystem::path &folder) const
+{
+    bool isCreated = m_disk.createFolder(folder.string());
+    if (!isCreated && errno == ENOENT && folder.has_relative_path()) {
+        if (Result<void> parent = createFolder(folder.parent_path()); !parent) {
+            return parent;
+        }
+        isCreated = m_disk.createFolder(folder.string());
+    }
+    return isCreated || errno == EEXIST ? Result<void>() : writeFailed("cannot create " + folder.string());
+}
+
+Result<void> DataFolder::syncFolder(const std::filesystem::path &folder) const
 {
-    const int folder = ::open(m_path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-    if (folder < 0) {
-        return writeFailed("cannot open " + m_path.string());
+    const int file = m_disk.open(folder.string(), O_RDONLY | O_DIRECTORY);
+    if (file < 0) {
+        return writeFailed("cannot open " + folder.string());
     }
-    const bool isSynced = m_sync.syncAll(folder);
-    Result<void> done = isSynced ? Result<void>() : writeFailed("cannot sync " + m_path.string());
-    ::close(folder);
+    const bool isSynced = m_disk.syncAll(file);
+    Result<void> done = isSynced ? Result<void>() : writeFailed("cannot sync " + folder.string());
+    m_disk.close(file);
     return done;
 }
 
-AppendFile::AppendFile(DiskSync &sync)
-    : m_sync(sync)
+AppendFile::AppendFile(Disk &disk)
+    : m_disk(disk)
 {
 }
 
 AppendFile::~AppendFile()
 {
     if (m_file >= 0) {
-        ::close(m_file);
+        m_disk.close(m_file);
     }
 }
 
 Result<void> AppendFile::open(const std::string &path, std::uint64_t length)
 {
     if (m_file >= 0) {
-        ::close(m_file);
+        m_disk.close(m_file);
     }
-    m_file = ::open(path.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
-    if (m_file < 0 || ::ftruncate(m_file, static_cast<off_t>(length)) != 0) {
+    m_file = m_disk.open(path, O_WRONLY | O_APPEND);
+    if (m_file < 0 || !m_disk.truncate(m_file, length)) {
         return writeFailed("cannot open " + path);
     }
     return sync();
@@ -148,12 +171,12 @@
 
 Result<void> AppendFile::write(ByteView bytes)
 {
-    return writeAll(m_file, bytes);
+    return writeAll(m_file, bytes, m_disk);
 }
 
 Result<void> AppendFile::sync()
 {
-    if (!m_sync.syncData(m_file)) {
+    if (!m_disk.syncData(m_file)) {
         return writeFailed("cannot sync the log");
     }
     return {};
--- a/packages/control/control/datafolder.h
+++ b/packages/control/control/datafolder.h
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "control/codecs.h"
-#include "control/disksync.h"
+#include "control/disk.h"
 
 namespace Galenabarrow::Control
 {
@@ -14,7 +14,7 @@
 class DataFolder
 {
 public:
-    DataFolder(std::filesystem::path path, DiskSync &sync);
+    DataFolder(std::filesystem::path path, Disk &disk);
     ~DataFolder();
     DataFolder(const DataFolder &) = delete;
     DataFolder &operator=(const DataFolder &) = delete;
@@ -29,10 +29,11 @@
     std::string pathOf(const std::string &name) const;
 
 private:
-    Result<void> syncFolder() const;
+    Result<void> createFolder(const std::filesystem::path &folder) const;
+    Result<void> syncFolder(const std::filesystem::path &folder) const;
 
     std::filesystem::path m_path;
-    DiskSync &m_sync;
+    Disk &m_disk;
     int m_lock = -1;
 };
 
@@ -40,7 +41,7 @@
 class AppendFile
 {
 public:
-    explicit AppendFile(DiskSync &sync);
+    explicit AppendFile(Disk &disk);
     ~AppendFile();
     AppendFile(const AppendFile &) = delete;
     AppendFile &operator=(const AppendFile &) = delete;
@@ -52,7 +53,7 @@
     Result<void> sync();
 
 private:
-    DiskSync &m_sync;
+    Disk &m_disk;
     int m_file = -1;
 };
 
--- a/packages/control/control/disklogstore.cpp
+++ b/packages/control/control/disklogstore.cpp
@@ -27,9 +27,9 @@
 
 }
 
-DiskLogStore::DiskLogStore(std::filesystem::path folder, DiskSync &sync)
-    : m_folder(std::move(folder), sync)
-    , m_log(sync)
+DiskLogStore::DiskLogStore(std::filesystem::path folder, Disk &disk)
+    : m_folder(std::move(folder), disk)
+    , m_log(disk)
 {
 }
 
--- a/packages/control/control/disklogstore.h
+++ b/packages/control/control/disklogstore.h
@@ -19,7 +19,7 @@
 class DiskLogStore final : public LogStore
 {
 public:
-    explicit DiskLogStore(std::filesystem::path folder, DiskSync &sync = systemDiskSync());
+    explicit DiskLogStore(std::filesystem::path folder, Disk &disk = systemDisk());
 
     Result<StoreContents> load() override;
     Result<void> writeHardState(const HardState &state) override;
--- a/packages/control/tests/durabledisk.h
+++ b/packages/control/tests/durabledisk.h
@@ -11,13 +11,13 @@
 #include <sys/stat.h>
 
 #include "control/codecs.h"
-#include "control/disksync.h"
+#include "control/disk.h"
 
 namespace Galenabarrow::Control::Test
 {
 
 /// Records what was synced in one folder, so that a test can restore the folder as it would be after a loss of power.
-class DurableDisk final : public DiskSync
+class DurableDisk final : public SystemDisk
 {
 public:
     explicit DurableDisk(std::filesystem::path folder)
