Sync the names of a store before it is used

What callers would see: an acknowledged change, or a vote, is lost although no disk was lost.

Cause: a file is replaced by a rename and a sync of the folder. A process that is killed between the two leaves the new file, whose name is not durable yet. The next process read it and synced the contents of the log, but never the folder. It then appended to the new log and acknowledged; after a loss of power the folder has the old log.

--- a/packages/control/control/datafolder.cpp
+++ b/packages/control/control/datafolder.cpp
@@ -77,7 +77,7 @@
     if (!m_disk.lock(m_lock)) {
         return failure(ResultCode::StoreLocked, "another process has locked " + m_path.string());
     }
-    return {};
+    return syncFolder(m_path);
 }
 
 Result<std::optional<Bytes>> DataFolder::read(const std::string &name) const
--- a/packages/control/control/datafolder.h
+++ b/packages/control/control/datafolder.h
@@ -19,7 +19,8 @@
     DataFolder(const DataFolder &) = delete;
     DataFolder &operator=(const DataFolder &) = delete;
 
-    /// Creates the folder if it does not exist, and locks it. Fails with StoreLocked or StoreWriteFailed.
+    /// Creates the folder if it does not exist, locks it and makes the names of its files durable, because an earlier process may
+    /// have ended between the rename of a file and the sync of the folder. Fails with StoreLocked or StoreWriteFailed.
     Result<void> lock();
     /// The contents of a file; absent when the file does not exist. Fails with StoreCorrupt when it cannot be read.
     Result<std::optional<Bytes>> read(const std::string &name) const;
