Create a store anew after an interrupted creation

Cause: createFiles() writes the log first and the identity last, and took any log without an identity for damage, also the one that it had written itself before it was interrupted.

Change: nothing was answered by a store before load() returned its identity, so a folder without one is created anew, with a new identity, if the log is exactly what the creation writes: one whole record with the initial hard state.

"a used store without its identity is reported as corruption" passed before and passes; "a damaged log without an identity is reported as corruption" failed before with the empty log.

--- a/packages/control/control/disklogstore.cpp
+++ b/packages/control/control/disklogstore.cpp
@@ -25,6 +25,17 @@
     out.insert(out.end(), record.begin(), record.end());
 }
 
+/// The log is as createFiles() writes it: one record with the initial hard state.
+bool isUnusedLog(const Bytes &content)
+{
+    const std::optional<Record> record = readRecord(content);
+    if (!record || record->type != RecordType::HardState || record->size != content.size()) {
+        return false;
+    }
+    const Result<HardState> state = decodeHardState(record->payload);
+    return state && *state == HardState {};
+}
+
 }
 
 DiskLogStore::DiskLogStore(std::filesystem::path folder, Disk &disk)
@@ -84,10 +95,11 @@
 {
     const auto log = m_folder.read(LogFile);
     const auto snapshot = m_folder.read(SnapshotFile);
-    if (!log || !snapshot || *snapshot || (*log && !(*log)->empty())) {
-        return corrupt("the data folder has a log or a snapshot, but no identity file");
+    if (!log || !snapshot || *snapshot || (*log && !isUnusedLog(**log))) {
+        return corrupt("the data folder has a snapshot or a log that was used, but no identity file");
     }
-    // The identity is written last, so that a folder with an identity always has a log.
+    // The identity is written last, so that a folder with an identity always has a log, and a folder without one was never used:
+    // load() returns nothing before. A creation that was interrupted is begun anew, with a new identity.
     const Incarnation incarnation = makeIncarnation();
     Bytes payload(sizeof(std::uint64_t));
     for (std::size_t n = 0; n < payload.size(); ++n) {
--- a/packages/control/control/disklogstore.h
+++ b/packages/control/control/disklogstore.h
@@ -16,6 +16,9 @@
 /// length counts as a torn write, and the log is truncated there. A damaged record within a synced length, a missing file and
 /// a damaged snapshot are reported as StoreCorrupt. Damage to the records of the last sync cannot be distinguished from a torn
 /// write.
+///
+/// Each write can be interrupted between any two operations on the disk. The identity is written last at the creation, so a store
+/// without an identity is created anew, with a new one, unless its files show that it was used.
 class DiskLogStore final : public LogStore
 {
 public:
--- a/packages/control/tests/storeinterruptiontest.cpp
+++ b/packages/control/tests/storeinterruptiontest.cpp
@@ -3,6 +3,7 @@
 #include <set>
 
 #include <catch2/catch.hpp>
+#include <fcntl.h>
 
 #include "control/disklogstore.h"
 #include "simulateddisk.h"
@@ -67,6 +68,11 @@
     return a.hardState == b.hardState && isSameSnapshot && a.entries == b.entries;
 }
 
+Result<void> loadOnly(DiskLogStore & /*store*/)
+{
+    return {};
+}
+
 /// A sequence of writes of a store, and the contents that a store may have after its interruption.
 struct Sequence {
     std::function<Result<void>(DiskLogStore &)> prepare;
@@ -253,6 +259,12 @@
     CHECK(interrupter.failures().empty());
 }
 
+ResultCode loadCode(SimulatedDisk &disk)
+{
+    const Result<StoreContents> contents = DiskLogStore(DataPath, disk).load();
+    return contents ? ResultCode::Ok : contents.error().code;
+}
+
 /// Writes the vote of term 3 and the entries 1 to 6 of term 3.
 Result<void> writeSixEntries(DiskLogStore &store)
 {
@@ -263,6 +275,12 @@
 
 }
 
+// Guards against a store that never opens again, or that loses its identity, after its creation was interrupted.
+TEST_CASE("a store survives each interruption of its creation", "[store]")
+{
+    requireRecovery(emptyDataFolder(), { nullptr, loadOnly, { contentsOf({}, nullptr, {}) } });
+}
+
 // Guards against votes, terms and entries that are lost, or a store that does not open, after an interrupted write to the log.
 TEST_CASE("a store survives each interruption of a write to its log", "[store]")
 {
@@ -347,3 +365,50 @@
                             contentsOf(vote, snapshotAt(20, 5), entriesFrom(21, 22, 5)) } });
     }
 }
+
+// Guards against a used store that is taken for an interrupted creation, because only its identity is missing.
+TEST_CASE("a used store without its identity is reported as corruption", "[store]")
+{
+    const std::vector<std::function<Result<void>(DiskLogStore &)>> uses {
+        writeSixEntries,
+        [](DiskLogStore &store) { return store.writeHardState(voteIn(1)).and_then([&] { return store.sync(); }); },
+        [](DiskLogStore &store) { return store.append(entriesFrom(1, 1, 1)).and_then([&] { return store.sync(); }); },
+        [](DiskLogStore &store) { return store.saveSnapshot(*snapshotAt(1, 1), {}); },
+    };
+    for (const auto &use : uses) {
+        SimulatedDisk disk = emptyDataFolder();
+        {
+            DiskLogStore store(DataPath, disk);
+            REQUIRE(store.load());
+            REQUIRE(use(store));
+        }
+        REQUIRE(disk.rename(DataPath + "/identity", DataPath + "/moved"));
+        REQUIRE(loadCode(disk) == ResultCode::StoreCorrupt);
+    }
+}
+
+// Guards against a damaged log that is replaced by an empty one, because there is no identity.
+TEST_CASE("a damaged log without an identity is reported as corruption", "[store]")
+{
+    SimulatedDisk created = emptyDataFolder();
+    REQUIRE(DiskLogStore(DataPath, created).load());
+    REQUIRE(created.rename(DataPath + "/identity", DataPath + "/moved"));
+    const std::string path = DataPath + "/log";
+    Bytes content(1024);
+    const int log = created.open(path, 0);
+    content.resize(static_cast<std::size_t>(created.read(log, content)));
+    created.close(log);
+    REQUIRE(!content.empty());
+    for (std::size_t n = 0; n <= content.size(); ++n) {
+        Bytes damaged(content.begin(), content.begin() + static_cast<std::ptrdiff_t>(n));
+        if (n == content.size()) {
+            damaged.push_back(0);
+        }
+        SimulatedDisk disk = created;
+        const int file = disk.open(path, O_TRUNC);
+        REQUIRE(disk.write(file, damaged) >= 0);
+        disk.close(file);
+        CAPTURE(n);
+        REQUIRE(loadCode(disk) == ResultCode::StoreCorrupt);
+    }
+}
