Sync the parents of a data folder that is created

What callers would see: a control instance that created its data folder comes back empty after a loss of power and has lost what it acknowledged.

Cause: the name of a new data folder, and of the folders above it, was never synced.

Change: the parent of each folder that is created is synced, and an error of it is reported. A folder that exists without a lock file may be left from a start that ended before that sync, so its parents are synced too; parents that the process may not sync are not ones in which it created a folder, so an error of these is no failure. The lock file is created afterwards, so this happens once in the life of a folder. An existing folder is no longer created again.

--- a/packages/control/control/datafolder.cpp
+++ b/packages/control/control/datafolder.cpp
@@ -64,10 +64,11 @@
 Result<void> DataFolder::lock()
 {
     const std::string path = pathOf("lock");
-    m_lock = m_disk.open(path, O_RDWR | O_CREAT);
+    m_lock = m_disk.open(path, O_RDWR);
     if (m_lock < 0 && errno == ENOENT) {
-        if (Result<void> created = createFolder(std::filesystem::absolute(m_path).lexically_normal()); !created) {
-            return created;
+        // Created last, so that the name of a folder with a lock file is durable.
+        if (Result<void> prepared = prepareFolder(); !prepared) {
+            return prepared;
         }
         m_lock = m_disk.open(path, O_RDWR | O_CREAT);
     }
@@ -121,16 +122,33 @@
     return (m_path / name).string();
 }
 
+Result<void> DataFolder::prepareFolder() const
+{
+    const std::filesystem::path folder = (std::filesystem::absolute(m_path) / "").lexically_normal().parent_path();
+    if (Result<void> created = createFolder(folder); !created) {
+        return created;
+    }
+    // An earlier process may have ended between the creation of a folder and the sync of its parent. A parent that this process
+    // may not sync is not one in which it has created a folder, so the error is no failure.
+    for (auto it = folder; it.has_relative_path() && syncFolder(it.parent_path()); it = it.parent_path()) { }
+    return {};
+}
+
 Result<void> DataFolder::createFolder(const std::filesystem::path &folder) const
 {
-    bool isCreated = m_disk.createFolder(folder.string());
-    if (!isCreated && errno == ENOENT && folder.has_relative_path()) {
-        if (Result<void> parent = createFolder(folder.parent_path()); !parent) {
-            return parent;
-        }
-        isCreated = m_disk.createFolder(folder.string());
+    const int existing = m_disk.open(folder.string(), O_RDONLY | O_DIRECTORY);
+    if (existing >= 0) {
+        m_disk.close(existing);
+        return {};
+    }
+    if (errno != ENOENT) {
+        return writeFailed("cannot open " + folder.string());
     }
-    return isCreated || errno == EEXIST ? Result<void>() : writeFailed("cannot create " + folder.string());
+    const std::filesystem::path parent = folder.parent_path();
+    return createFolder(parent).and_then([&]() -> Result<void> {
+        const bool exists = m_disk.createFolder(folder.string()) || errno == EEXIST;
+        return exists ? syncFolder(parent) : writeFailed("cannot create " + folder.string());
+    });
 }
 
 Result<void> DataFolder::syncFolder(const std::filesystem::path &folder) const
--- a/packages/control/control/datafolder.h
+++ b/packages/control/control/datafolder.h
@@ -30,6 +30,7 @@
     std::string pathOf(const std::string &name) const;
 
 private:
+    Result<void> prepareFolder() const;
     Result<void> createFolder(const std::filesystem::path &folder) const;
     Result<void> syncFolder(const std::filesystem::path &folder) const;
 
--- a/packages/control/tests/storeinterruptiontest.cpp
+++ b/packages/control/tests/storeinterruptiontest.cpp
@@ -281,6 +281,20 @@
     requireRecovery(emptyDataFolder(), { nullptr, loadOnly, { contentsOf({}, nullptr, {}) } });
 }
 
+// Guards against a store that is lost with its folder, whose name no sync of the parent folder has made durable.
+TEST_CASE("a store survives each interruption of the creation of its folder", "[store]")
+{
+    const Sequence creation { nullptr, loadOnly, { contentsOf({}, nullptr, {}) } };
+    SECTION("in a folder that exists")
+    {
+        requireRecovery(emptyVolume(), creation);
+    }
+    SECTION("in a folder that is created too")
+    {
+        requireRecovery(SimulatedDisk(), creation);
+    }
+}
+
 // Guards against votes, terms and entries that are lost, or a store that does not open, after an interrupted write to the log.
 TEST_CASE("a store survives each interruption of a write to its log", "[store]")
 {
