Use a response only where it can only belong to the request

What callers saw: 503 for requests that are not idempotent and that a server had run or was running (REFUSED), or such a request ran at a second server (TWICE).

Cause: a server may send an earlier response once more where the next one is expected. A response with another id was dropped, but one without an id was taken for the response to the request. Responses to health checks, which go over the same connections, have none to echo. So the copy of a refused health check said "not run" for the request that followed it, and the copy of a good one ended that request as unsigned (502, or a second run of a safe one). The connection was then used again while the server was still working on the request.

Change: UpstreamConnection::ownerOf() decides for requests, probes and health checks alike. A response with ids belongs to the request that all of them name. One without an id belongs to a request only if it cannot be a copy: no earlier response on the connection came without an id, and no stray one was seen. Any other response is dropped and counted (`stray_response`, `doubtful_response`), the entry goes on waiting for the true one, and the connection is not used again. If none follows, the outcome is unknown: 504 at the deadline, 502 when the connection ends, and a safe request is sent again after its usual time. Waiting is best for the caller: the server is probably running the request, and a 502 would end it for good. Refusals with the id, those of full servers, are used as before; so are refusals without one on a connection that had no response without an id (400 for a request that the server could not read, 421).

Looked for elsewhere: copies of interim responses (1xx) claim nothing and are skipped as before. Copies of a request's own refusal are no danger: a request is never sent to the same server twice (ServerTable::choose leaves out the tried ones). The result of a health check may be that of an earlier one, which is a load report that is too old and no promise. The crash check only connects.

--- a/packages/gateway/gateway/requestrunner.cpp
+++ b/packages/gateway/gateway/requestrunner.cpp
@@ -197,6 +197,7 @@
         { "connection_opened", m_pool.counters().opened },
         { "connection_reused", m_pool.counters().reused },
         { "stray_response", m_pool.counters().strayResponses },
+        { "doubtful_response", m_pool.counters().doubtfulResponses },
         { "surplus_bytes", m_pool.counters().surplus },
         { "log_line_dropped", m_log.dropped() },
     };
--- a/packages/gateway/gateway/upstreampool.cpp
+++ b/packages/gateway/gateway/upstreampool.cpp
@@ -44,6 +44,16 @@
 
 }
 
+/// The exchange that a response on a connection belongs to.
+enum class ResponseOwner {
+    /// The exchange in progress.
+    Current,
+    /// An earlier exchange.
+    Other,
+    /// The exchange in progress or an earlier one.
+    Unknown,
+};
+
 /// A connection to one server, with at most one request at a time.
 class UpstreamConnection : public std::enable_shared_from_this<UpstreamConnection>
 {
@@ -157,22 +167,42 @@
                 m_reader.expect(m_isHead);
                 continue;
             }
-            const std::string *id = response.fields.find(m_pool.m_requestIdField);
-            if (id != nullptr && *id != m_requestId) {
-                // A late response to an earlier request; the response to this one follows it.
-                ++m_pool.m_counters.strayResponses;
-                m_hadStrayResponse = true;
-                m_reader.expect(m_isHead);
-                continue;
+            const ResponseOwner owner = ownerOf(response);
+            m_hadUnnamedResponse = m_hadUnnamedResponse || response.fields.find(m_pool.m_requestIdField) == nullptr;
+            if (owner == ResponseOwner::Current) {
+                deliver(std::move(response), hasSurplus);
+                return;
             }
-            deliver(std::move(response), hasSurplus);
-            return;
+            // The response to this request may still follow. Until then nothing is known about the request.
+            ++(owner == ResponseOwner::Other ? m_pool.m_counters.strayResponses : m_pool.m_counters.doubtfulResponses);
+            m_hadStrayResponse = true;
+            m_reader.expect(m_isHead);
         }
         if (m_attempt != nullptr && m_reader.state() == Http::ReadState::Failed) {
             fail(AttemptFailure::Broken);
         }
     }
 
+    /// Decides which exchange a response belongs to, for requests and health checks alike. Servers echo the id of a request, and may
+    /// send any response once more where the next one is expected. So a response with ids belongs to the request that all of them name.
+    /// A response without an id belongs to the health check in progress, since a copy of an earlier one states the same. It belongs to a
+    /// request with an id only if it cannot be a copy: no earlier response on this connection came without an id, and the server has
+    /// sent no stray one.
+    ResponseOwner ownerOf(const Http::Response &response) const
+    {
+        bool hasId = false;
+        for (const Http::Field &it : response.fields.all()) {
+            if (Http::equalsIgnoringCase(it.name, m_pool.m_requestIdField)) {
+                hasId = true;
+                if (it.value != m_requestId) {
+                    return ResponseOwner::Other;
+                }
+            }
+        }
+        const bool isCopyPossible = m_hadUnnamedResponse || m_hadStrayResponse;
+        return hasId || m_requestId.empty() || !isCopyPossible ? ResponseOwner::Current : ResponseOwner::Unknown;
+    }
+
     void deliver(Http::Response response, bool hasSurplus)
     {
         const bool isReusable = response.keepsAlive && !response.isCloseDelimited && !hasSurplus && !m_hadStrayResponse
@@ -240,7 +270,10 @@
     std::uint64_t m_bodyToFollow = 0;
     std::string m_requestId;
     bool m_isHead = false;
+    /// A response was received that is not known to belong to the exchange in progress then.
     bool m_hadStrayResponse = false;
+    /// A response without an id was received. A copy of it may be received later.
+    bool m_hadUnnamedResponse = false;
     Duration m_idleTimeout = IdleTimeout;
     Net::TimerId m_connectTimer = 0;
 };
--- a/packages/gateway/gateway/upstreampool.h
+++ b/packages/gateway/gateway/upstreampool.h
@@ -25,6 +25,7 @@
 /// A serialized request for one server.
 struct UpstreamRequest {
     std::string bytes;
+    /// The id that the server echoes; empty for a health check.
     std::string requestId;
     bool isHead = false;
     /// Bytes of the body that are not in \c bytes and follow by Attempt::sendBody().
@@ -41,6 +42,7 @@
     using FailureCallback = std::function<void(AttemptFailure)>;
 
     ~Attempt();
+    /// Sets the callback for the response, which is known to belong to this request. Any other response is dropped.
     void onResponse(ResponseCallback callback);
     void onFailure(FailureCallback callback);
     /// Sets the callback for the times when the connection takes more of the body: once it is established and the first bytes are
@@ -69,6 +71,8 @@
     std::uint64_t reused = 0;
     /// Responses with the id of another request.
     std::uint64_t strayResponses = 0;
+    /// Responses without an id where an earlier response of the connection may have been sent once more.
+    std::uint64_t doubtfulResponses = 0;
     /// Connections closed because of bytes outside the response to a request.
     std::uint64_t surplus = 0;
 };
