Open a new connection when a kept one ends before the request is written

What callers would see: a request that gets no answer for as long as its route allows and is then rejected, and a server that is not probed for a second.

Cause: UpstreamPool::send() chooses a kept connection and writes the request when the round of the event loop is over. If the connection is closed in that round (the server closes an idle one, or sends surplus bytes), the request was written to a closed stream, which ignores it, and nobody reported an end.

Change: the connection is asked again before the request is written; if it has ended, a new one is opened. Nothing was sent, so any request may take it. Decisions made for a connection that are acted on later were looked for in the pool: the connect timer asks isConnected() when it fires; idle connections are asked when they are taken.

--- a/packages/gateway/gateway/upstreampool.cpp
+++ b/packages/gateway/gateway/upstreampool.cpp
@@ -126,6 +126,12 @@
         return m_stream != nullptr && m_stream->isConnected();
     }
 
+    /// Whether the connection is established or being established.
+    bool isOpen() const
+    {
+        return m_stream != nullptr && m_stream->isOpen();
+    }
+
     const ServerId &server() const
     {
         return m_server;
@@ -346,29 +352,36 @@
     if (attempt->m_connection != nullptr) {
         ++m_counters.reused;
     } else {
-        ++m_counters.opened;
-        attempt->m_connection = std::make_shared<UpstreamConnection>(*this, server.id);
-        if (!attempt->m_connection->open(server.address)) {
-            attempt->m_connection.reset();
-            m_loop.defer([attempt] {
-                if (attempt->m_failure) {
-                    attempt->m_failure(AttemptFailure::NotSent);
-                }
-            });
-            return attempt;
-        }
+        attempt->m_connection = open(server.id, server.address);
     }
-    const std::shared_ptr<UpstreamConnection> connection = attempt->m_connection;
     // The caller sets the callbacks after this call returns, so writing is deferred.
-    m_loop.defer([weak = std::weak_ptr(attempt), connection, request = std::move(request)]() mutable {
+    m_loop.defer([this, weak = std::weak_ptr(attempt), connection = attempt->m_connection, id = server.id, address = server.address,
+                  request = std::move(request)]() mutable {
         const auto strong = weak.lock();
-        if (strong != nullptr && strong->m_connection == connection) {
-            connection->start(*strong, std::move(request));
+        if (strong == nullptr || strong->m_connection != connection) {
+            return;
+        }
+        if (connection != nullptr && !connection->isOpen()) {
+            // The kept connection ended after it was chosen, and nothing of the request was written to it.
+            strong->m_connection = open(id, address);
+        }
+        if (strong->m_connection != nullptr) {
+            const std::shared_ptr<UpstreamConnection> current = strong->m_connection;
+            current->start(*strong, std::move(request));
+        } else if (const auto callback = std::exchange(strong->m_failure, nullptr)) {
+            callback(AttemptFailure::NotSent);
         }
     });
     return attempt;
 }
 
+std::shared_ptr<UpstreamConnection> UpstreamPool::open(const ServerId &server, const std::string &address)
+{
+    ++m_counters.opened;
+    auto connection = std::make_shared<UpstreamConnection>(*this, server);
+    return connection->open(address) ? connection : nullptr;
+}
+
 void UpstreamPool::retire(const ServerId &server)
 {
     m_retired.insert(server);
--- a/packages/gateway/gateway/upstreampool.h
+++ b/packages/gateway/gateway/upstreampool.h
@@ -98,6 +98,8 @@
         std::shared_ptr<UpstreamConnection> connection;
         Instant expiresAt {};
     };
+    /// Starts to connect; null if that fails at once.
+    std::shared_ptr<UpstreamConnection> open(const ServerId &server, const std::string &address);
     std::shared_ptr<UpstreamConnection> takeIdle(const ServerId &server);
     void addIdle(const std::shared_ptr<UpstreamConnection> &connection);
     void removeIdle(UpstreamConnection &connection);
--- a/packages/gateway/tests/responseownertest.cpp
+++ b/packages/gateway/tests/responseownertest.cpp
@@ -216,3 +216,29 @@
     CHECK(fixture.call("id1") == 504);
     CHECK(fixture.requests() == 1);
 }
+
+// Guards against a request that waits for its deadline on a connection that ended between the choice of it and the writing.
+TEST_CASE("a request is sent on a new connection when its kept one ends before it is written")
+{
+    const bool isClosed = GENERATE(false, true);
+    RawFixture fixture(2, [&](RawServer::Connection &connection, const Http::Request &request) {
+        connection.stream->write(request.path() == HealthPath ? FreeHealth : served(idOf(request)));
+    });
+    fixture.configure(Routing::RequestKind::Unsafe, 1);
+    REQUIRE(fixture.call("id0", 50) == 200);
+    for (int n = 1; n < 20; ++n) {
+        // The entry finds the request and the end of the connection in one round of its event loop.
+        fixture.begin("id" + std::to_string(n));
+        for (const auto &server : fixture.servers) {
+            for (RawServer::Connection &it : server->connections) {
+                if (isClosed) {
+                    it.stream->close();
+                } else {
+                    it.stream->write(refusal("id0"));
+                }
+            }
+        }
+        fixture.runFor(20);
+        CHECK(fixture.status() == 200);
+    }
+}
