Report no failure of a cancelled attempt that had no connection

What callers would see: nothing so far. An attempt whose address cannot be connected to at once (unreadable, no route) reports this in the next round of the event loop. cancel() did not take that report back, against its contract ("no callback is called afterwards"), so a request that was finished in the meantime would have been ended once more.

Change: cancel() removes the failure callback. The other callbacks come from a connection, which cancel() closes and forgets.

Evidence: "a cancelled attempt reports no failure, also when no connection could be opened": 1 failure reported before, none after.

--- a/packages/gateway/gateway/upstreampool.cpp
+++ b/packages/gateway/gateway/upstreampool.cpp
@@ -318,6 +318,7 @@
 
 void Attempt::cancel()
 {
+    m_failure = nullptr; // a connection that could not be opened reports it later
     if (m_connection != nullptr) {
         m_connection->cancel();
         m_connection.reset();
--- a/packages/gateway/tests/responseownertest.cpp
+++ b/packages/gateway/tests/responseownertest.cpp
@@ -242,3 +242,21 @@
         CHECK(fixture.status() == 200);
     }
 }
+
+// Guards against a callback of an attempt whose owner has gone.
+TEST_CASE("a cancelled attempt reports no failure, also when no connection could be opened")
+{
+    ManualClock clock;
+    Net::EventLoop loop { clock };
+    UpstreamPool pool(loop, "x-id");
+    Routing::BackendServer server;
+    server.id = ServerId("s0");
+    server.address = GENERATE("no address", "127.0.0.1:1");
+    const auto attempt = pool.send(server, UpstreamRequest { "GET / HTTP/1.1\r\n\r\n", "id1" });
+    std::size_t failures = 0;
+    attempt->onFailure([&failures](AttemptFailure) { ++failures; });
+    attempt->cancel();
+    loop.after(std::chrono::milliseconds(300), [&loop] { loop.stop(); });
+    loop.run();
+    CHECK(failures == 0);
+}
