Test responses that are cut after each byte

What prevents it: ResponseReader::finish() (http/reader.cpp, line 213) ends a response at the close of its connection only when the header section has been read up to its empty line, and Boost.Beast's put_eof(), which it calls then, reports a body with a length or in chunks that lacks a byte, the last chunk's trailers included. UpstreamConnection::handleStreamEnd() calls it only for an orderly close, not for a reset, and reports an attempt without a complete response as Broken. Responses are held whole and framed anew for the caller, so no part of one is ever passed on.

--- a/packages/gateway/tests/responseownertest.cpp
+++ b/packages/gateway/tests/responseownertest.cpp
@@ -260,3 +260,35 @@
     loop.run();
     CHECK(failures == 0);
 }
+
+// Guards against a response that looks whole to the caller although its server stopped in the middle of it and closed the connection.
+TEST_CASE("a server that closes in the middle of its response has given none")
+{
+    struct Row {
+        const char *what;
+        std::string whole;
+    };
+    const Row row = GENERATE(
+        Row { "length", served("id1") },
+        Row { "chunks",
+              "HTTP/1.1 200 OK\r\nx-id: id1\r\nx-sign: s0\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nx-sum: 1\r\n\r\n" },
+        Row { "after an interim response", "HTTP/1.1 100 Continue\r\n\r\n" + served("id1") });
+    INFO(row.what);
+    std::size_t cut = 0;
+    RawFixture fixture(1, [&](RawServer::Connection &connection, const Http::Request &request) {
+        if (request.path() == HealthPath) {
+            connection.stream->write(FreeHealth);
+            return;
+        }
+        connection.stream->write(row.whole.substr(0, cut));
+        connection.stream->closeAfterFlush();
+    });
+    fixture.configure(Routing::RequestKind::Unsafe, 1);
+    for (cut = 0; cut < row.whole.size(); ++cut) {
+        INFO("cut after " << cut << " of " << row.whole.size() << " bytes");
+        fixture.client = nullptr;
+        CHECK(fixture.call("id1", 60) == 502);
+    }
+    fixture.client = nullptr;
+    CHECK(fixture.call("id1", 60) == 200);
+}
--- a/packages/http/tests/readertest.cpp
+++ b/packages/http/tests/readertest.cpp
@@ -1,5 +1,7 @@
 #include "http/reader.h"
 
+#include <algorithm>
+
 #include <catch2/catch.hpp>
 
 using namespace Galenabarrow;
@@ -82,6 +84,47 @@
     CHECK(reader.finish() != ReadState::Complete);
 }
 
+// Guards against an answer that looks whole although its server stopped in the middle of it and closed the connection.
+TEST_CASE("a response that is cut after any byte is complete only if nothing of it is missing")
+{
+    struct Row {
+        const char *what;
+        std::string head;
+        std::string rest;
+        /// The body has no stated length: it ends with the connection.
+        bool isCloseDelimited;
+    };
+    const std::string status = "HTTP/1.1 200 OK\r\nX-Own: v\r\n";
+    const Row row = GENERATE_COPY(
+        Row { "length", status + "Content-Length: 5\r\n\r\n", "whole", false },
+        Row { "length of 0", status + "Content-Length: 0\r\n\r\n", "", false }, Row { "no length", status + "\r\n", "whole", true },
+        Row { "no length, to be closed", status + "Connection: close\r\n\r\n", "whole", true },
+        Row { "HTTP/1.0", "HTTP/1.0 200 OK\r\nX-Own: v\r\n\r\n", "whole", true },
+        Row { "chunks", status + "Transfer-Encoding: chunked\r\n\r\n", "3\r\nwho\r\n2;ext=1\r\nle\r\n0\r\n\r\n", false },
+        Row { "chunk of two digits", status + "Transfer-Encoding: chunked\r\n\r\n", "12\r\nwhole, 18 bytes it\r\n0\r\n\r\n", false },
+        Row { "trailers", status + "Transfer-Encoding: chunked\r\n\r\n", "5\r\nwhole\r\n0\r\nX-Sum: 1\r\nX-End: 2\r\n\r\n", false },
+        Row { "no body", "HTTP/1.1 204 No Content\r\nX-Own: v\r\n\r\n", "", false },
+        Row { "interim", "HTTP/1.1 100 Continue\r\nX-Own: v\r\n\r\n", "", false });
+    const bool isByteByByte = GENERATE(false, true);
+    INFO(row.what);
+    const std::string whole = row.head + row.rest;
+    for (std::size_t size = 0; size <= whole.size(); ++size) {
+        INFO("cut after " << size << " of " << whole.size() << " bytes");
+        ResponseReader reader;
+        reader.expect(false);
+        const std::size_t piece = isByteByByte ? 1 : whole.size();
+        for (std::size_t n = 0; n < size; n += piece) {
+            reader.feed(std::string_view(whole).substr(n, std::min(piece, size - n)));
+        }
+        const bool isComplete = reader.finish() == ReadState::Complete;
+        CHECK(isComplete == (size == whole.size() || (row.isCloseDelimited && size >= row.head.size())));
+        if (isComplete && size == whole.size()) {
+            const Response response = reader.take();
+            CHECK(response.body.size() == (row.rest.empty() ? 0 : row.rest.starts_with("12") ? 18 : 5));
+        }
+    }
+}
+
 TEST_CASE("bytes after a response are detected and are not part of it")
 {
     ResponseReader reader;
