Ask whether a request can be repeated when its attempt is given up, not when it begins

Cause: startAttemptTimer() asked mayResend() when the attempt began; onAttemptTimeout() did not ask again. By then sendBody() had discarded what it sent of a body above 1 MiB, the second attempt began at position 0 before the held bytes, and substr() threw. The class: a decision is made earlier than it is acted on, and what it was made from has changed.

Change: onAttemptTimeout() asks for everything that the repetition needs before it gives up the running attempt: that the body is held, that another server can be chosen, that the request is not held back because it crashes servers, and last the retry budget. Otherwise the attempt goes on, with the reason in the trail. attempt() itself refuses to send a rest of a body. The position in the body belongs to the attempt: it is reset when the attempt ends, and no byte is discarded between attempts.

Sound: the deadline (looks at the attempt again), the end of the body hold, the timer and the probes of the queue (compare the selection, ask all conditions again in select()), offerSlot() and onSlotAvailable() (the server is asked again in choose()), the wait for the first configuration (cancelled before the dispatch), connect and idle timers (look at the connection), probes marked late. - HTTP server. Its timers look at the exchange and the reader again; the deferred processInput() at the connection and the exchange. - Feeds and core. Acknowledgements look at the connection; reads and forwarded proposals take state and deadline when they end; updates are encoded when they are sent. Raft's timers were not read line by line. - Client table and crash checks. The check of a lost connection carries the start time of the server that it is about.

--- a/packages/gateway/gateway/requestrun.cpp
+++ b/packages/gateway/gateway/requestrun.cpp
@@ -106,11 +106,14 @@
 
 void RequestRunner::Run::sendBody()
 {
-    const std::string_view held = m_exchange->request().body;
     while (m_attempt != nullptr && m_attempt->isWritable() && m_sentBody < m_exchange->receivedBody()) {
+        const std::string_view held = m_exchange->request().body;
         const std::string_view piece = held.substr(m_sentBody - m_exchange->discardedBody(), BodyPiece);
         m_sentBody += piece.size();
-        m_attempt->sendBody(piece);
+        m_attempt->sendBody(piece); // may end the attempt
+    }
+    if (m_attempt == nullptr) {
+        return; // the next attempt begins with the first byte
     }
     if (m_sentBody == m_exchange->bodyLength()) {
         m_attemptStartedAt = m_runner.m_loop.now(); // work times do not include the transfer of a large body
@@ -138,12 +141,14 @@
     return *m_mark;
 }
 
+Duration RequestRunner::Run::holdTime()
+{
+    return isSuspected() && isWhole() ? m_runner.m_crashes.holdTime(mark()) : Duration {};
+}
+
 bool RequestRunner::Run::rejectIfHeldBack()
 {
-    if (!isSuspected() || !isWhole()) {
-        return false;
-    }
-    const Duration hold = m_runner.m_crashes.holdTime(mark());
+    const Duration hold = holdTime();
     if (hold == Duration {}) {
         return false;
     }
@@ -165,6 +170,22 @@
     return m_exchange->discardedBody() == 0;
 }
 
+bool RequestRunner::Run::mayRetry() const
+{
+    return m_tried.size() < m_route->maxAttempts && mayResend();
+}
+
+const char *RequestRunner::Run::reasonToStay()
+{
+    if (!isSafe() || !mayRetry()) {
+        return mayResend() ? "no_attempt_left" : "body_not_held";
+    }
+    if (holdTime() > Duration {}) {
+        return "held_back";
+    }
+    return choose(m_runner.m_loop.now()) ? nullptr : "no_other_server";
+}
+
 Duration RequestRunner::Run::sinceStart() const
 {
     return m_runner.m_loop.now() - m_startedAt;
@@ -343,6 +364,10 @@
     if (rejectIfHeldBack()) {
         return;
     }
+    if (!mayResend()) {
+        reject("body_not_held", ShortRetryAfter);
+        return;
+    }
     const std::optional<ServerChoice> choice = choose(now);
     if (!choice) {
         rejectWithoutServer(now);
@@ -399,8 +424,7 @@
 
 void RequestRunner::Run::startAttemptTimer()
 {
-    const bool mayRetry = isSafe() && m_tried.size() < m_route->maxAttempts && mayResend();
-    if (!mayRetry) {
+    if (!isSafe() || !mayRetry()) {
         return;
     }
     const Duration attemptTimeout = std::max(m_route->objective, m_runner.m_servers.workTime(m_service) * AttemptTimeoutFactor);
@@ -414,8 +438,15 @@
 void RequestRunner::Run::onAttemptTimeout()
 {
     m_attemptTimer = 0;
-    if (m_attempt == nullptr || !m_runner.withdrawRetryBudget(m_service)) {
-        m_trail.add(sinceStart(), "stay", "retry_budget_spent");
+    if (m_attempt == nullptr) {
+        return;
+    }
+    const char *reason = reasonToStay();
+    if (reason == nullptr && !m_runner.withdrawRetryBudget(m_service)) {
+        reason = "retry_budget_spent";
+    }
+    if (reason != nullptr) {
+        m_trail.add(sinceStart(), "stay", reason);
         return;
     }
     endAttempt(AttemptResult::TimedOut);
@@ -497,13 +528,13 @@
         finish("caller_gone", 0);
         return;
     }
-    const bool mayRetry = m_tried.size() < m_route->maxAttempts && mayResend();
-    if (mayRetry && m_runner.withdrawRetryBudget(m_service)) {
+    const bool isRetryAllowed = mayRetry();
+    if (isRetryAllowed && m_runner.withdrawRetryBudget(m_service)) {
         retry(reason);
     } else if (m_mayHaveRun) {
         fail(502, reason);
     } else {
-        reject(mayRetry ? "retry_budget_spent" : reason, ShortRetryAfter);
+        reject(isRetryAllowed ? "retry_budget_spent" : reason, ShortRetryAfter);
     }
 }
 
@@ -515,8 +546,8 @@
     }
     // A request that was running when another server crashed may be the cause: a retry would crash the next one.
     const bool isCrashLikely = response == nullptr && m_mark && m_runner.m_crashes.crashes(*m_mark) > 0;
-    const bool mayRetry = isSafe() && m_tried.size() < m_route->maxAttempts && mayResend() && !isCrashLikely;
-    if (mayRetry && m_runner.withdrawRetryBudget(m_service)) {
+    const bool isRetryAllowed = isSafe() && mayRetry() && !isCrashLikely;
+    if (isRetryAllowed && m_runner.withdrawRetryBudget(m_service)) {
         retry(reason);
     } else if (response != nullptr && !statesNotExecuted(response->status)) {
         forwardResponse(std::move(*response));
@@ -538,6 +569,7 @@
 {
     m_runner.m_loop.cancel(m_attemptTimer);
     m_attemptTimer = 0;
+    m_sentBody = 0;
     const Instant now = m_runner.m_loop.now();
     m_runner.m_servers.recordAttemptEnd(m_choice.server, result, m_start, now - m_attemptStartedAt, now);
     if (m_attempt != nullptr) {
--- a/packages/gateway/gateway/requestrun.h
+++ b/packages/gateway/gateway/requestrun.h
@@ -32,12 +32,18 @@
     void sendBody();
     /// Whether the beginning of the body is still held, so that the request can be sent to another server.
     bool mayResend() const;
+    /// Whether the request may be sent to another server. The answer changes while an attempt is in progress.
+    bool mayRetry() const;
+    /// Why an attempt without a response is left to finish rather than repeated; nullptr if it may be repeated now.
+    const char *reasonToStay();
     /// Whether the whole request has been received and is still held.
     bool isWhole() const;
     /// Whether requests like this one were running when servers crashed.
     bool isSuspected() const;
     /// The mark of a request that is whole.
     const Coordination::RequestMark &mark();
+    /// For how much longer the request is held back because it has crashed servers.
+    Duration holdTime();
     /// Rejects the request if it is held back because it has crashed servers.
     bool rejectIfHeldBack();
     /// Records that a server has run the request to an end, which clears it.
--- a/packages/gateway/gateway/upstreampool.cpp
+++ b/packages/gateway/gateway/upstreampool.cpp
@@ -311,8 +311,8 @@
 
 void Attempt::sendBody(std::string_view bytes)
 {
-    if (m_connection != nullptr) {
-        m_connection->sendBody(bytes);
+    if (const auto connection = m_connection) { // a failed write resets the member
+        connection->sendBody(bytes);
     }
 }
 
--- a/packages/gateway/tests/requestrunnertest.cpp
+++ b/packages/gateway/tests/requestrunnertest.cpp
@@ -491,3 +491,90 @@
     fixture.runFor(400);
     CHECK(hasStatus(fixture.received, "504"));
 }
+
+namespace
+{
+
+std::string callSafe(UploadFixture &fixture, std::size_t size, int milliseconds)
+{
+    fixture.beginUpload(makeBody(size), size);
+    fixture.runFor(milliseconds);
+    return fixture.received;
+}
+
+}
+
+// Guards against an entry that ends, and all its requests with it: the attempt timer retried a request whose body was no longer held.
+TEST_CASE("a slow attempt at a safe request whose body is no longer held is left to finish")
+{
+    UploadFixture fixture(2, 2, 3000);
+    fixture.configure(Routing::RequestKind::Safe, 2, 3000);
+    fixture.setAll(Behaviour::Hang);
+    CHECK(callSafe(fixture, 2000000, 1500).empty());
+    CHECK(fixture.requests() == 1);
+    for (auto &it : fixture.backends) {
+        for (const auto &exchange : it->hanging) {
+            CHECK(exchange->request().body == fixture.body);
+            Http::Response response = Http::makeResponse(200, "whole");
+            response.fields.add("x-sign", it->name);
+            response.fields.add("x-id", "id1");
+            exchange->respond(std::move(response));
+        }
+    }
+    fixture.runFor(50);
+    CHECK(hasStatus(fixture.received, "200"));
+    CHECK(fixture.runner.running() == 0);
+}
+
+TEST_CASE("a slow attempt at a safe request whose body is still held is repeated at another server")
+{
+    UploadFixture fixture(2, 2, 3000);
+    fixture.configure(Routing::RequestKind::Safe, 2, 3000);
+    fixture.setAll(Behaviour::Hang);
+    callSafe(fixture, 500000, 1500);
+    REQUIRE(fixture.requests() == 2);
+    for (auto &it : fixture.backends) {
+        CHECK(it->requests() == 1);
+        CHECK(it->received.back().body == fixture.body);
+    }
+}
+
+// Guards against a running attempt that is given up although no other server is left to take the request.
+TEST_CASE("a slow attempt is left to finish when no other server is left")
+{
+    Fixture fixture(2);
+    fixture.configure(Routing::RequestKind::Safe, 2, 3000);
+    fixture.setAll(Behaviour::Hang);
+    fixture.call(50);
+    REQUIRE(fixture.requests() == 1);
+    const std::size_t used = fixture.backends[0]->requests() == 1 ? 0 : 1;
+    Coordination::FeedUpdate update;
+    update.index = LogIndex(2);
+    Routing::BackendServer gone = fixture.servers.find(ServerId(fixture.backends[1 - used]->name))->server;
+    gone.state = Routing::ServerState::Gone;
+    gone.changedAt = LogIndex(2);
+    update.servers.push_back(gone);
+    fixture.servers.apply(update, fixture.loop.now());
+    fixture.runFor(1500);
+    CHECK(fixture.received.empty());
+    CHECK(fixture.backends[used]->cancelled == 0);
+    CHECK(fixture.runner.running() == 1);
+}
+
+// Guards against a request that is sent to a server after its caller was told that it has not run.
+TEST_CASE("a connection that could not be opened does not retry a request that was answered meanwhile")
+{
+    ManualClock clock;
+    Net::EventLoop loop(clock);
+    UpstreamPool pool(loop, "x-id");
+    Routing::BackendServer server;
+    server.id = ServerId("s0");
+    server.address = "nowhere";
+    const auto attempt = pool.send(server, UpstreamRequest { "GET / HTTP/1.1\r\n\r\n", "id1" });
+    int failures = 0;
+    attempt->onFailure([&](AttemptFailure) { ++failures; });
+    attempt->cancel();
+    loop.after(std::chrono::milliseconds(10), [&] { loop.stop(); });
+    loop.run();
+    CHECK(failures == 0);
+}
