Refuse commands that do not fit into a frame before they enter the log

What callers would see: core instances that end by themselves, in turn, since the caller without an answer sends the same document to the next one.

Cause: only the items of a configuration change were bounded. The names that a patch removes, and the texts of an announcement, were not, while the control API accepts bodies of 64 MiB. FrameCodec::seal() asserts that a frame has at most 8 MiB, and updates to entries, forwarded proposals and the replication to other instances carry these texts.

Change: the encoded command has at most 6 MiB (MaxCommandBytes), checked where a core instance proposes its own command or one that another instance forwards. The caller gets ConfigInvalid, which the control API answers with 400.

Evidence: "commands that are too large for a frame are refused and leave the state as it was" ended with SIGABRT before; after it passes, with test-coordination (148,075 assertions in 70 test cases).

Looked at besides: Raft appends (one entry at least, then 256 KiB), feeds (configuration of 4 MiB at most, all servers).

--- a/packages/coordination/coordination/corenode.cpp
+++ b/packages/coordination/coordination/corenode.cpp
@@ -28,6 +28,18 @@
 /// Consecutive announcements that may be late or lost before a server counts as silent.
 constexpr int SilentIntervals = 3;
 
+/// Commands that exceed the size of a frame must not even enter the log: no instance could send them to the others.
+Result<void> checkSize(ByteView command)
+{
+    static_assert(Routing::MaxCommandBytes < Wire::MaxFrameBody);
+    if (command.size() > Routing::MaxCommandBytes) {
+        return failure(ResultCode::ConfigInvalid,
+                       "the command takes " + std::to_string(command.size()) + " bytes, the limit is "
+                           + std::to_string(Routing::MaxCommandBytes));
+    }
+    return {};
+}
+
 }
 
 /// A connection that another instance has opened to this one.
@@ -231,7 +243,7 @@
 
 void CoreNode::submit(Routing::ConfigChange change, ResultCallback done)
 {
-    // Replicas validate every change when they apply it. One that exceeds the size of a frame must not even enter the log.
+    // Replicas validate every change when they apply it.
     if (Routing::encodedBound(change.config) > Routing::MaxConfigBytes) {
         done(failure(ResultCode::ConfigInvalid, "the configuration exceeds the maximum size"));
         return;
@@ -304,6 +316,10 @@
 void CoreNode::propose(const Routing::Command &command, ResultCallback done)
 {
     Bytes bytes = Routing::encode(command);
+    if (const Result<void> checked = checkSize(bytes); !checked) {
+        done(checked);
+        return;
+    }
     if (const std::optional<ProposalId> proposalId = m_replica->propose(bytes, m_loop.now())) {
         m_proposals.emplace(*proposalId, std::move(done));
         scheduleProcessing();
@@ -433,6 +449,10 @@
         reply(tl::make_unexpected(command.error()));
         return;
     }
+    if (const Result<void> checked = checkSize(envelope.payload); !checked) {
+        reply(checked);
+        return;
+    }
     const std::optional<ProposalId> proposalId = m_replica->propose(envelope.payload, m_loop.now());
     if (!proposalId) {
         reply(failure(ResultCode::NotLeader, "this replica is not the leader"));
--- a/packages/coordination/tests/feedsizetest.cpp
+++ b/packages/coordination/tests/feedsizetest.cpp
@@ -319,3 +319,32 @@
     fixture.runFor(CoreDirectory::ReferralTime + std::chrono::milliseconds(500));
     CHECK(fixture.inForce == 1);
 }
+
+// Guards against core instances that end because a frame to an entry or to another instance exceeds the largest size of a frame.
+TEST_CASE("commands that are too large for a frame are refused and leave the state as it was")
+{
+    Fixture fixture;
+    fixture.startWithFullConfig();
+    std::vector<ResultCode> codes;
+    const auto done = [&codes](const Result<void> &result) { codes.push_back(result ? ResultCode::Ok : result.error().code); };
+
+    Routing::ConfigChange change;
+    change.version = Version(2);
+    change.base = Version(1);
+    change.isPatch = true;
+    change.removedRoutes.assign(10, std::string(std::size_t { 1 } << 20U, 'r'));
+    fixture.core->submit(change, done);
+    Routing::BackendServer server;
+    server.id = ServerId("i-1");
+    server.address = "127.0.0.1:80";
+    server.software = std::string(std::size_t { 10 } << 20U, 'v');
+    fixture.core->announce(server, done);
+    fixture.core->withdraw(server, done);
+    fixture.runFor(std::chrono::seconds(1));
+    CHECK(codes == std::vector<ResultCode>(3, ResultCode::ConfigInvalid));
+    CHECK(fixture.core->replica().state().servers().empty());
+
+    fixture.submitPatch(2, 1);
+    fixture.runFor(std::chrono::seconds(1));
+    CHECK(fixture.inForce == 2);
+}
--- a/packages/routing/routing/rules.h
+++ b/packages/routing/routing/rules.h
@@ -12,6 +12,9 @@
 /// contains the backend servers too.
 constexpr std::size_t MaxConfigBytes = std::size_t { 4 } << 20U;
 
+/// Maximum size of an encoded command of the replicated log in bytes: a configuration, and the names that a patch removes.
+constexpr std::size_t MaxCommandBytes = std::size_t { 6 } << 20U;
+
 /// Upper bound of the encoded size of \p config in bytes.
 std::size_t encodedBound(const RoutingConfig &config);
 
