Tolerate values out of range that the routing state may already hold

What callers would see: requests that are tried first at a server without a usable address; an entry that refuses all requests.

Cause: entries relied on the checks of the core instance that accepted an announcement or a configuration, which may have run another version.

Change: an entry does not list a server whose address is not host and port, with a log line (server_unusable) and a counter; the others hold. The time for which a server counts as slow after its start is bounded where a stored server is read, since it is added to clock readings. The limit of the header section is bounded to the 32 bits of the parser, instead of being cut to its low bits.

Other readers of the list: UpstreamPool::send() and CrashCheck::check() already treat an address that cannot be parsed as a connection that cannot be opened; FlatBuffers' verifier bounds the nesting of tables; unknown states count as gone, slots of 0 as 1.

--- a/packages/gateway/gateway/requestrunner.cpp
+++ b/packages/gateway/gateway/requestrunner.cpp
@@ -199,6 +199,7 @@
         { "stray_response", m_pool.counters().strayResponses },
         { "doubtful_response", m_pool.counters().doubtfulResponses },
         { "surplus_bytes", m_pool.counters().surplus },
+        { "server_unusable", m_servers.unusable() },
         { "log_line_dropped", m_log.dropped() },
     };
     Report::MetricsText text;
--- a/packages/gateway/gateway/servertable.cpp
+++ b/packages/gateway/gateway/servertable.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "net/socketaddress.h"
+
 namespace Galenabarrow::Gateway
 {
 
@@ -62,6 +64,7 @@
 ServerTable::ServerTable(DataCentreId localDataCentre, RandomSource &random)
     : m_localDataCentre(std::move(localDataCentre))
     , m_random(random)
+    , m_log("servers")
 {
 }
 
@@ -104,6 +107,13 @@
         remove(server.id);
         return;
     }
+    // A core instance of another version may have accepted it.
+    if (!Net::parseSocketAddress(server.address)) {
+        ++m_unusable;
+        m_log.warn("server_unusable", { { "server", server.id.value() }, { "address", server.address } });
+        remove(server.id);
+        return;
+    }
     if (it != m_rows.end() && it->second.server.born != server.born) {
         remove(server.id);
     }
@@ -469,6 +479,11 @@
     return m_rows.size();
 }
 
+std::uint64_t ServerTable::unusable() const
+{
+    return m_unusable;
+}
+
 std::vector<ServerId> ServerTable::takeRemoved()
 {
     return std::exchange(m_removed, {});
--- a/packages/gateway/gateway/servertable.h
+++ b/packages/gateway/gateway/servertable.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <vector>
 
+#include "base/log.h"
 #include "base/random.h"
 #include "coordination/feed.h"
 #include "gateway/loadreport.h"
@@ -143,6 +144,8 @@
     /// Number of ready servers of the service.
     std::size_t readyCount(const ServiceId &service) const;
     std::size_t size() const;
+    /// Number of updates that named a server by an address that cannot be used.
+    std::uint64_t unusable() const;
     /// Returns and clears the list of servers that left or were replaced; their connections are to be closed.
     std::vector<ServerId> takeRemoved();
 
@@ -167,6 +170,8 @@
 
     DataCentreId m_localDataCentre;
     RandomSource &m_random;
+    Log m_log;
+    std::uint64_t m_unusable = 0;
     std::map<ServerId, ServerRow> m_rows;
     std::map<ServiceId, ServiceRow> m_services;
     WorkTimes m_workTimes;
--- a/packages/gateway/tests/servertabletest.cpp
+++ b/packages/gateway/tests/servertabletest.cpp
@@ -305,3 +305,28 @@
     CHECK(fixture.choose(Need::Any)->server == Fixture::idOf(1));
     CHECK(fixture.choose(Need::Any, { Fixture::idOf(1) })->server == Fixture::idOf(0));
 }
+
+// Guards against requests to a server that the routing state names by an address nobody can connect to.
+TEST_CASE("a server without a usable address is not listed and the others stay")
+{
+    const char *address = GENERATE("", "10.0.0.9", "10.0.0.9:0", "10.0.0.9:70000", "desk:80", "10.0.0.9:99999999999999999999");
+    INFO(address);
+    Fixture fixture(2);
+    Routing::BackendServer odd = Fixture::makeServer(2, 3);
+    odd.address = address;
+    odd.changedAt = LogIndex(9);
+    fixture.update(odd);
+    CHECK(fixture.table.size() == 2);
+    CHECK(fixture.table.readyCount(ServiceId("desk")) == 2);
+    CHECK(fixture.table.unusable() == 1);
+}
+
+TEST_CASE("a listed server whose address becomes unusable is removed")
+{
+    Fixture fixture(2);
+    Routing::BackendServer odd = Fixture::makeServer(1, 3);
+    odd.address = "10.0.0.9:70000";
+    odd.changedAt = LogIndex(9);
+    fixture.update(odd);
+    CHECK(fixture.table.size() == 1);
+}
--- a/packages/http/http/reader.cpp
+++ b/packages/http/http/reader.cpp
@@ -1,5 +1,6 @@
 #include "http/reader.h"
 
+#include <algorithm>
 #include <limits>
 #include <utility>
 
@@ -166,7 +167,8 @@
         }
         m_parser = std::make_unique<Parser>();
         m_parser->parser.eager(true);
-        m_parser->parser.header_limit(static_cast<std::uint32_t>(m_limits.headerBytes));
+        m_parser->parser.header_limit(
+            static_cast<std::uint32_t>(std::min<std::size_t>(m_limits.headerBytes, std::numeric_limits<std::uint32_t>::max())));
         m_parser->parser.body_limit(m_limits.bodyBytes);
     }
     boost::beast::error_code ec;
--- a/packages/http/tests/readertest.cpp
+++ b/packages/http/tests/readertest.cpp
@@ -198,3 +198,12 @@
     CHECK(response.state() == ReadState::Failed);
     CHECK(request.state() == ReadState::Failed);
 }
+
+// Guards against an entry that refuses all requests because a stored limit does not fit into the parser's 32 bits.
+TEST_CASE("a limit for the header section above 32 bits is as good as none")
+{
+    ReaderLimits limits;
+    limits.headerBytes = std::size_t { 1 } << 32U;
+    RequestReader reader(limits);
+    CHECK(reader.feed("GET /a HTTP/1.1\r\nHost: h\r\n\r\n") == ReadState::Complete);
+}
--- a/packages/routing/routing/codec.cpp
+++ b/packages/routing/routing/codec.cpp
@@ -8,6 +8,9 @@
 namespace
 {
 
+/// Longest time for which a server is taken to be slow after its start.
+constexpr Duration MaxColdLeft = std::chrono::hours(24);
+
 std::unique_ptr<Fb::RouteT> pack(const Route &route)
 {
     auto to = std::make_unique<Fb::RouteT>();
@@ -160,7 +163,8 @@
     server.state = from.state == 0 ? ServerState::Ready : from.state == 1 ? ServerState::Draining : ServerState::Gone;
     server.born = from.born;
     server.sequence = from.sequence;
-    server.coldLeft = Duration(from.cold_left);
+    // Bounded, since it is added to clock readings.
+    server.coldLeft = std::clamp(Duration(from.cold_left), Duration {}, MaxColdLeft);
     server.changedAt = LogIndex(from.changed_at);
     server.receivedAt = from.received_at;
     if (from.withdrawn_at) {
--- a/packages/routing/tests/routingstatetest.cpp
+++ b/packages/routing/tests/routingstatetest.cpp
@@ -455,3 +455,15 @@
         CHECK_FALSE(restored.changesAfter(known.back()).config);
     }
 }
+
+// Guards against an overflow where entries add the time to a clock reading.
+TEST_CASE("the cold time of a server in a stored command is bounded")
+{
+    Command command;
+    command.update = makeServer("i-1", 1, 1);
+    command.update->coldLeft = GENERATE(Duration::max(), Duration::min(), Duration(-1));
+    const Result<Command> decoded = decodeCommand(encode(command));
+    REQUIRE(decoded);
+    CHECK(decoded->update->coldLeft >= Duration {});
+    CHECK(decoded->update->coldLeft <= std::chrono::hours(24));
+}
