Keep a closing stream until the peer's side has taken all bytes

Callers saw a part of an answer and the end or the reset of the connection when a connection was closed after its last answer.

Cause: closeAfterFlush() closed the socket as soon as the system had accepted the bytes. A socket that is closed with unread received bytes, or that receives some afterwards, resets the connection, and the system discards what it has not sent yet. A process could also end while the system still held a part of an answer, and a peer that closed only its own side ended the stream at once, with its queue.

Change: after the last byte the stream shuts its sending side down, and drops received bytes until the peer's side has taken everything (SIOCOUTQ) and has closed, or for 2 s after that. It ends when nothing was taken for 4 s, as the sockets themselves do. untaken() counts bytes in the queue and in the socket. With onPeerEnd(), a stream stays open for sending after its peer has closed its side. Where the system does not support SIOCOUTQ, bytes count as taken once the socket has accepted them.

Looked for the same cause: Stream::close() in upstreampool, crashcheck, corelink, peerlinks and framestream ends connections on purpose (cancelled, timed out, failed); nothing sent there is an answer.

--- a/packages/net/net/stream.cpp
+++ b/packages/net/net/stream.cpp
@@ -2,10 +2,13 @@
 
 #include <array>
 #include <cerrno>
+#include <utility>
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -20,13 +23,18 @@
 /// Largest number of reads per event, so that a fast sender cannot starve the other connections.
 constexpr int MaxReads = 8;
 /// A connection fails when sent bytes stay unacknowledged for this long, as with a peer behind a network partition.
-constexpr unsigned UserTimeoutMilliseconds = 4000;
+constexpr std::chrono::milliseconds UserTimeout(4000);
+/// Time for a peer that has taken all bytes to close its side of a connection that is being closed.
+constexpr Duration LingerTimeout = std::chrono::seconds(2);
+/// The system reports no event when the peer's side has taken the last byte.
+constexpr Duration TakenCheckInterval = std::chrono::milliseconds(20);
 
 void configure(int fd)
 {
     const int on = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &UserTimeoutMilliseconds, sizeof(UserTimeoutMilliseconds));
+    const auto timeout = static_cast<unsigned>(UserTimeout.count());
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
 }
 
 }
@@ -91,6 +99,11 @@
     m_endCallback = std::move(callback);
 }
 
+void Stream::onPeerEnd(EventLoop::Callback callback)
+{
+    m_peerEndCallback = std::move(callback);
+}
+
 void Stream::onConnected(EventLoop::Callback callback)
 {
     m_connectedCallback = std::move(callback);
@@ -103,7 +116,7 @@
 
 void Stream::pauseReading()
 {
-    if (isOpen() && !m_isReadingPaused) {
+    if (isOpen() && !m_isReadingPaused && !m_isClosing) {
         m_isReadingPaused = true;
         updateEvents();
     }
@@ -134,11 +147,14 @@
         return;
     }
     m_loop.unwatch(m_fd);
+    m_loop.cancel(m_closeTimer);
+    m_closeTimer = 0;
     ::close(m_fd);
     m_fd = -1;
     // One of the callbacks may be running, so they are destroyed only after it has returned.
     m_loop.defer([data = std::move(m_dataCallback), end = std::move(m_endCallback), connected = std::move(m_connectedCallback),
-                  drained = std::move(m_drainedCallback)] {});
+                  drained = std::move(m_drainedCallback), peerEnd = std::move(m_peerEndCallback)] {});
+    m_peerEndCallback = nullptr;
     m_drainedCallback = nullptr;
     m_dataCallback = nullptr;
     m_endCallback = nullptr;
@@ -147,9 +163,13 @@
 
 void Stream::closeAfterFlush()
 {
+    if (!isOpen() || m_isClosing) {
+        return;
+    }
+    resumeReading();
     m_isClosing = true;
-    if (isOpen() && unsent() == 0) {
-        close();
+    if (m_isConnected && unsent() == 0) {
+        finishSending();
     }
 }
 
@@ -173,6 +193,15 @@
     return m_output.size() - m_sent;
 }
 
+std::size_t Stream::untaken() const
+{
+    int held = 0;
+    if (!isConnected() || ioctl(m_fd, SIOCOUTQ, &held) != 0) {
+        held = 0;
+    }
+    return unsent() + static_cast<std::size_t>(held);
+}
+
 const std::string &Stream::peer() const
 {
     return m_peer;
@@ -188,6 +217,10 @@
     if ((events & EPOLLOUT) != 0) {
         flush();
     }
+    if (isOpen() && m_hasPeerEnded && !m_isSendingFinished && (events & (EPOLLHUP | EPOLLERR)) != 0) {
+        end(StreamEnd::Failed);
+        return;
+    }
     if (isOpen() && (events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0) {
         readAvailable();
     }
@@ -214,10 +247,10 @@
 void Stream::readAvailable()
 {
     static thread_local std::array<char, ReadSize> buf;
-    for (int n = 0; n < MaxReads && isOpen() && !m_isReadingPaused; ++n) {
+    for (int n = 0; n < MaxReads && isOpen() && !m_isReadingPaused && !m_hasPeerEnded; ++n) {
         const ssize_t size = recv(m_fd, buf.data(), buf.size(), 0);
         if (size > 0) {
-            if (m_dataCallback) {
+            if (m_dataCallback && !m_isClosing) {
                 m_dataCallback(std::string_view(buf.data(), static_cast<std::size_t>(size)));
             }
             if (static_cast<std::size_t>(size) < buf.size()) {
@@ -226,7 +259,7 @@
             continue;
         }
         if (size == 0) {
-            end(StreamEnd::Closed);
+            handlePeerEnd();
             return;
         }
         if (errno == EINTR) {
@@ -259,13 +292,15 @@
     if (unsent() == 0) {
         m_output.clear();
         m_sent = 0;
-        if (m_isClosing) {
-            end(StreamEnd::Closed);
-            return;
-        }
     }
     const bool wasWaiting = m_isWaitingToWrite;
     setWaitingToWrite(unsent() > 0);
+    if (m_isClosing) {
+        if (unsent() == 0 && !m_isSendingFinished) {
+            finishSending();
+        }
+        return;
+    }
     if (wasWaiting && unsent() == 0 && m_drainedCallback) {
         m_drainedCallback();
     }
@@ -281,11 +316,74 @@
 
 void Stream::updateEvents()
 {
-    const std::uint32_t reading = m_isReadingPaused ? 0U : static_cast<std::uint32_t>(EPOLLIN);
+    const std::uint32_t reading = m_isReadingPaused || m_hasPeerEnded ? 0U : static_cast<std::uint32_t>(EPOLLIN);
     const std::uint32_t writing = m_isWaitingToWrite ? static_cast<std::uint32_t>(EPOLLOUT) : 0U;
     m_loop.modify(m_fd, reading | writing);
 }
 
+void Stream::handlePeerEnd()
+{
+    if (!m_isClosing && !m_peerEndCallback) {
+        end(StreamEnd::Closed);
+        return;
+    }
+    m_hasPeerEnded = true;
+    if (m_isSendingFinished) {
+        m_loop.unwatch(m_fd); // with both sides closed, the socket would report a hang-up without end
+        checkTaken();
+        return;
+    }
+    updateEvents();
+    if (!m_isClosing) {
+        const auto callback = m_peerEndCallback; // it may close the stream, which resets the member
+        callback();
+    }
+}
+
+void Stream::finishSending()
+{
+    m_isSendingFinished = true;
+    shutdown(m_fd, SHUT_WR); // if the connection has failed, its event or the check below reports that
+    if (m_hasPeerEnded) {
+        m_loop.unwatch(m_fd); // as in handlePeerEnd()
+    }
+    m_takenAt = m_loop.now();
+    startCloseTimer(TakenCheckInterval, [this] { checkTaken(); });
+}
+
+void Stream::checkTaken()
+{
+    int error = 0;
+    socklen_t length = sizeof(error);
+    getsockopt(m_fd, SOL_SOCKET, SO_ERROR, &error, &length);
+    if (error != 0) {
+        end(StreamEnd::Failed);
+        return;
+    }
+    const std::size_t left = untaken();
+    if (left != std::exchange(m_lastUntaken, left)) {
+        m_takenAt = m_loop.now();
+    }
+    const bool isGivenUp = m_loop.now() - m_takenAt >= UserTimeout; // the socket goes on sending what it has accepted
+    if (left > 0 && !isGivenUp) {
+        startCloseTimer(TakenCheckInterval, [this] { checkTaken(); });
+    } else if (left > 0 || m_hasPeerEnded) {
+        end(StreamEnd::Closed);
+    } else {
+        startCloseTimer(LingerTimeout, [this] { end(StreamEnd::Closed); });
+    }
+}
+
+void Stream::startCloseTimer(Duration delay, EventLoop::Callback callback)
+{
+    m_loop.cancel(m_closeTimer);
+    m_closeTimer = m_loop.after(delay, [self = weak_from_this(), callback = std::move(callback)] {
+        if (const auto stream = self.lock()) {
+            callback();
+        }
+    });
+}
+
 void Stream::end(StreamEnd reason)
 {
     const EndCallback callback = std::move(m_endCallback);
--- a/packages/net/net/stream.h
+++ b/packages/net/net/stream.h
@@ -36,6 +36,9 @@
 
     void onData(DataCallback callback);
     void onEnd(EndCallback callback);
+    /// Sets the callback for a peer that closes its side. The stream then stays open for sending until it is closed here; without the
+    /// callback, it ends at once.
+    void onPeerEnd(EventLoop::Callback callback);
     void onConnected(EventLoop::Callback callback);
     /// Sets the callback for the time when the socket has accepted all queued bytes.
     void onDrained(EventLoop::Callback callback);
@@ -48,7 +51,9 @@
     void resumeReading();
     /// Closes the connection at once and discards queued bytes.
     void close();
-    /// Closes the connection after all queued bytes have been sent.
+    /// Closes the connection after the peer's side has taken all queued bytes, and then calls the end callback. Received bytes are
+    /// dropped until the peer closes its side or a timeout passes: a socket that is closed with unread bytes resets the
+    /// connection, and the peer may lose what it has not read yet.
     void closeAfterFlush();
     bool isOpen() const;
     bool isConnected() const;
@@ -56,6 +61,9 @@
     bool wasConnected() const;
     /// Number of queued bytes that the socket has not accepted yet.
     std::size_t unsent() const;
+    /// Number of queued bytes that the peer's side has not taken yet. Where the system does not tell, bytes that the socket has accepted
+    /// count as taken.
+    std::size_t untaken() const;
     /// The host of the peer of an accepted connection.
     const std::string &peer() const;
 
@@ -69,6 +77,11 @@
     /// Registers for the events that reading and writing wait for now.
     void updateEvents();
     void setWaitingToWrite(bool isWaiting);
+    void handlePeerEnd();
+    void finishSending();
+    /// While the connection is being closed: waits until the peer's side has taken all bytes, and then until it closes.
+    void checkTaken();
+    void startCloseTimer(Duration delay, EventLoop::Callback callback);
     void end(StreamEnd reason);
 
     EventLoop &m_loop;
@@ -78,10 +91,18 @@
     bool m_isClosing = false;
     bool m_isWaitingToWrite = false;
     bool m_isReadingPaused = false;
+    bool m_hasPeerEnded = false;
+    /// The sending side was shut down after the last byte.
+    bool m_isSendingFinished = false;
+    TimerId m_closeTimer = 0;
+    /// While the connection is being closed: untaken() at the last check, and when it last changed.
+    std::size_t m_lastUntaken = 0;
+    Instant m_takenAt {};
     std::string m_output;
     std::size_t m_sent = 0;
     DataCallback m_dataCallback;
     EndCallback m_endCallback;
+    EventLoop::Callback m_peerEndCallback;
     EventLoop::Callback m_connectedCallback;
     EventLoop::Callback m_drainedCallback;
 };
