Count a connection whose response is being sent as busy

Callers behind slow links got status 200, a part of the body and the end of the connection.

Cause: a connection counted as idle as soon as its response was queued, so closeIdle() closed it and discarded the queue. The same cause: the idle timeout began when the response was queued; the end of the caller's sending side discarded the response that was being sent to it.

Change: closeIdle() and the idle timeout leave a connection open until the caller's side has taken the responses. Then they close it without reading further, so that a request that crosses the close may be sent again. When a caller closes its side, the request in progress ends as before, but earlier responses are sent whole. sendingCount() counts the connections whose responses were not taken.

Exchange::abort() closes at once on purpose; only tests call it.

--- a/packages/http/http/server.cpp
+++ b/packages/http/http/server.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <utility>
 
 namespace Galenabarrow::Http
 {
@@ -15,6 +16,8 @@
     void respond(Response response);
     void close();
     bool hasRequest() const;
+    bool isSending() const;
+    bool isIdle() const;
     /// Reads from the connection only while the handler has room for more of the body.
     void limitReading();
 
@@ -28,6 +31,7 @@
     /// Passes received bytes of the body on to the exchange, or drops them after the response.
     void readBody();
     void finishBody();
+    /// Ends the request in progress, as no response can be sent any more or its caller has left.
     void handleStreamEnd();
     void armTimer();
     void handleTimeout();
@@ -166,6 +170,7 @@
 {
     m_stream->onData([this](std::string_view bytes) { receive(bytes); });
     m_stream->onEnd([this](Net::StreamEnd) { handleStreamEnd(); });
+    m_stream->onPeerEnd([this] { handleStreamEnd(); });
     armTimer();
 }
 
@@ -174,6 +179,16 @@
     return m_exchange != nullptr || m_reader.state() != ReadState::Idle;
 }
 
+bool ServerConnection::isSending() const
+{
+    return m_stream->untaken() > 0;
+}
+
+bool ServerConnection::isIdle() const
+{
+    return !hasRequest() && !m_isEnding && !isSending();
+}
+
 void ServerConnection::receive(std::string_view bytes)
 {
     const auto self = shared_from_this();
@@ -316,9 +331,6 @@
     if (!response.keepsAlive) {
         m_isEnding = true;
         m_stream->closeAfterFlush();
-        if (!m_stream->isOpen()) {
-            removeIfClosed();
-        }
         return;
     }
     armTimer();
@@ -338,11 +350,19 @@
     const auto self = shared_from_this();
     const ExchangePointer exchange = std::move(m_exchange);
     m_exchange.reset();
-    m_stream->close();
+    m_isEnding = true;
+    if (isSending()) {
+        m_stream->closeAfterFlush(); // a caller that has closed only its side still gets the earlier responses
+    } else {
+        m_stream->close();
+    }
     removeIfClosed();
-    if (exchange != nullptr && exchange->m_disconnected) {
-        const auto callback = std::move(exchange->m_disconnected);
-        exchange->m_isAnswered = true;
+    if (exchange == nullptr) {
+        return;
+    }
+    exchange->m_isAnswered = true;
+    exchange->m_bodyCallback = nullptr;
+    if (const auto callback = std::exchange(exchange->m_disconnected, nullptr)) {
         callback();
     }
 }
@@ -373,6 +393,14 @@
     if (m_exchange != nullptr) {
         return;
     }
+    if (m_reader.state() == ReadState::Idle) {
+        if (isSending()) {
+            armTimer();
+        } else {
+            close(); // a request that has arrived but was not read may be sent again
+        }
+        return;
+    }
     if (m_reader.state() == ReadState::Partial && !m_isReadingBody) {
         Response response = makeResponse(408);
         response.keepsAlive = false;
@@ -446,7 +474,7 @@
 {
     const auto connections = m_connections;
     for (const auto &it : connections) {
-        if (!it->hasRequest()) {
+        if (it->isIdle()) {
             it->close();
         }
     }
@@ -463,4 +491,10 @@
         std::count_if(m_connections.begin(), m_connections.end(), [](const auto &it) { return it->hasRequest(); }));
 }
 
+std::size_t Server::sendingCount() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_connections.begin(), m_connections.end(), [](const auto &it) { return it->isSending(); }));
+}
+
 }
--- a/packages/http/http/server.h
+++ b/packages/http/http/server.h
@@ -17,7 +17,7 @@
     Duration headerTimeout = std::chrono::seconds(5);
     /// Time for the body of a request after its header section.
     Duration bodyTimeout = std::chrono::seconds(30);
-    /// Time without a request after which a connection is closed.
+    /// Time without a request, after the last response was taken by the caller's side, after which a connection is closed.
     Duration idleTimeout = std::chrono::seconds(30);
     /// A request with a stated body length of at least this many bytes is handed over before its body is complete; 0 for never.
     std::size_t forwardFrom = 0;
@@ -93,11 +93,13 @@
     /// Makes every further response close its connection.
     void startClosing();
     bool isClosing() const;
-    /// Closes the connections without a request in progress.
+    /// Closes the connections without a request in progress whose responses were taken by the caller's side.
     void closeIdle();
     std::size_t connectionCount() const;
     /// Number of connections with a request that is being read or has no response yet.
     std::size_t pendingCount() const;
+    /// Number of connections whose responses were not yet taken by the caller's side as a whole.
+    std::size_t sendingCount() const;
 
 private:
     friend class ServerConnection;
--- a/packages/http/tests/servertest.cpp
+++ b/packages/http/tests/servertest.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "slowreader.h"
+
 using namespace Galenabarrow;
 using namespace Galenabarrow::Http;
 
@@ -259,3 +261,127 @@
     fixture.runFor(20);
     CHECK(fixture.received.find("200 OK") != std::string::npos);
 }
+
+namespace
+{
+
+/// A server whose responses are large, and callers behind slow links.
+struct LargeAnswerFixture : Fixture {
+    static constexpr std::size_t AnswerBytes = 1'200'000;
+
+    LargeAnswerFixture()
+        : Fixture([](const ExchangePointer &exchange) { exchange->respond(makeResponse(200, std::string(AnswerBytes, 'a'))); })
+    {
+    }
+
+    Net::SlowReader &addReader(std::string_view request = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
+    {
+        readers.push_back(std::make_unique<Net::SlowReader>(loop, Address));
+        readers.back()->send(request);
+        readers.back()->startReading();
+        return *readers.back();
+    }
+
+    /// Runs until the server has no connections, and returns whether it had none before \p limit.
+    bool runUntilClosed(int limit)
+    {
+        for (int n = 0; n < limit && server.connectionCount() > 0; n += 50) {
+            server.closeIdle();
+            runFor(50);
+        }
+        return server.connectionCount() == 0;
+    }
+
+    std::vector<std::unique_ptr<Net::SlowReader>> readers;
+};
+
+std::size_t bodySize(const std::string &received)
+{
+    const std::size_t end = received.find("\r\n\r\n");
+    return end == std::string::npos ? 0 : received.size() - end - 4;
+}
+
+}
+
+// Guards against a planned stop that cuts responses which are still being sent.
+TEST_CASE("large responses to callers behind slow links are sent whole when the server closes idle connections")
+{
+    const bool wasClosing = GENERATE(false, true);
+    LargeAnswerFixture fixture;
+    fixture.client->close();
+    if (wasClosing) {
+        fixture.server.startClosing();
+    }
+    for (int n = 0; n < 8; ++n) {
+        fixture.addReader();
+    }
+    fixture.runFor(500);
+    fixture.server.startClosing();
+    fixture.server.stopListening();
+    CHECK(fixture.server.pendingCount() == 0);
+    CHECK(fixture.runUntilClosed(6000));
+    std::size_t whole = 0;
+    for (const auto &it : fixture.readers) {
+        whole += it->taken() > LargeAnswerFixture::AnswerBytes ? 1 : 0;
+    }
+    CHECK(whole == 8);
+    fixture.runFor(300);
+    for (const auto &it : fixture.readers) {
+        CHECK(bodySize(it->received) == LargeAnswerFixture::AnswerBytes);
+        CHECK(it->isEnded);
+    }
+}
+
+// Guards against a response that is discarded since its caller has nothing more to send.
+TEST_CASE("a caller that closes its side while its response is being sent gets the whole response")
+{
+    LargeAnswerFixture fixture;
+    Net::SlowReader &reader = fixture.addReader();
+    fixture.runFor(500);
+    reader.closeSending();
+    fixture.runFor(4000);
+    CHECK(bodySize(reader.received) == LargeAnswerFixture::AnswerBytes);
+    CHECK(reader.isEnded);
+    CHECK_FALSE(reader.isReset);
+}
+
+// Guards against error responses that are destroyed by the reset of a connection on which the caller is still sending.
+TEST_CASE("an error response reaches a caller that goes on sending its request")
+{
+    struct Row {
+        const char *head;
+        const char *status;
+    };
+    const Row row = GENERATE(Row { "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 900000\r\n\r\n", "413" },
+                             Row { "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: x\r\n\r\n", "400" },
+                             Row { "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 900\r\n\r\n", "408" });
+    Fixture fixture(answerOk);
+    Net::SlowReader sender(fixture.loop, Address);
+    sender.send(row.head);
+    bool isAccepted = true;
+    const bool isSlow = std::string_view(row.status) == "408";
+    for (int n = 0; n < 20; ++n) {
+        isAccepted = isAccepted && sender.send(std::string(isSlow ? 1 : 20'000, 'x'));
+        fixture.runFor(10);
+    }
+    CHECK(isAccepted);
+    sender.startReading();
+    fixture.runFor(50);
+    CHECK(sender.received.find(row.status) != std::string::npos);
+    CHECK(sender.isEnded);
+    CHECK_FALSE(sender.isReset);
+}
+
+// Guards against a time without a request that begins before the caller has the response.
+TEST_CASE("the idle timeout begins when the response was taken")
+{
+    LargeAnswerFixture fixture;
+    Net::SlowReader &reader = fixture.addReader();
+    while (bodySize(reader.received) < LargeAnswerFixture::AnswerBytes && !reader.isEnded) {
+        fixture.runFor(10);
+    }
+    CHECK_FALSE(reader.isEnded);
+    reader.send("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    fixture.runFor(300);
+    CHECK(reader.received.size() > LargeAnswerFixture::AnswerBytes + 10'000);
+}
--- a/packages/net/tests/slowreader.h
+++ b/packages/net/tests/slowreader.h
@@ -75,6 +75,7 @@
                 received.append(buf, 0, static_cast<std::size_t>(size));
             } else if (size == 0) {
                 isEnded = true;
+                closeSending(); // as a caller does that has its answer
             } else if (errno != EAGAIN) {
                 isReset = true;
             }
