Wait for the last byte of each answer before an entry stops

Cause: checkStopped() looked for requests without a response only. It closed the connections of queued responses after 0.45 of the grace period, and ended the process with answers in its queues or in the system's.

Change: the entry is done when no request runs and no connection is left, and a connection ends when the caller's side has taken its answers. StopMargin (300 ms before the end of the grace period) remains the latest time. The line `stopped` states as `unsent` to how many callers answers were still being sent. A second stop during the first has no effect; it set the time of the stop anew and replaced the callback.

--- a/packages/gateway/gateway/gatewaynode.cpp
+++ b/packages/gateway/gateway/gatewaynode.cpp
@@ -12,9 +12,6 @@
 /// Share of the grace period during which requests are still accepted: callers cache the addresses from the directory for
 /// some seconds, and the requests accepted last must be answered within the rest of the period.
 constexpr double AcceptingShare = 0.45;
-/// The process exits this long before it would be killed.
-constexpr Duration StopMargin = std::chrono::milliseconds(300);
-constexpr Duration StopCheckInterval = std::chrono::milliseconds(50);
 
 }
 
@@ -56,6 +53,9 @@
 
 void GatewayNode::stop(std::function<void()> done)
 {
+    if (m_isStopping) {
+        return;
+    }
     m_isStopping = true;
     m_stopStartedAt = m_loop.now();
     m_onStopped = std::move(done);
@@ -129,9 +129,10 @@
         m_server.stopListening();
         m_server.closeIdle();
     }
-    const bool isDone = since >= accepting && m_runner.running() == 0 && m_server.pendingCount() == 0;
+    // A connection without a request ends once the caller's side has taken its responses, so none is left when all have been taken.
+    const bool isDone = since >= accepting && m_runner.running() == 0 && m_server.connectionCount() == 0;
     if (isDone || since >= m_settings.grace - StopMargin) {
-        m_log.info("stopped", { { "running", std::to_string(m_runner.running()) } });
+        m_log.info("stopped", { { "running", std::to_string(m_runner.running()) }, { "unsent", std::to_string(m_server.sendingCount()) } });
         m_onStopped();
         return;
     }
--- a/packages/gateway/tests/cluster.cpp
+++ b/packages/gateway/tests/cluster.cpp
@@ -22,11 +22,6 @@
     return InstanceId("127.0.0.1:" + std::to_string(FirstCorePort + number));
 }
 
-Net::SocketAddress entryAddress(std::size_t number)
-{
-    return { "127.0.0.1", static_cast<std::uint16_t>(FirstEntryPort + number) };
-}
-
 Routing::ConfigChange makeConfig(Routing::RequestKind kind, unsigned maxAttempts)
 {
     Routing::Route route;
@@ -59,7 +54,7 @@
     }
     announceServers();
     for (std::size_t n = 0; n < size.entries; ++n) {
-        startEntry(n);
+        startEntry(n, size.grace);
     }
     runFor(std::chrono::seconds(2));
     REQUIRE(isAccepted);
@@ -87,7 +82,7 @@
     }
 }
 
-void Cluster::startEntry(std::size_t number)
+void Cluster::startEntry(std::size_t number, Duration grace)
 {
     GatewaySettings settings;
     settings.listen = entryAddress(number);
@@ -99,6 +94,7 @@
     }
     settings.headerNames = testHeaderNames();
     settings.budget.floor = 1000;
+    settings.grace = grace;
     entries.push_back(std::make_unique<GatewayNode>(loop, settings, codec, random));
     REQUIRE(entries.back()->start());
 }
@@ -122,6 +118,11 @@
     loop.after(AnnouncementInterval, [this] { announceServers(); });
 }
 
+Net::SocketAddress Cluster::entryAddress(std::size_t number)
+{
+    return { "127.0.0.1", static_cast<std::uint16_t>(FirstEntryPort + number) };
+}
+
 void Cluster::runFor(Duration time)
 {
     loop.after(time, [this] { loop.stop(); });
--- a/packages/gateway/tests/cluster.h
+++ b/packages/gateway/tests/cluster.h
@@ -20,12 +20,16 @@
         std::size_t core = 1;
         std::size_t entries = 4;
         std::size_t servers = 3;
+        /// The grace period of the entries.
+        Duration grace = std::chrono::seconds(6);
     };
 
     /// Starts all instances and runs until every entry is ready. Requests of the only route are sent to all servers.
     explicit Cluster(Size size, Routing::RequestKind kind = Routing::RequestKind::Safe, unsigned maxAttempts = 2);
 
     void runFor(Duration time);
+    /// Where an entry accepts requests.
+    static Net::SocketAddress entryAddress(std::size_t number);
     /// Sends requests to the entries in turn from now on.
     void startCallers(double perSecond);
     /// Sends one request to an entry; its final status is counted in \c statuses.
@@ -52,7 +56,7 @@
     };
 
     void startCore(std::size_t count);
-    void startEntry(std::size_t number);
+    void startEntry(std::size_t number, Duration grace);
     void announceServers();
     void sendNext();
     void count(const std::shared_ptr<Call> &call, unsigned status);
--- a/packages/gateway/tests/scriptedserver.cpp
+++ b/packages/gateway/tests/scriptedserver.cpp
@@ -104,7 +104,7 @@
 
 Http::Response ScriptedServer::makeAnswer(const Http::Request &request) const
 {
-    Http::Response response = Http::makeResponse(200, "whole");
+    Http::Response response = Http::makeResponse(200, answerBody);
     if (behaviour == Behaviour::Shed || behaviour == Behaviour::Unmarked503) {
         response = Http::makeResponse(503);
     } else if (behaviour == Behaviour::Unmarked429) {
--- a/packages/gateway/tests/scriptedserver.h
+++ b/packages/gateway/tests/scriptedserver.h
@@ -54,6 +54,8 @@
     std::size_t slots = 2;
     /// The limit that responses to requests state; none when empty.
     std::string limit;
+    /// The body of answers to requests.
+    std::string answerBody = "whole";
     /// Time until a request is answered.
     Duration work {};
     /// A request for this path crashes the server after \c work: all connections are lost, and it starts again after \c downFor.
