Handle signals from the start of the main program

Cause: the handlers were set after the settings had been read and the log configured, so SIGHUP, SIGTERM and SIGINT had their default action until then. Signals that the parent has blocked were never unblocked by the platform's node, and signals that the parent ignores (nohup, a shell in the background) were lost in the same time. The product's daemon blocked SIGTERM and SIGINT after its settings, and SIGHUP never.

Change: main() first blocks the three. A signal that arrived before is received then.

Not covered: while its libraries are loaded, before main(), a process still ends by such a signal unless its parent has blocked it. How long it is was not measured. A process that hangs in reading its settings is ended by SIGKILL only.

Looked at for the same cause: the other programs set no handlers (galenabarrowctl) or are stand-ins of the tests.

--- a/packages/daemon/main/main.cpp
+++ b/packages/daemon/main/main.cpp
@@ -4,6 +4,7 @@
 #include <gflags/gflags.h>
 
 #include "base/log.h"
+#include "base/processsignals.h"
 #include "daemon/daemon.h"
 #include "platform/node.h"
 #include "settings/loader.h"
@@ -27,18 +28,6 @@
     return status;
 }
 
-/// Blocks SIGTERM and SIGINT, which are received only with sigtimedwait, so that a second SIGTERM has no effect.
-sigset_t blockSignals()
-{
-    std::signal(SIGPIPE, SIG_IGN);
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    return signals;
-}
-
 int run(const Settings::DaemonSettings &settings, const sigset_t &signals)
 {
     Daemon::Daemon daemon(settings);
@@ -47,8 +36,12 @@
     }
     std::cout << daemon.addresses() << std::endl;
     const timespec interval { FailureCheckSeconds, 0 };
-    while (sigtimedwait(&signals, nullptr, &interval) < 0) {
-        if (daemon.hasFailed()) {
+    int signal = 0;
+    while (signal != SIGTERM && signal != SIGINT) {
+        signal = sigtimedwait(&signals, nullptr, &interval);
+        if (signal == SIGHUP) {
+            Log("daemon").info("signal_ignored", { { "signal", "SIGHUP" }, { "reason", "settings are read at the start only" } });
+        } else if (signal < 0 && daemon.hasFailed()) {
             return ExitFailure;
         }
     }
@@ -60,6 +53,7 @@
 
 int main(int argc, char **argv)
 {
+    const sigset_t signals = blockSignals();
     gflags::SetUsageMessage("runs one instance of galenabarrow\n  galenabarrowd --settings <file> [--check]\n  galenabarrowd --platform");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     if (FLAGS_platform && FLAGS_settings.empty() && argc == 1) {
@@ -76,7 +70,6 @@
         std::cout << "settings are valid\n";
         return 0;
     }
-    const sigset_t signals = blockSignals();
     Log::configure(settings->log.threshold);
     return run(*settings, signals);
 }
