Read in the responses of servers that they leave, and when to come back

What servers saw: a server that stated in its responses that it leaves got requests until the core told every entry, and one that had turned a request away with 503 and a time got requests during that time.

Cause: no field of a response said anything but a limit. Limits were read with a rule of their own in the request path and another in the prober, and counted for the incarnation known when the response arrived, not for the one that the request was sent to.

Change: serverstatement is the one rule on which response says something of its server, for limits and both new fields; it also asks for the id of this request and refuses another server's id. servernotices keeps for each incarnation until when it leaves or is away. The choice of servers, the queue, retries and probes all ask ServerTable::mayReceive(). Where all servers are excluded, requests are rejected at once with a spread time at which the first server takes work again, also by the request that found the last one away. After its time a server gets its slots by the number of entries at first, and one more for each answer.

Looked for the same cause elsewhere: the crash check opens a connection but sends nothing; a connection that is being opened takes 250 ms at most, less than the half second that the rule allows; the large body, the queue and the late answer to a probe all go through attempt(), which chooses anew.

--- a/packages/gateway/gateway/headernames.h
+++ b/packages/gateway/gateway/headernames.h
@@ -21,10 +21,12 @@
     std::string notExecuted;
     /// The id of the server that answers.
     std::string serverId;
-    /// Seconds after which a rejected caller may retry.
+    /// Seconds after which a rejected caller may retry; from a server, the time for which it takes no requests of this entry.
     std::string retryAfter;
     /// Requests a second that the server accepts from all entries together; only stated by a server in need.
     std::string serverLimit;
+    /// The server states that it leaves.
+    std::string serverLeaving;
 };
 
 }
--- a/packages/gateway/gateway/loadprober.cpp
+++ b/packages/gateway/gateway/loadprober.cpp
@@ -45,7 +45,7 @@
     }
     const ServerRow *row = m_servers.find(server);
     const auto path = row == nullptr ? m_paths.end() : m_paths.find(row->server.service);
-    if (path == m_paths.end() || path->second.empty() || !withdrawProbeBudget()) {
+    if (path == m_paths.end() || path->second.empty() || !m_servers.mayReceive(server, m_loop.now()) || !withdrawProbeBudget()) {
         ++m_refused;
         return false;
     }
@@ -55,6 +55,8 @@
     request.fields.add("Host", row->server.address);
     Probe &probe = m_probes[server];
     probe.waiting.push_back(std::move(callback));
+    probe.born = row->server.born;
+    probe.sentAt = m_loop.now();
     probe.attempt = m_pool.send(row->server, UpstreamRequest { Http::serialize(request), {}, false });
     probe.attempt->onResponse([this, server](const Http::Response &response) { handleResponse(server, response); });
     probe.attempt->onFailure([this, server](AttemptFailure) { finish(server, false); });
@@ -101,9 +103,10 @@
     if (load && !isOtherServer) {
         m_servers.updateLoad(server, *load);
     }
-    if (id != nullptr && !isOtherServer) {
-        const LimitField limit = readLimitField(response.fields, m_headerNames.serverLimit);
-        m_servers.recordLimit(server, limit, LimitSource::Probe, m_loop.now(), m_loop.now());
+    const auto probe = m_probes.find(server);
+    const auto statement = readProbeStatement(response, m_headerNames, server);
+    if (statement && probe != m_probes.end()) {
+        m_servers.recordStatement(server, probe->second.born, *statement, probe->second.sentAt, m_loop.now());
     }
     finish(server, !isOtherServer);
 }
--- a/packages/gateway/gateway/loadprober.h
+++ b/packages/gateway/gateway/loadprober.h
@@ -45,7 +45,7 @@
     void setEntryCount(unsigned count);
     void onLateAnswer(LateAnswerCallback callback);
     /// Starts a probe, or joins the one in progress. False when the budget is spent, the server or its health path is not
-    /// known, or the probe in progress is late; then \p callback is not called.
+    /// known, the server takes nothing by its own statement, or the probe in progress is late; then \p callback is not called.
     bool probe(const ServerId &server, ProbeCallback callback);
     std::uint64_t sent() const;
     std::uint64_t refused() const;
@@ -53,6 +53,9 @@
 private:
     struct Probe {
         std::shared_ptr<Attempt> attempt;
+        /// The incarnation of the server that it is meant for.
+        std::uint64_t born = 0;
+        Instant sentAt {};
         std::vector<ProbeCallback> waiting;
         Net::TimerId timer = 0;
         bool isLate = false;
--- a/packages/gateway/gateway/requestrun.cpp
+++ b/packages/gateway/gateway/requestrun.cpp
@@ -37,6 +37,8 @@
 constexpr std::size_t MaxBodyWithHead = std::size_t { 16 } * 1024;
 /// Bytes of a body that are queued for a connection at a time, so that a large body holds little memory twice.
 constexpr std::size_t BodyPiece = std::size_t { 32 } * 1024;
+/// Callers that are told to return when a server takes requests again are spread over this time after it.
+constexpr Duration ReturnSpread = std::chrono::milliseconds(250);
 /// Connection attempts for one request while none succeeds.
 constexpr std::size_t MaxConnectAttempts = 4;
 
@@ -254,8 +256,8 @@
 {
     const Instant now = m_runner.m_loop.now();
     const Instant until = std::min(m_startedAt + m_route->objective / WaitDivisor, m_deadline);
-    const std::optional<Duration> limitWait = m_runner.m_servers.limitWait(choiceInput(ChoiceInput::Need::Any), now);
-    if (limitWait ? *limitWait > until - now : !m_runner.m_servers.hasFreshReports(m_service, now)) {
+    const std::optional<SendWait> wait = m_runner.m_servers.sendWait(m_service, m_tried, now);
+    if (wait ? wait->time > until - now : !m_runner.m_servers.hasFreshReports(m_service, now)) {
         attempt(); // at once: waiting would not help, or is not known to be necessary
         return;
     }
@@ -393,13 +395,29 @@
 
 void RequestRunner::Run::rejectWithoutServer(Instant now)
 {
-    const std::optional<Duration> limitWait = m_runner.m_servers.limitWait(choiceInput(ChoiceInput::Need::Any), now);
-    if (!limitWait) {
+    const std::optional<SendWait> wait = m_runner.m_servers.sendWait(m_service, m_tried, now);
+    if (!wait) {
         reject(m_tried.empty() ? "no_server" : "no_other_server", ShortRetryAfter);
-        return;
+    } else if (wait->reason == SendWait::Reason::Limit) {
+        ++m_runner.m_counters.limited;
+        reject("server_limit", std::clamp(wait->time, retryAfter(), MaxRetryAfter));
+    } else {
+        ++m_runner.m_counters.excluded;
+        m_trail.add(sinceStart(), "excluded", m_runner.m_servers.describeNotices(m_service, now));
+        const bool isLeaving = wait->reason == SendWait::Reason::Leaving;
+        reject(isLeaving ? "servers_leaving" : "servers_away", isLeaving ? retryAfter() : ShortRetryAfter);
+    }
+}
+
+Duration RequestRunner::Run::afterReturn(Duration callerWait) const
+{
+    const std::optional<SendWait> wait = m_runner.m_servers.sendWait(m_service, {}, m_runner.m_loop.now());
+    if (!wait || wait->reason == SendWait::Reason::Limit) {
+        return callerWait;
     }
-    ++m_runner.m_counters.limited;
-    reject("server_limit", std::clamp(*limitWait, retryAfter(), MaxRetryAfter));
+    const Duration spread(static_cast<Duration::rep>(m_runner.m_random.below(ReturnSpread.count())));
+    const Duration time = wait->reason == SendWait::Reason::Leaving ? Duration {} : wait->time;
+    return std::max(callerWait, time) + spread;
 }
 
 UpstreamRequest RequestRunner::Run::makeRequest(Instant now) const
@@ -462,7 +480,7 @@
             m_runner.m_servers.updateLoad(m_choice.server, *load);
         }
     }
-    recordLimit(response);
+    recordStatement(response);
     if (response.fields.find(headerNames.notExecuted) != nullptr || response.status == 421) {
         endAttempt(AttemptResult::Rejected);
         handleNotExecuted("rejected_by_server");
@@ -489,16 +507,18 @@
     handleUnknownOutcome("failure_of_server", &response);
 }
 
-void RequestRunner::Run::recordLimit(const Http::Response &response)
+void RequestRunner::Run::recordStatement(const Http::Response &response)
 {
-    const HeaderNames &headerNames = m_runner.m_headerNames;
-    const bool isRejection = response.fields.find(headerNames.notExecuted) != nullptr;
-    const bool isResponse = response.fields.find(headerNames.serverStamp) != nullptr;
-    if (response.fields.find(headerNames.requestId) == nullptr || response.status == 421 || (!isRejection && !isResponse)) {
+    const auto statement = readStatement(response, m_runner.m_headerNames, m_choice.server, m_requestId);
+    if (!statement) {
         return;
     }
-    m_runner.m_servers.recordLimit(m_choice.server, readLimitField(response.fields, headerNames.serverLimit),
-                                   isRejection ? LimitSource::Rejection : LimitSource::Response, m_sentAt, m_runner.m_loop.now());
+    m_runner.m_servers.recordStatement(m_choice.server, m_start.born, *statement, m_sentAt, m_runner.m_loop.now());
+    if (statement->notices.isLeaving) {
+        m_trail.add(sinceStart(), "notice", "leaving");
+    } else if (statement->notices.away) {
+        m_trail.add(sinceStart(), "notice", "away_" + formatMilliseconds(*statement->notices.away) + "ms");
+    }
 }
 
 void RequestRunner::Run::handleFailure(AttemptFailure failure)
@@ -637,7 +657,7 @@
         return;
     }
     ++m_runner.m_counters.rejected;
-    m_exchange->respond(m_runner.makeRejection(callerWait));
+    m_exchange->respond(m_runner.makeRejection(afterReturn(callerWait)));
     m_reason = reason;
     finish("rejected", 503);
 }
--- a/packages/gateway/gateway/requestrun.h
+++ b/packages/gateway/gateway/requestrun.h
@@ -72,8 +72,8 @@
     void onAttemptTimeout();
     void handleResponse(Http::Response response);
     void handleFailure(AttemptFailure failure);
-    /// Records the limit that the response states. A response that does not name the request, or is from another server, states none.
-    void recordLimit(const Http::Response &response);
+    /// Records what the response says of its server, if it is the server's response to this request.
+    void recordStatement(const Http::Response &response);
     /// The server did not run the request: any request may be retried at another server.
     void handleNotExecuted(const char *reason);
     /// The request may have run: only a safe one may be retried. Otherwise \p response is forwarded, if there is one.
@@ -86,8 +86,10 @@
     void fail(unsigned status, const char *reason);
     /// \p callerWait: when the caller should retry.
     void reject(const char *reason, Duration callerWait);
-    /// Rejects the request because no server can be chosen for it: none is left, or all have reached the limits that they state.
+    /// Rejects the request because no server can be chosen for it: none is left, or all are excluded by their own statements.
     void rejectWithoutServer(Instant now);
+    /// When a caller should retry that would do so after \p callerWait: not before a server of the service takes requests again.
+    Duration afterReturn(Duration callerWait) const;
     /// Time after which a caller should retry when no server was free; grows with the time left, as a later retry is likelier to find a
     /// free slot.
     Duration retryAfter() const;
--- a/packages/gateway/gateway/requestrunner.cpp
+++ b/packages/gateway/gateway/requestrunner.cpp
@@ -186,6 +186,7 @@
         { "waited", m_counters.waited },
         { "waited_for_config", m_counters.waitedForConfig },
         { "limited", m_counters.limited },
+        { "excluded", m_counters.excluded },
         { "held_back", m_counters.heldBack },
         { "server_crashed", m_crashes.checks().crashes() },
         { "connection_reset", m_crashes.checks().alive() },
@@ -215,7 +216,7 @@
     text.family("galenabarrow_gateway_config_version", Kind::Gauge, "Version of the routing configuration in force.");
     text.sample({}, m_version.value());
     m_latencies.write(text);
-    return text.text() + m_servers.limits().metrics();
+    return text.text() + m_servers.limits().metrics() + m_servers.notices().metrics(m_loop.now());
 }
 
 RetryBudget &RequestRunner::budgetOf(const ServiceId &service)
--- a/packages/gateway/gateway/requestrunner.h
+++ b/packages/gateway/gateway/requestrunner.h
@@ -43,6 +43,8 @@
     std::uint64_t waitedForConfig = 0;
     /// Rejected requests that no server would have taken by its own limit.
     std::uint64_t limited = 0;
+    /// Rejected requests whose servers all leave or turn requests away for a time.
+    std::uint64_t excluded = 0;
     /// Rejected requests that have crashed servers.
     std::uint64_t heldBack = 0;
 };
--- a/packages/gateway/gateway/serverlimits.cpp
+++ b/packages/gateway/gateway/serverlimits.cpp
@@ -42,7 +42,7 @@
 {
 }
 
-bool ServerLimits::record(const ServerId &server, std::uint64_t born, const LimitField &field, LimitSource source, Instant sentAt,
+bool ServerLimits::record(const ServerId &server, std::uint64_t born, const LimitField &field, StatementSource source, Instant sentAt,
                           Instant now)
 {
     if (field.isPresent && !field.perSecond) {
@@ -51,7 +51,7 @@
     }
     const auto known = m_rows.find(server);
     const std::optional<double> before = known == m_rows.end() || known->second.born != born ? std::nullopt : limitOf(known->second);
-    if (!field.perSecond && (!before || source != LimitSource::Response || sentAt < known->second.limitedSince)) {
+    if (!field.perSecond && (!before || source != StatementSource::Response || sentAt < known->second.limitedSince)) {
         return false;
     }
     if (field.perSecond) {
--- a/packages/gateway/gateway/serverlimits.h
+++ b/packages/gateway/gateway/serverlimits.h
@@ -11,20 +11,11 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "coordination/serverlimit.h"
-#include "gateway/limitfield.h"
+#include "gateway/serverstatement.h"
 
 namespace Galenabarrow::Gateway
 {
 
-/// The kinds of responses of a server that may state a limit.
-enum class LimitSource : std::uint8_t {
-    /// The response to a request that was run.
-    Response,
-    /// The response to a request that was not run.
-    Rejection,
-    Probe,
-};
-
 /// What is sent to a server.
 enum class SendKind : std::uint8_t {
     First,
@@ -45,7 +36,7 @@
 
     /// Records what a response of the server says; \p sentAt is when its request was sent. A response without a limit ends a limit that was
     /// known by then; a rejection and a probe end none, as they need not state it. True when the core should be told at once.
-    bool record(const ServerId &server, std::uint64_t born, const LimitField &field, LimitSource source, Instant sentAt, Instant now);
+    bool record(const ServerId &server, std::uint64_t born, const LimitField &field, StatementSource source, Instant sentAt, Instant now);
     /// Applies limits and shares from a core instance. \p entryCount entries share a limit of which no share is known.
     void apply(const std::vector<Coordination::LimitShare> &shares, unsigned entryCount, Instant now);
     /// The statements that the core does not know from this entry: those that differ from its own, or all.
--- a/packages/gateway/gateway/servertable.cpp
+++ b/packages/gateway/gateway/servertable.cpp
@@ -49,6 +49,9 @@
 /// Scores that differ by less count as equal, since load reports are not more precise.
 constexpr double EqualScoreSeconds = 0.01;
 
+/// Expected time until a server that takes work again has answered its first request; at least this time.
+constexpr Duration MinReturnWait = std::chrono::milliseconds(10);
+
 double seconds(Duration duration)
 {
     return std::chrono::duration<double>(duration).count();
@@ -92,6 +95,8 @@
         row.isSilent = std::find(update.silent.begin(), update.silent.end(), id) != update.silent.end();
     }
     m_limits.apply(update.limits, update.entryCount, now);
+    m_notices.expire(now);
+    m_entryCount = std::max(1U, update.entryCount);
     if (!update.servers.empty() || update.isWhole) {
         rebuildServices();
     }
@@ -130,6 +135,7 @@
     if (m_rows.erase(server) > 0) {
         m_removed.push_back(server);
         m_limits.remove(server);
+        m_notices.remove(server);
     }
 }
 
@@ -158,7 +164,7 @@
         if (std::find(input.tried.begin(), input.tried.end(), id) != input.tried.end()) {
             continue;
         }
-        const bool isExcluded = !isWithinLimit(m_rows.at(id), now) || (input.need == ChoiceInput::Need::Free && !isKnownFree(id, now))
+        const bool isExcluded = !mayReceive(m_rows.at(id), now) || (input.need == ChoiceInput::Need::Free && !isKnownFree(id, now))
             || (input.need == ChoiceInput::Need::FreeButSlow && !isKnownSlowButFree(id, now));
         if (isExcluded) {
             continue;
@@ -197,7 +203,7 @@
     for (const ServerId &id : service->second.servers) {
         const bool isTried = std::find(input.tried.begin(), input.tried.end(), id) != input.tried.end();
         const bool isKnownWorse = isFresh(id, now) && !isKnownFreeAndFast(id, now);
-        if (!isTried && !isKnownWorse && !m_rows.at(id).hasLateProbe && isWithinLimit(m_rows.at(id), now)) {
+        if (!isTried && !isKnownWorse && !m_rows.at(id).hasLateProbe && mayReceive(m_rows.at(id), now)) {
             const double noise = m_random.unit() * EqualScoreSeconds;
             scored.emplace_back(score(m_rows.at(id), service->second, input, now) + noise, id);
         }
@@ -227,12 +233,40 @@
 {
     const ServerRow *row = find(server);
     return isFresh(server, now) && now >= row->avoidedUntil && row->load->slowness <= UndisturbedSlowness && spareSlots(*row) >= 0
-        && isWithinLimit(*row, now);
+        && mayReceive(*row, now);
+}
+
+bool ServerTable::mayReceive(const ServerId &server, Instant now) const
+{
+    const ServerRow *row = find(server);
+    return row != nullptr && mayReceive(*row, now);
+}
+
+bool ServerTable::mayReceive(const ServerRow &row, Instant now) const
+{
+    return sendWait(row, now).time == Duration {};
 }
 
-bool ServerTable::isWithinLimit(const ServerRow &row, Instant now) const
+bool ServerTable::isReturnFull(const ServerRow &row, Instant now) const
 {
-    return m_limits.maySend(row.server.id, row.server.born, now);
+    const std::optional<unsigned> answers = m_notices.answersSinceReturn(row.server.id, row.server.born, now);
+    return answers && row.inFlight >= std::max(1U, row.server.slots / m_entryCount) + *answers;
+}
+
+SendWait ServerTable::sendWait(const ServerRow &row, Instant now) const
+{
+    const Duration limit = m_limits.wait(row.server.id, row.server.born, now);
+    if (m_notices.isEmpty()) {
+        return { limit, SendWait::Reason::Limit };
+    }
+    Duration away = m_notices.wait(row.server.id, row.server.born, now);
+    if (away == Duration::max()) {
+        return { away, SendWait::Reason::Leaving };
+    }
+    if (isReturnFull(row, now)) {
+        away = std::max<Duration>(workTime(row.server.service), MinReturnWait);
+    }
+    return away > limit ? SendWait { away, SendWait::Reason::Away } : SendWait { limit, SendWait::Reason::Limit };
 }
 
 bool ServerTable::isKnownFreeAndFast(const ServerId &server, Instant now) const
@@ -254,7 +288,7 @@
 {
     const ServerRow *row = find(server);
     return isFresh(server, now) && now >= row->avoidedUntil && row->load->slowness <= UndisturbedSlowness * row->sustainedSlowness
-        && spareSlots(*row) >= 0 && isWithinLimit(*row, now);
+        && spareSlots(*row) >= 0 && mayReceive(*row, now);
 }
 
 double ServerTable::expectedOthers(const ServerRow &row, const ServiceRow &service, Instant now) const
@@ -327,6 +361,7 @@
         return start;
     }
     ServerRow &row = it->second;
+    start.born = row.server.born;
     start.isKnown = isFresh(server, now);
     if (start.isKnown) {
         start.isUndisturbed = row.load->slowness <= UndisturbedSlowness;
@@ -420,10 +455,14 @@
     }
 }
 
-void ServerTable::recordLimit(const ServerId &server, const LimitField &field, LimitSource source, Instant sentAt, Instant now)
+void ServerTable::recordStatement(const ServerId &server, std::uint64_t born, const ServerStatement &statement, Instant sentAt, Instant now)
 {
     const ServerRow *row = find(server);
-    if (row != nullptr && m_limits.record(server, row->server.born, field, source, sentAt, now) && m_urgentLimitCallback) {
+    if (row == nullptr || row->server.born != born) {
+        return; // the server has left or started again since the request was sent
+    }
+    m_notices.record(server, born, statement, sentAt, now);
+    if (m_limits.record(server, born, statement.limit, statement.source, sentAt, now) && m_urgentLimitCallback) {
         m_urgentLimitCallback();
     }
 }
@@ -443,26 +482,47 @@
     return m_limits;
 }
 
-std::optional<Duration> ServerTable::limitWait(const ChoiceInput &input, Instant now) const
+const ServerNotices &ServerTable::notices() const
 {
-    const auto service = m_services.find(input.service);
-    if (!m_limits.isAnyLimited() || service == m_services.end()) {
+    return m_notices;
+}
+
+std::optional<SendWait> ServerTable::sendWait(const ServiceId &service, const std::vector<ServerId> &tried, Instant now) const
+{
+    const auto it = m_services.find(service);
+    if ((!m_limits.isAnyLimited() && m_notices.isEmpty()) || it == m_services.end()) {
         return std::nullopt;
     }
-    std::optional<Duration> shortest;
-    for (const ServerId &id : service->second.servers) {
-        if (std::find(input.tried.begin(), input.tried.end(), id) != input.tried.end()) {
+    std::optional<SendWait> shortest;
+    for (const ServerId &id : it->second.servers) {
+        if (std::find(tried.begin(), tried.end(), id) != tried.end()) {
             continue;
         }
-        const Duration wait = m_limits.wait(id, m_rows.at(id).server.born, now);
-        if (wait == Duration {}) {
+        const SendWait wait = sendWait(m_rows.at(id), now);
+        if (wait.time == Duration {}) {
             return std::nullopt;
         }
-        shortest = std::min(shortest.value_or(wait), wait);
+        shortest = !shortest || wait.time < shortest->time ? wait : *shortest;
     }
     return shortest;
 }
 
+std::string ServerTable::describeNotices(const ServiceId &service, Instant now) const
+{
+    const auto it = m_services.find(service);
+    if (m_notices.isEmpty() || it == m_services.end()) {
+        return {};
+    }
+    std::size_t away = 0;
+    std::size_t leaving = 0;
+    for (const ServerId &id : it->second.servers) {
+        const NoticeState state = m_notices.state(id, m_rows.at(id).server.born, now);
+        away += state == NoticeState::Away ? 1 : 0;
+        leaving += state == NoticeState::Leaving ? 1 : 0;
+    }
+    return away + leaving == 0 ? std::string() : std::to_string(away) + "_away+" + std::to_string(leaving) + "_leaving";
+}
+
 Duration ServerTable::workTime(const ServiceId &service) const
 {
     return Duration(static_cast<Duration::rep>(m_workTimes.usualSeconds(service) * 1e6));
--- a/packages/gateway/gateway/servertable.h
+++ b/packages/gateway/gateway/servertable.h
@@ -11,6 +11,7 @@
 #include "coordination/feed.h"
 #include "gateway/loadreport.h"
 #include "gateway/serverlimits.h"
+#include "gateway/servernotices.h"
 #include "gateway/worktimes.h"
 #include "routing/model.h"
 
@@ -64,6 +65,8 @@
 /// The state of a server when an attempt started there.
 struct AttemptStart {
     std::string route;
+    /// The incarnation of the server that the request is meant for.
+    std::uint64_t born = 0;
     /// A fresh report was available; otherwise the members below are not set.
     bool isKnown = false;
     bool isUndisturbed = false;
@@ -79,6 +82,20 @@
     double occupancy = 0;
 };
 
+/// Why no server takes a request now, and for how long.
+struct SendWait {
+    enum class Reason {
+        /// The limits that the servers state.
+        Limit,
+        /// The times for which the servers turn requests away.
+        Away,
+        /// All servers leave; the time is not known.
+        Leaving,
+    };
+    Duration time {};
+    Reason reason = Reason::Limit;
+};
+
 /// The criteria of a request for its server.
 struct ChoiceInput {
     ServiceId service;
@@ -130,15 +147,20 @@
     void recordLateProbe(const ServerId &server);
     /// Records that a probe was answered or abandoned, and clears the mark of recordLateProbe().
     void recordProbe(const ServerId &server, bool hasAnswered, Instant now);
-    /// Records what a response of the server says about its limit, see ServerLimits::record().
-    void recordLimit(const ServerId &server, const LimitField &field, LimitSource source, Instant sentAt, Instant now);
+    /// Records what a response of this incarnation of the server says of it. \p sentAt is when its request was sent.
+    void recordStatement(const ServerId &server, std::uint64_t born, const ServerStatement &statement, Instant sentAt, Instant now);
     /// Sets the callback for limits that the core should be told at once.
     void onUrgentLimit(std::function<void()> callback);
     ServerLimits &limits();
     const ServerLimits &limits() const;
-    /// When limits exclude every server that the request may still be sent to: the time until one of them takes a request. Absent
-    /// otherwise.
-    std::optional<Duration> limitWait(const ChoiceInput &input, Instant now) const;
+    const ServerNotices &notices() const;
+    /// Whether the server takes requests of this entry, by its own statements and its limit.
+    bool mayReceive(const ServerId &server, Instant now) const;
+    /// When the statements of all servers that a request may still be sent to exclude them: the shortest time until one of them takes a
+    /// request. Absent otherwise.
+    std::optional<SendWait> sendWait(const ServiceId &service, const std::vector<ServerId> &tried, Instant now) const;
+    /// The servers of the service that are excluded by their own statements, as text for log lines: "2_away+1_leaving"; empty without any.
+    std::string describeNotices(const ServiceId &service, Instant now) const;
     /// The usual duration of a request at the service.
     Duration workTime(const ServiceId &service) const;
     /// Number of ready servers of the service.
@@ -163,8 +185,11 @@
     double score(const ServerRow &row, const ServiceRow &service, const ChoiceInput &input, Instant now) const;
     /// Free slots in addition to the one for a new request, by the newest report; negative when there is none for the request.
     static double spareSlots(const ServerRow &row);
-    /// Whether the limit that the server states allows a request of this entry now.
-    bool isWithinLimit(const ServerRow &row, Instant now) const;
+    bool mayReceive(const ServerRow &row, Instant now) const;
+    /// Whether the server takes requests again and has as many of this entry as it gets at first: its slots divided by the number of
+    /// entries, and one more for each answer.
+    bool isReturnFull(const ServerRow &row, Instant now) const;
+    SendWait sendWait(const ServerRow &row, Instant now) const;
     bool mayAvoid(const ServiceRow &service, Instant now) const;
     void avoid(ServerRow &row, Instant now);
 
@@ -176,6 +201,8 @@
     std::map<ServiceId, ServiceRow> m_services;
     WorkTimes m_workTimes;
     ServerLimits m_limits;
+    ServerNotices m_notices;
+    unsigned m_entryCount = 1;
     std::function<void()> m_urgentLimitCallback;
     std::vector<ServerId> m_removed;
 };
--- a/packages/gateway/tests/cluster.cpp
+++ b/packages/gateway/tests/cluster.cpp
@@ -22,7 +22,7 @@
     return InstanceId("127.0.0.1:" + std::to_string(FirstCorePort + number));
 }
 
-Routing::ConfigChange makeConfig(Routing::RequestKind kind, unsigned maxAttempts)
+Routing::ConfigChange makeConfig(Routing::RequestKind kind, unsigned maxAttempts, std::uint64_t version)
 {
     Routing::Route route;
     route.name = std::string("r");
@@ -34,8 +34,9 @@
     route.timeout = std::chrono::milliseconds(1000);
     route.split = { { ServiceId("desk"), 1 } };
     Routing::ConfigChange change;
-    change.version = Version(1);
-    change.config.version = Version(1);
+    change.version = Version(version);
+    change.base = Version(version - 1);
+    change.config.version = Version(version);
     change.config.routes = { route };
     change.config.services = { { ServiceId("desk"), "/health", 0, "" } };
     return change;
@@ -44,11 +45,13 @@
 }
 
 Cluster::Cluster(Size size, Routing::RequestKind kind, unsigned maxAttempts)
+    : m_kind(kind)
+    , m_maxAttempts(maxAttempts)
 {
     startCore(size.core);
     runFor(std::chrono::seconds(3));
     bool isAccepted = false;
-    core.front()->submit(makeConfig(kind, maxAttempts), [&](const Result<void> &result) { isAccepted = result.has_value(); });
+    core.front()->submit(makeConfig(kind, maxAttempts, m_version), [&](const Result<void> &result) { isAccepted = result.has_value(); });
     for (std::size_t n = 0; n < size.servers; ++n) {
         servers.push_back(std::make_unique<ScriptedServer>(loop, n));
     }
@@ -157,6 +160,11 @@
         strong->received.append(bytes);
         constexpr std::size_t StatusAt = 9; // after "HTTP/1.1 "
         if (strong->received.find("\r\n\r\n") != std::string::npos) {
+            const std::string field = "retry-after: ";
+            const std::size_t at = strong->received.find(field);
+            if (at != std::string::npos) {
+                retryAfters.push_back(std::stod(strong->received.substr(at + field.size())));
+            }
             count(strong, static_cast<unsigned>(std::stoul(strong->received.substr(StatusAt))));
         }
     });
@@ -166,6 +174,22 @@
                         + "\r\n\r\n" + body);
 }
 
+void Cluster::abandonCalls()
+{
+    for (const auto &it : std::exchange(m_calls, {})) {
+        it->stream->close();
+    }
+}
+
+void Cluster::changeConfig()
+{
+    bool isAccepted = false;
+    core.front()->submit(makeConfig(m_kind, m_maxAttempts, ++m_version),
+                         [&](const Result<void> &result) { isAccepted = result.has_value(); });
+    runFor(std::chrono::seconds(1));
+    REQUIRE(isAccepted);
+}
+
 void Cluster::count(const std::shared_ptr<Call> &call, unsigned status)
 {
     if (m_calls.erase(call) > 0) {
--- a/packages/gateway/tests/cluster.h
+++ b/packages/gateway/tests/cluster.h
@@ -34,6 +34,10 @@
     void startCallers(double perSecond);
     /// Sends one request to an entry; its final status is counted in \c statuses.
     void send(std::size_t entry, const std::string &path = "/a", const std::string &body = "ok");
+    /// Closes the connections of all calls without a response.
+    void abandonCalls();
+    /// Sends all entries the same routes as a newer configuration.
+    void changeConfig();
     /// Requests that all servers received.
     std::size_t requests() const;
     /// When servers received requests for this path, in order.
@@ -48,6 +52,8 @@
     std::vector<std::unique_ptr<GatewayNode>> entries;
     /// Requests of the callers by the status of their response; 0 for connections that ended without one.
     std::map<unsigned, std::size_t> statuses;
+    /// Seconds in the Retry-After fields of the responses, in the order of the responses.
+    std::vector<double> retryAfters;
 
 private:
     struct Call {
@@ -61,6 +67,9 @@
     void sendNext();
     void count(const std::shared_ptr<Call> &call, unsigned status);
 
+    Routing::RequestKind m_kind;
+    unsigned m_maxAttempts;
+    std::uint64_t m_version = 1;
     Duration m_callInterval {};
     std::size_t m_sent = 0;
     /// Calls without a response.
--- a/packages/gateway/tests/scriptedserver.cpp
+++ b/packages/gateway/tests/scriptedserver.cpp
@@ -9,7 +9,7 @@
 
 HeaderNames testHeaderNames()
 {
-    return HeaderNames { "x-id", "x-wait", "x-sign", "x-for", "x-load", "x-not-run", "x-server", "retry-after", "x-max" };
+    return HeaderNames { "x-id", "x-wait", "x-sign", "x-for", "x-load", "x-not-run", "x-server", "retry-after", "x-max", "x-leaving" };
 }
 
 ScriptedServer::ScriptedServer(Net::EventLoop &loop, std::size_t number)
@@ -96,12 +96,25 @@
 
 void ScriptedServer::answerProbe(Http::Exchange &exchange) const
 {
-    Http::Response response = Http::makeResponse(200);
+    Http::Response response = Http::makeResponse(probeStatus);
+    if (statesInProbes) {
+        addNotices(response);
+    }
     response.fields.add("x-server", name);
     response.fields.add("x-load", load.empty() ? std::to_string(m_running.size()) + ",0," + std::to_string(slots) + ",100" : load);
     exchange.respond(std::move(response));
 }
 
+void ScriptedServer::addNotices(Http::Response &response) const
+{
+    if (isLeaving) {
+        response.fields.add("x-leaving", "1");
+    }
+    if (!retryAfter.empty() && response.status == 503) {
+        response.fields.add("retry-after", retryAfter);
+    }
+}
+
 Http::Response ScriptedServer::makeAnswer(const Http::Request &request) const
 {
     Http::Response response = Http::makeResponse(200, answerBody);
@@ -121,6 +134,7 @@
     if (!limit.empty()) {
         response.fields.add("x-max", limit);
     }
+    addNotices(response);
     response.fields.add("x-id", behaviour == Behaviour::WrongId ? "another" : *request.fields.find("x-id"));
     return response;
 }
--- a/packages/gateway/tests/scriptedserver.h
+++ b/packages/gateway/tests/scriptedserver.h
@@ -56,6 +56,14 @@
     std::string limit;
     /// The body of answers to requests.
     std::string answerBody = "whole";
+    /// Whether all responses state that the server leaves.
+    bool isLeaving = false;
+    /// Whether the responses to probes make the statements, too.
+    bool statesInProbes = true;
+    /// The Retry-After field of responses with status 503; none when empty.
+    std::string retryAfter;
+    /// The status of the responses to probes.
+    unsigned probeStatus = 200;
     /// Time until a request is answered.
     Duration work {};
     /// A request for this path crashes the server after \c work: all connections are lost, and it starts again after \c downFor.
@@ -77,6 +85,7 @@
     void handle(const Http::ExchangePointer &exchange);
     void run(const Http::ExchangePointer &exchange);
     void answerProbe(Http::Exchange &exchange) const;
+    void addNotices(Http::Response &response) const;
     Http::Response makeAnswer(const Http::Request &request) const;
 
     Net::EventLoop &m_loop;
--- a/packages/gateway/tests/serverlimitstest.cpp
+++ b/packages/gateway/tests/serverlimitstest.cpp
@@ -14,7 +14,7 @@
 
 /// The limits of one entry on a clock that the test advances.
 struct Fixture {
-    bool hear(std::optional<double> perSecond, LimitSource source = LimitSource::Response, Duration sentBefore = {})
+    bool hear(std::optional<double> perSecond, StatementSource source = StatementSource::Response, Duration sentBefore = {})
     {
         return limits.record(Server, Born, LimitField { perSecond.has_value(), perSecond }, source, now - sentBefore, now);
     }
@@ -90,11 +90,12 @@
     Fixture fixture;
     CHECK(fixture.hear(2));
     fixture.now += std::chrono::milliseconds(100);
-    CHECK_FALSE(fixture.hear(std::nullopt, LimitSource::Rejection));
-    CHECK_FALSE(fixture.hear(std::nullopt, LimitSource::Probe));
-    CHECK_FALSE(fixture.hear(std::nullopt, LimitSource::Response, std::chrono::milliseconds(101)));
+    CHECK_FALSE(fixture.hear(std::nullopt, StatementSource::Rejection));
+    CHECK_FALSE(fixture.hear(std::nullopt, StatementSource::Probe));
+    CHECK_FALSE(fixture.hear(std::nullopt, StatementSource::Response, std::chrono::milliseconds(101)));
     CHECK(fixture.limits.isAnyLimited());
-    CHECK_FALSE(fixture.limits.record(Server, Born, LimitField { true, std::nullopt }, LimitSource::Response, fixture.now, fixture.now));
+    CHECK_FALSE(
+        fixture.limits.record(Server, Born, LimitField { true, std::nullopt }, StatementSource::Response, fixture.now, fixture.now));
     CHECK(fixture.limits.isAnyLimited());
     fixture.tell(2, 1, std::chrono::milliseconds(100));
     CHECK(fixture.hear(std::nullopt));
