--- a/packages/control/control/raftjoin.h
+++ b/packages/control/control/raftjoin.h
@@ -17,16 +17,16 @@
 /// challenge; only a request that returns the challenge in time makes the replica a joiner, so that a late copy of a request from
 /// a store that no longer exists cannot replace the current store of the instance.
 ///
-/// A cluster is started only when all of these hold:
-/// - the settings enable it (bootstrap), and the store was never used,
-/// - this instance has the lowest id of all control instances in the settings,
-/// - within one round, every other control instance in the settings of the start answered that its store is empty.
-///
 /// Each member answers with the members that it knows, and the replica asks these too. So it finds the leader when its settings name
 /// any instance that is a member, or that a member has answered. Contacts that nobody repeats are dropped. An instance that is not a
 /// member itself passes on only what a member has told it; otherwise replicas that wait would repeat the names of instances that are
 /// gone to each other for ever.
 ///
+/// A cluster is started only when all of these hold:
+/// - the settings enable it (bootstrap), and the store was never used,
+/// - this instance has the lowest id of all control instances in the settings,
+/// - within one round, every other control instance in the settings of the start answered that its store is empty.
+///
 /// The last condition distinguishes a lost disk from a first start: once the cluster was started, a majority of the other stores
 /// is not empty. Answers contain the number of the round, which is random and belongs to one store, and a round lasts 500 ms;
 /// late answers and answers to an earlier store are ignored. An answer "not empty" ends all attempts of this process. The cluster
