Reject requests that could outlast the stop of an entry

What callers saw: in a planned stop of one entry, in calm, requests that came later in the grace period were accepted, passed on, and cut without an answer at its end, unsafe ones among them.

A server may work until the deadline that it is given, and that deadline could lie after the end of the process.

Change: the end of the stop and each request's deadline are known, so a request that has not run and whose deadline lies after the last moment for answers is rejected at once (503, short Retry-After; "not run" is certain). This is asked when a request is taken, and again before every attempt, as it may have been taken before the stop. What still runs at that moment is answered with 504 and logged.

--- a/packages/gateway/gateway/gatewaynode.cpp
+++ b/packages/gateway/gateway/gatewaynode.cpp
@@ -61,6 +61,7 @@
     m_onStopped = std::move(done);
     m_link.setReady(false);
     m_server.startClosing();
+    m_runner.rejectBeyond(lastAnswerAt());
     m_log.info("stopping", { { "running", std::to_string(m_runner.running()) } });
     checkStopped();
 }
@@ -121,6 +122,11 @@
     m_server.setLimits(server);
 }
 
+Instant GatewayNode::lastAnswerAt() const
+{
+    return m_stopStartedAt + m_settings.grace - StopMargin - StopAnswerTime;
+}
+
 void GatewayNode::checkStopped()
 {
     const Duration since = m_loop.now() - m_stopStartedAt;
@@ -129,6 +135,10 @@
         m_server.stopListening();
         m_server.closeIdle();
     }
+    if (m_loop.now() >= lastAnswerAt() && m_runner.running() > 0) {
+        m_log.warn("requests_ended", { { "running", std::to_string(m_runner.running()) } });
+        m_runner.endRequests();
+    }
     // A connection without a request ends once the caller's side has taken its responses, so none is left when all have been taken.
     const bool isDone = since >= accepting && m_runner.running() == 0 && m_server.connectionCount() == 0;
     if (isDone || since >= m_settings.grace - StopMargin) {
--- a/packages/gateway/gateway/gatewaynode.h
+++ b/packages/gateway/gateway/gatewaynode.h
@@ -10,6 +10,8 @@
 
 /// A process that stops ends this long before it would be killed, even if responses are still being sent.
 constexpr Duration StopMargin = std::chrono::milliseconds(300);
+/// A stopping entry answers the requests that are still in progress this long before its end, so that the answers are taken.
+constexpr Duration StopAnswerTime = std::chrono::milliseconds(100);
 /// Interval at which a stopping process checks whether its connections have ended.
 constexpr Duration StopCheckInterval = std::chrono::milliseconds(50);
 
@@ -36,9 +38,9 @@
     /// Whether callers may be directed to this instance: it has received a configuration and servers, and is
     /// not stopping.
     bool isReady() const;
-    /// Drains: accepts requests for a part of the grace period, finishes those in progress, waits until the callers' sides have taken
-    /// the responses, then calls \p done. It is called StopMargin before the end of the grace period at the latest. Further calls of
-    /// this function have no effect.
+    /// Drains: accepts requests for a part of the grace period, but only those whose deadline lies before its end, finishes those in
+    /// progress, waits until the callers' sides have taken the responses, then calls \p done. It is called StopMargin before the end of
+    /// the grace period at the latest. Further calls of this function have no effect.
     void stop(std::function<void()> done);
     /// Time since the routing state was last confirmed to be up to date; absent before the first confirmation.
     std::optional<Duration> stateAge() const;
@@ -50,6 +52,8 @@
     void apply(const Coordination::FeedUpdate &update);
     void applyLimits(const Routing::CallerLimits &limits);
     void checkStopped();
+    /// When the requests that are still in progress are answered.
+    Instant lastAnswerAt() const;
 
     Net::EventLoop &m_loop;
     GatewaySettings m_settings;
--- a/packages/gateway/gateway/requestrun.cpp
+++ b/packages/gateway/gateway/requestrun.cpp
@@ -66,6 +66,9 @@
             self->onDeadlineExpired();
         }
     });
+    if (rejectIfStopping()) {
+        return;
+    }
     if (m_exchange->isBodyComplete()) {
         select();
         return;
@@ -160,6 +163,17 @@
     return true;
 }
 
+bool RequestRunner::Run::rejectIfStopping()
+{
+    if (!m_runner.m_lastDeadline || m_deadline <= *m_runner.m_lastDeadline || m_mayHaveRun) {
+        return false;
+    }
+    ++m_runner.m_counters.rejectedByStop;
+    leaveQueue();
+    reject("entry_stopping", ShortRetryAfter);
+    return true;
+}
+
 void RequestRunner::Run::recordRunToEnd()
 {
     if (isSuspected() && isWhole() && m_runner.m_crashes.crashes(mark()) > 0) {
@@ -363,7 +377,7 @@
         onDeadlineExpired();
         return;
     }
-    if (rejectIfHeldBack()) {
+    if (rejectIfHeldBack() || rejectIfStopping()) {
         return;
     }
     if (!mayResend()) {
@@ -621,15 +635,29 @@
 void RequestRunner::Run::onDeadlineExpired()
 {
     m_deadlineTimer = 0;
+    endWithoutResponse("deadline");
+    m_runner.m_counters.timedOut += m_mayHaveRun ? 1 : 0;
+}
+
+void RequestRunner::Run::endByStop()
+{
+    if (m_isFinished) {
+        return;
+    }
+    ++m_runner.m_counters.endedByStop;
+    endWithoutResponse("entry_stopped");
+}
+
+void RequestRunner::Run::endWithoutResponse(const char *reason)
+{
     if (m_attempt != nullptr) {
         m_mayHaveRun = m_mayHaveRun || m_attempt->isSent();
         endAttempt(AttemptResult::TimedOut);
     }
     if (m_mayHaveRun) {
-        ++m_runner.m_counters.timedOut;
-        fail(504, "deadline");
+        fail(504, reason);
     } else {
-        reject("deadline", ShortRetryAfter);
+        reject(reason, ShortRetryAfter);
     }
 }
 
--- a/packages/gateway/gateway/requestrun.h
+++ b/packages/gateway/gateway/requestrun.h
@@ -21,6 +21,8 @@
     bool hasTried(const ServerId &server) const;
     /// Sends the request now that a server is known to be free; \p reason states how this is known, for the log line.
     void onSlotAvailable(const char *reason);
+    /// Ends the request with an honest outcome, as this entry ends.
+    void endByStop();
 
 private:
     Duration sinceStart() const;
@@ -46,6 +48,8 @@
     Duration holdTime();
     /// Rejects the request if it is held back because it has crashed servers.
     bool rejectIfHeldBack();
+    /// Rejects the request if this entry may end before it. Not if it may have run: then another server may still answer in time.
+    bool rejectIfStopping();
     /// Records that a server has run the request to an end, which clears it.
     void recordRunToEnd();
     /// Probes the servers with the best scores, and sends the request as soon as one of them is known to be free. While the body is
@@ -82,6 +86,8 @@
     void endAttempt(AttemptResult result);
     void onCallerDisconnected();
     void onDeadlineExpired();
+    /// Ends the request without waiting for a response any longer: with an unknown outcome if it may have run, else with a rejection.
+    void endWithoutResponse(const char *reason);
     void forwardResponse(Http::Response response);
     void fail(unsigned status, const char *reason);
     /// \p callerWait: when the caller should retry.
--- a/packages/gateway/gateway/requestrunner.cpp
+++ b/packages/gateway/gateway/requestrunner.cpp
@@ -73,6 +73,23 @@
     m_prober.setEntryCount(count);
 }
 
+void RequestRunner::rejectBeyond(Instant end)
+{
+    m_lastDeadline = end;
+}
+
+void RequestRunner::endRequests()
+{
+    for (const WaitingExchange &it : std::exchange(m_waitingForConfig, {})) {
+        m_loop.cancel(it.timer);
+        rejectWithoutConfig(it.exchange);
+    }
+    const auto runs = m_runs;
+    for (const auto &it : runs) {
+        it->endByStop();
+    }
+}
+
 void RequestRunner::handle(const Http::ExchangePointer &exchange)
 {
     ++m_counters.received;
@@ -188,6 +205,8 @@
         { "limited", m_counters.limited },
         { "excluded", m_counters.excluded },
         { "held_back", m_counters.heldBack },
+        { "rejected_by_stop", m_counters.rejectedByStop },
+        { "ended_by_stop", m_counters.endedByStop },
         { "server_crashed", m_crashes.checks().crashes() },
         { "connection_reset", m_crashes.checks().alive() },
         { "attempt", m_counters.attempts },
--- a/packages/gateway/gateway/requestrunner.h
+++ b/packages/gateway/gateway/requestrunner.h
@@ -2,6 +2,7 @@
 
 #include <list>
 #include <memory>
+#include <optional>
 #include <set>
 
 #include "gateway/crashwatch.h"
@@ -47,6 +48,10 @@
     std::uint64_t excluded = 0;
     /// Rejected requests that have crashed servers.
     std::uint64_t heldBack = 0;
+    /// Rejected requests that could have outlasted the stop of this entry.
+    std::uint64_t rejectedByStop = 0;
+    /// Requests that were in progress when this entry ended.
+    std::uint64_t endedByStop = 0;
 };
 
 /// Serves the requests of callers: finds the route, chooses servers, sends attempts within the limits of the route and the
@@ -64,6 +69,11 @@
     void setConfig(const Routing::RoutingConfig &config);
     bool hasConfig() const;
     void setEntryCount(unsigned count);
+    /// Announces the end of this entry: from now on, a request whose deadline lies after \p end is not passed on. The servers are free
+    /// to use all the time until the deadline, so such a request could be cut without an answer.
+    void rejectBeyond(Instant end);
+    /// Answers every request in progress, as the entry ends: with an unknown outcome where it may have run.
+    void endRequests();
     void handle(const Http::ExchangePointer &exchange);
     /// Closes the idle connections to servers that have left.
     void retire(const std::vector<ServerId> &servers);
@@ -105,6 +115,8 @@
     SplitChooser m_splits;
     std::unique_ptr<Routing::RouteTable> m_routes;
     Instant m_createdAt;
+    /// The latest deadline of the requests that are passed on; set while this entry stops.
+    std::optional<Instant> m_lastDeadline;
     std::list<WaitingExchange> m_waitingForConfig;
     Version m_version;
     std::map<ServiceId, RetryBudget> m_budgets;
--- a/packages/gateway/tests/cluster.cpp
+++ b/packages/gateway/tests/cluster.cpp
@@ -15,43 +15,24 @@
 constexpr std::uint16_t FirstCorePort = 28440;
 constexpr std::uint16_t FirstEntryPort = 28450;
 constexpr Duration AnnouncementInterval = std::chrono::milliseconds(1000);
-constexpr std::chrono::milliseconds CallerPatience(2000);
 
 InstanceId coreName(std::size_t number)
 {
     return InstanceId("127.0.0.1:" + std::to_string(FirstCorePort + number));
 }
 
-Routing::ConfigChange makeConfig(Routing::RequestKind kind, unsigned maxAttempts, std::uint64_t version)
-{
-    Routing::Route route;
-    route.name = std::string("r");
-    route.host = "h";
-    route.prefix = "/";
-    route.kind = kind;
-    route.maxAttempts = maxAttempts;
-    route.objective = std::chrono::milliseconds(200);
-    route.timeout = std::chrono::milliseconds(1000);
-    route.split = { { ServiceId("desk"), 1 } };
-    Routing::ConfigChange change;
-    change.version = Version(version);
-    change.base = Version(version - 1);
-    change.config.version = Version(version);
-    change.config.routes = { route };
-    change.config.services = { { ServiceId("desk"), "/health", 0, "" } };
-    return change;
-}
-
 }
 
 Cluster::Cluster(Size size, Routing::RequestKind kind, unsigned maxAttempts)
     : m_kind(kind)
     , m_maxAttempts(maxAttempts)
+    , m_timeout(size.timeout)
+    , m_slots(size.slots)
 {
     startCore(size.core);
     runFor(std::chrono::seconds(3));
     bool isAccepted = false;
-    core.front()->submit(makeConfig(kind, maxAttempts, m_version), [&](const Result<void> &result) { isAccepted = result.has_value(); });
+    core.front()->submit(makeConfig(), [&](const Result<void> &result) { isAccepted = result.has_value(); });
     for (std::size_t n = 0; n < size.servers; ++n) {
         servers.push_back(std::make_unique<ScriptedServer>(loop, n));
     }
@@ -64,6 +45,26 @@
     REQUIRE(std::all_of(entries.begin(), entries.end(), [](const auto &it) { return it->isReady(); }));
 }
 
+Routing::ConfigChange Cluster::makeConfig() const
+{
+    Routing::Route route;
+    route.name = std::string("r");
+    route.host = "h";
+    route.prefix = "/";
+    route.kind = m_kind;
+    route.maxAttempts = m_maxAttempts;
+    route.objective = std::chrono::milliseconds(200);
+    route.timeout = m_timeout;
+    route.split = { { ServiceId("desk"), 1 } };
+    Routing::ConfigChange change;
+    change.version = Version(m_version);
+    change.base = Version(m_version - 1);
+    change.config.version = Version(m_version);
+    change.config.routes = { route };
+    change.config.services = { { ServiceId("desk"), "/health", 0, "" } };
+    return change;
+}
+
 void Cluster::startCore(std::size_t count)
 {
     std::vector<InstanceId> names;
@@ -113,7 +114,7 @@
         server.address = it->address.text();
         server.service = ServiceId("desk");
         server.dataCentre = DataCentreId("north");
-        server.slots = Slots;
+        server.slots = m_slots;
         server.born = it->born;
         server.sequence = 1;
         core.front()->announce(server, [](const Result<void> &) {});
@@ -170,7 +171,7 @@
     });
     call->stream->onEnd([this, weak](Net::StreamEnd) { count(weak.lock(), 0); });
     call->stream->write("POST " + path + " HTTP/1.1\r\nHost: h\r\nx-id: id" + std::to_string(++m_sent)
-                        + "\r\nx-wait: " + std::to_string(CallerPatience.count()) + "\r\nContent-Length: " + std::to_string(body.size())
+                        + "\r\nx-wait: " + std::to_string(callerPatience.count()) + "\r\nContent-Length: " + std::to_string(body.size())
                         + "\r\n\r\n" + body);
 }
 
@@ -184,8 +185,8 @@
 void Cluster::changeConfig()
 {
     bool isAccepted = false;
-    core.front()->submit(makeConfig(m_kind, m_maxAttempts, ++m_version),
-                         [&](const Result<void> &result) { isAccepted = result.has_value(); });
+    ++m_version;
+    core.front()->submit(makeConfig(), [&](const Result<void> &result) { isAccepted = result.has_value(); });
     runFor(std::chrono::seconds(1));
     REQUIRE(isAccepted);
 }
--- a/packages/gateway/tests/cluster.h
+++ b/packages/gateway/tests/cluster.h
@@ -22,6 +22,10 @@
         std::size_t servers = 3;
         /// The grace period of the entries.
         Duration grace = std::chrono::seconds(6);
+        /// The timeout of the only route.
+        Duration timeout = std::chrono::milliseconds(1000);
+        /// The slots that each server announces.
+        std::size_t slots = Slots;
     };
 
     /// Starts all instances and runs until every entry is ready. Requests of the only route are sent to all servers.
@@ -43,6 +47,8 @@
     /// When servers received requests for this path, in order.
     std::vector<Instant> arrivals(const std::string &path) const;
 
+    /// The time that callers state to wait.
+    std::chrono::milliseconds callerPatience { 2000 };
     ManualClock clock;
     Net::EventLoop loop { clock };
     SeededRandom random { 4 };
@@ -67,8 +73,12 @@
     void sendNext();
     void count(const std::shared_ptr<Call> &call, unsigned status);
 
+    Routing::ConfigChange makeConfig() const;
+
     Routing::RequestKind m_kind;
     unsigned m_maxAttempts;
+    Duration m_timeout;
+    std::size_t m_slots;
     std::uint64_t m_version = 1;
     Duration m_callInterval {};
     std::size_t m_sent = 0;
--- a/packages/gateway/tests/requestrunnertest.cpp
+++ b/packages/gateway/tests/requestrunnertest.cpp
@@ -578,3 +578,22 @@
     loop.run();
     CHECK(failures == 0);
 }
+
+// Guards against a request that is sent to another server although the entry ends before its deadline: it was accepted before the stop.
+TEST_CASE("a request that a server turned away is not sent again by an entry that ends before its deadline")
+{
+    const bool isStopping = GENERATE(false, true);
+    Fixture fixture(2);
+    fixture.configure(Routing::RequestKind::Unsafe);
+    fixture.setAll(Behaviour::Shed);
+    for (auto &it : fixture.backends) {
+        it->work = std::chrono::milliseconds(50);
+    }
+    fixture.loop.after(std::chrono::milliseconds(20), [&] {
+        if (isStopping) {
+            fixture.runner.rejectBeyond(fixture.loop.now() + std::chrono::milliseconds(200));
+        }
+    });
+    CHECK(fixture.call(280).starts_with("HTTP/1.1 503"));
+    CHECK(fixture.requests() == (isStopping ? 1U : 2U));
+}
