Refuse calls that could outlast the stop of the product's own daemon

From SIGTERM until the max-age of the directory and a second had passed, the daemon accepted every call; those whose server was at work at the end of the drain time lost their connection without an answer.

Cause: a call was accepted without comparing its deadline with the end of the drain time, in the call engine and where an action is forwarded to the owner of its key.

Change: the end is known when the stop begins. The engine refuses calls whose deadline lies later with EntryStopping (not run). Actions whose key belongs to another entry are not claimed or forwarded then; their outcome is "unknown", since an earlier request with that key may have run.

--- a/packages/daemon/daemon/actiondispatcher.cpp
+++ b/packages/daemon/daemon/actiondispatcher.cpp
@@ -55,17 +55,29 @@
     case Actions::KeyOwnership::Unclaimed:
         break;
     }
-    // An earlier request with this key may have been claimed and run by another entry.
+    // An earlier request with this key may have been claimed and run by another entry, so "not run" is not certain.
     return withoutResponse(Outcome::Unknown, ResultCode::KeyOwnerUnreachable);
 }
 
+void ActionDispatcher::rejectBeyond(Instant end)
+{
+    m_lastDeadline = end;
+}
+
+bool ActionDispatcher::mayOutlastStop(Instant deadline) const
+{
+    return m_lastDeadline && deadline > *m_lastDeadline;
+}
+
 CallEnd ActionDispatcher::forward(HttpRequest &request, const CallerInput &input, const InstanceId &owner, Instant deadline)
 {
     CallEnd unreachable = withoutResponse(Outcome::Unknown, ResultCode::KeyOwnerUnreachable);
     std::optional<std::string> address;
     {
         const std::lock_guard lock(m_lock);
-        address = callerAddressOf(owner);
+        if (!mayOutlastStop(deadline)) {
+            address = callerAddressOf(owner);
+        }
     }
     // A call is forwarded at most once, so that two entries that disagree about an owner never pass it back and forth.
     if (!address || !input.forwardedBy.empty()) {
@@ -101,7 +113,7 @@
     }
     {
         const std::lock_guard lock(m_lock);
-        if (!m_registry.canClaim()) {
+        if (!m_registry.canClaim() || mayOutlastStop(deadline)) {
             return Actions::KeyOwnership::Unclaimed;
         }
     }
--- a/packages/daemon/daemon/actiondispatcher.h
+++ b/packages/daemon/daemon/actiondispatcher.h
@@ -29,11 +29,15 @@
 
     /// Blocks until the action has ended; call it without the lock. \p input has an action key.
     CallEnd run(HttpRequest &request, CallerInput &input, Instant deadline);
+    /// From now on, actions whose deadline lies after \p end are neither claimed nor forwarded, as this entry could not pass on their
+    /// responses. Call it with the lock.
+    void rejectBeyond(Instant end);
 
 private:
     CallEnd forward(HttpRequest &request, const CallerInput &input, const InstanceId &owner, Instant deadline);
     Actions::KeyOwnership claim(const CallerInput &input, InstanceId &owner, Instant deadline);
     std::optional<std::string> callerAddressOf(const InstanceId &instance) const;
+    bool mayOutlastStop(Instant deadline) const;
 
     ClusterNode &m_cluster;
     Actions::ActionRegistry &m_registry;
@@ -42,6 +46,8 @@
     std::mutex &m_lock;
     const Clock &m_clock;
     RunLocally m_runLocally;
+    /// Set while this entry stops; guarded by the lock.
+    std::optional<Instant> m_lastDeadline;
 };
 
 }
--- a/packages/daemon/daemon/daemon.cpp
+++ b/packages/daemon/daemon/daemon.cpp
@@ -161,7 +161,7 @@
     m_log.info("stopping");
     const Instant deadline = m_clock.now() + m_settings.timings.drain;
     if (m_entry) {
-        m_entry->beginStop();
+        m_entry->beginStop(deadline);
         std::this_thread::sleep_for(m_settings.timings.directoryMaxAge + MaxAgeGrace);
         m_callers.closeAfterReplies();
         m_entry->stopAccepting();
--- a/packages/daemon/daemon/entrynode.cpp
+++ b/packages/daemon/daemon/entrynode.cpp
@@ -25,6 +25,8 @@
 // A contract with a long deadline delays the baseline share of a new entry by that deadline. After this time the entry is
 // listed nevertheless and serves with leased shares only.
 constexpr Duration MaxUnlistedTime = std::chrono::seconds(30);
+// Calls end at their deadline or up to 50 ms later, when they were forwarded; the rest is for the reply to reach the caller.
+constexpr Duration StopReplyTime = std::chrono::milliseconds(200);
 constexpr Duration HousekeepingInterval = std::chrono::milliseconds(100);
 
 Entry::EngineConfig engineConfig(const Settings::DaemonSettings &settings)
@@ -152,11 +154,13 @@
     sendWaitReports(now);
 }
 
-void EntryNode::beginStop()
+void EntryNode::beginStop(Instant end)
 {
     const Instant now = m_clock.now();
     const std::lock_guard lock(m_lock);
     m_isStopping = true;
+    m_engine.rejectBeyond(end - StopReplyTime);
+    m_actions.rejectBeyond(end - StopReplyTime);
     updateSelf(now);
     m_cluster.gossip().leave(now);
     m_cluster.flush(now);
--- a/packages/daemon/daemon/entrynode.h
+++ b/packages/daemon/daemon/entrynode.h
@@ -48,8 +48,8 @@
     /// The latest time of the next tick(). A call that makes it earlier notifies the WakeUpTimer.
     Instant nextTick(Instant now);
 
-    /// Leaves the directory; calls are still served.
-    void beginStop();
+    /// Leaves the directory; calls are still served, but only those whose deadline lies before \p end, when the process ends.
+    void beginStop(Instant end);
     /// Refuses new calls from now on.
     void stopAccepting();
     std::size_t callsInProgress() const;
--- a/packages/daemon/tests/entryprocesstest.cpp
+++ b/packages/daemon/tests/entryprocesstest.cpp
@@ -126,6 +126,38 @@
     REQUIRE(report.wrongBodies == 0);
 }
 
+// Guards against calls that are accepted in a graceful stop and cut off at its end: locally, and at the owner of their key.
+TEST_CASE("a stopping entry cuts no call that it has accepted", "[daemon][process]")
+{
+    using Clock = std::chrono::steady_clock;
+    constexpr int DrainSeconds = 3;
+    Cluster cluster(2, { .drainSeconds = DrainSeconds });
+    cluster.startServer({ "--service_time_us=3000", "--slots=50" });
+    const std::string scopes[] = { cluster.keyScope(0), cluster.keyScope(1) };
+    cluster.entry(1).process->signal(SIGTERM);
+    std::vector<std::future<HttpAnswer>> answers;
+    const auto end = Clock::now() + std::chrono::milliseconds(1900);
+    for (int n = 0; Clock::now() < end; ++n) {
+        answers.push_back(std::async(std::launch::async, [&cluster, n, key = scopes[n % 2] + ":late-" + std::to_string(n)] {
+            return cluster.action(1, key, { { BehaviourHeader, "slow=1800" } }, 2000);
+        }));
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    std::map<std::string, int> outcomes;
+    for (auto &it : answers) {
+        const HttpAnswer answer = it.get();
+        ++outcomes[answer.status == 0 ? "cut" : answer.outcome + " " + std::to_string(answer.code)];
+    }
+    REQUIRE(cluster.entry(1).process->wait() == 0);
+    std::string text;
+    for (const auto &[outcome, count] : outcomes) {
+        text += outcome + ": " + std::to_string(count) + ", ";
+    }
+    INFO(text);
+    REQUIRE(outcomes["cut"] == 0);
+    REQUIRE(outcomes["not-run 108"] > 0);
+}
+
 // Guards against calls that are lost when a server drains (P6) and against new work for it (P5).
 TEST_CASE("a server drains under load without losing a call", "[daemon][process]")
 {
--- a/packages/daemon/tests/processfixture.cpp
+++ b/packages/daemon/tests/processfixture.cpp
@@ -46,14 +46,14 @@
 /// \p listen is the address where the instance accepts peers, \p advertised the address that it announces to them when it
 /// differs.
 std::string settingsText(const std::string &name, bool isControl, const std::string &controlAddress, const std::string &listen,
-                         const std::string &advertised, int freshnessLimitMs)
+                         const std::string &advertised, const ClusterOptions &options)
 {
     std::string text = "[instance]\nid = \"" + name + "\"\ndata_centre = \"dc1\"\nroles = [\"entry\"" + (isControl ? ", \"control\"" : "")
         + "]\n[cluster]\nid = \"test\"\nkey_file = \"key\"\n[listen]\ncallers = \"127.0.0.1:0\"\noperators = \"127.0.0.1:0\"\npeers = \""
         + listen + "\"\n" + (advertised.empty() ? "" : "[advertise]\npeers = \"" + advertised + "\"\n")
         + "[operators]\ntoken_file = \"token\"\n[log]\nthreshold = \"error\"\n"
-        + "[timings]\nelection_timeout_ms = 300\nheartbeat_ms = 100\nfreshness_limit_ms = " + std::to_string(freshnessLimitMs)
-        + "\ndirectory_max_age_s = 1\ndrain_s = 60\n"
+        + "[timings]\nelection_timeout_ms = 300\nheartbeat_ms = 100\nfreshness_limit_ms = " + std::to_string(options.freshnessLimitMs)
+        + "\ndirectory_max_age_s = 1\ndrain_s = " + std::to_string(options.drainSeconds) + "\n"
         + "server_lease_ms = 5000\n[limits]\nheader_bytes = 4096\nbody_bytes = 65536\nconnections = 64\n[control]\n";
     if (isControl) {
         text += "data_folder = \"data\"\nbootstrap = true\n";
@@ -213,14 +213,13 @@
 {
     const std::string name = "e" + std::to_string(number);
     const std::string path = m_folder.path() + "/" + name + ".toml";
-    const int limit = m_options.freshnessLimitMs;
     std::string text;
     if (m_relayToLast && number + 1 == m_entryCount) {
         const std::string listen = freeAddress();
         m_relayToLast->setTarget(listen);
-        text = settingsText(name, false, m_relayToControl->address(), listen, m_relayToLast->address(), limit);
+        text = settingsText(name, false, m_relayToControl->address(), listen, m_relayToLast->address(), m_options);
     } else {
-        text = settingsText(name, number == 0, m_controlAddress, number == 0 ? m_controlAddress : "127.0.0.1:0", {}, limit);
+        text = settingsText(name, number == 0, m_controlAddress, number == 0 ? m_controlAddress : "127.0.0.1:0", {}, m_options);
     }
     writeFile(path, text + m_options.extraSettings);
     Entry entry;
--- a/packages/daemon/tests/processfixture.h
+++ b/packages/daemon/tests/processfixture.h
@@ -74,6 +74,8 @@
     /// All traffic between the last entry and its peers passes through Cluster::relayToLast(), and its requests to
     /// control pass through Cluster::relayToControl().
     bool isRelayed = false;
+    /// The longest time of a graceful stop.
+    int drainSeconds = 60;
 };
 
 /// Entries on loopback, the first of which is also the only control instance, and a contract for customer "abyssinia" and
--- a/packages/entry/entry/callengine.cpp
+++ b/packages/entry/entry/callengine.cpp
@@ -73,6 +73,11 @@
     return m_servers.recordProbe(server, isHealthy, at);
 }
 
+void CallEngine::rejectBeyond(Instant end)
+{
+    m_lastDeadline = end;
+}
+
 void CallEngine::stopAccepting()
 {
     m_isStopping = true;
@@ -115,7 +120,7 @@
 
 std::optional<ResultCode> CallEngine::refusalBeforeAdmission(const CallRequest &request, Instant now) const
 {
-    if (m_isStopping) {
+    if (m_isStopping || (m_lastDeadline && request.deadline > *m_lastDeadline)) {
         return ResultCode::EntryStopping;
     }
     if (m_freshness.isFenced(now)) {
--- a/packages/entry/entry/callengine.h
+++ b/packages/entry/entry/callengine.h
@@ -100,6 +100,8 @@
     /// Processes the waits reported by another entry.
     void receiveWaitReports(const InstanceId &sender, const std::vector<WaitReport> &reports, Instant now);
 
+    /// Refuses every further call whose deadline lies after \p end, as this entry ends then, with EntryStopping.
+    void rejectBeyond(Instant end);
     /// Refuses every further call with EntryStopping; accepted calls continue.
     void stopAccepting();
 
@@ -199,6 +201,8 @@
     AttemptId m_lastAttempt;
     EngineCounters m_counters;
     Instant m_nextWaitReports = Instant::min();
+    /// Set while the entry stops.
+    std::optional<Instant> m_lastDeadline;
     bool m_isStopping = false;
 };
 
--- a/packages/entry/tests/callenginetest.cpp
+++ b/packages/entry/tests/callenginetest.cpp
@@ -113,6 +113,8 @@
     { "fenced", [](EngineFixture &it) { it.isFenced = true; }, ResultCode::EntryFenced },
     { "late", [](EngineFixture &it) { it.clock.advance(1s); }, ResultCode::DeadlineExpired },
     { "stopping", [](EngineFixture &it) { it.engine->stopAccepting(); }, ResultCode::EntryStopping },
+    { "deadline after the end of the entry", [](EngineFixture &it) { it.engine->rejectBeyond(it.clock.now() + 1ms); },
+      ResultCode::EntryStopping },
     { "draining servers",
       [](EngineFixture &it) {
           for (const char *id : { "a", "b", "c" }) {
