Start the core although processes end during its first start

What operators and callers saw: the seed with the lowest name ended during the first start, as its disk was full or as it was killed, and came back at once.

Cause: only the lowest seed may start the cluster, and only if its settings permit a first start. The platform does not permit it to a process that it starts again, so the permission was lost with the process that held it.

Change: an answer to a join request says whether its sender may start the cluster. A seed starts it when all other seeds are empty, those with lower names may not, and none has heard of a started cluster. A store keeps the permission, with a digest of the seeds, from its creation, so it outlives the process; it counts while the store is unused. Older builds say nothing and count as permitted, so a mixed start has no two starters.

--- a/packages/control/control/disklogstore.cpp
+++ b/packages/control/control/disklogstore.cpp
@@ -13,6 +13,7 @@
 constexpr const char *IdentityFile = "identity";
 constexpr const char *SnapshotFile = "snapshot";
 constexpr const char *LogFile = "log";
+constexpr const char *FirstStartFile = "first-start";
 
 tl::unexpected<Error> corrupt(const std::string &detail)
 {
@@ -25,6 +26,29 @@
     out.insert(out.end(), record.begin(), record.end());
 }
 
+Bytes encodeNumber(std::uint64_t value)
+{
+    Bytes payload(sizeof(std::uint64_t));
+    for (std::size_t n = 0; n < payload.size(); ++n) {
+        payload[payload.size() - 1 - n] = static_cast<std::uint8_t>(value >> (8U * n));
+    }
+    return payload;
+}
+
+/// The number in a file with one record; absent if the file is damaged.
+std::optional<std::uint64_t> decodeNumber(const Bytes &content, RecordType type)
+{
+    const std::optional<Record> record = readRecord(content);
+    if (!record || record->type != type || record->payload.size() != sizeof(std::uint64_t)) {
+        return std::nullopt;
+    }
+    std::uint64_t value = 0;
+    for (const std::uint8_t byte : record->payload) {
+        value = (value << 8U) | byte;
+    }
+    return value;
+}
+
 /// The log is as createFiles() writes it: one record with the initial hard state.
 bool isUnusedLog(const Bytes &content)
 {
@@ -38,8 +62,9 @@
 
 }
 
-DiskLogStore::DiskLogStore(std::filesystem::path folder, Disk &disk)
+DiskLogStore::DiskLogStore(std::filesystem::path folder, Disk &disk, std::uint64_t firstStart)
     : m_folder(std::move(folder), disk)
+    , m_firstStart(firstStart)
     , m_log(disk)
 {
 }
@@ -56,7 +81,8 @@
     }
     StoreContents contents;
     contents.incarnation = *incarnation;
-    const Result<void> done = loadSnapshot(contents).and_then([&] { return loadLog(contents); });
+    const Result<void> done =
+        loadFirstStart(contents).and_then([&] { return loadSnapshot(contents); }).and_then([&] { return loadLog(contents); });
     if (!done) {
         return tl::make_unexpected(done.error());
     }
@@ -80,15 +106,11 @@
     if (!*content) {
         return createFiles();
     }
-    const std::optional<Record> record = readRecord(**content);
-    if (!record || record->type != RecordType::Identity || record->payload.size() != sizeof(std::uint64_t)) {
+    const std::optional<std::uint64_t> value = decodeNumber(**content, RecordType::Identity);
+    if (!value) {
         return corrupt("the identity file is damaged");
     }
-    std::uint64_t value = 0;
-    for (const std::uint8_t byte : record->payload) {
-        value = (value << 8U) | byte;
-    }
-    return Incarnation(value);
+    return Incarnation(*value);
 }
 
 Result<Incarnation> DiskLogStore::createFiles()
@@ -101,18 +123,36 @@
     // The identity is written last, so that a folder with an identity always has a log, and a folder without one was never used:
     // load() returns nothing before. A creation that was interrupted is begun anew, with a new identity.
     const Incarnation incarnation = makeIncarnation();
-    Bytes payload(sizeof(std::uint64_t));
-    for (std::size_t n = 0; n < payload.size(); ++n) {
-        payload[payload.size() - 1 - n] = static_cast<std::uint8_t>(incarnation.value() >> (8U * n));
+    Result<void> done;
+    if (m_firstStart != 0) {
+        done = m_folder.replace(FirstStartFile, encodeRecord(RecordType::FirstStart, 0, encodeNumber(m_firstStart)));
     }
-    const Result<void> done =
-        rewriteLog({}).and_then([&] { return m_folder.replace(IdentityFile, encodeRecord(RecordType::Identity, 0, payload)); });
+    done = done.and_then([&] { return rewriteLog({}); }).and_then([&] {
+        return m_folder.replace(IdentityFile, encodeRecord(RecordType::Identity, 0, encodeNumber(incarnation.value())));
+    });
     if (!done) {
         return tl::make_unexpected(done.error());
     }
     return incarnation;
 }
 
+Result<void> DiskLogStore::loadFirstStart(StoreContents &contents) const
+{
+    const auto content = m_folder.read(FirstStartFile);
+    if (!content) {
+        return tl::make_unexpected(content.error());
+    }
+    if (!*content) {
+        return {};
+    }
+    const std::optional<std::uint64_t> value = decodeNumber(**content, RecordType::FirstStart);
+    if (!value) {
+        return corrupt("the file with the permission of the first start is damaged");
+    }
+    contents.firstStart = *value;
+    return {};
+}
+
 Result<void> DiskLogStore::loadSnapshot(StoreContents &contents) const
 {
     const auto content = m_folder.read(SnapshotFile);
--- a/packages/control/control/disklogstore.h
+++ b/packages/control/control/disklogstore.h
@@ -18,11 +18,13 @@
 /// write.
 ///
 /// Each write can be interrupted between any two operations on the disk. The identity is written last at the creation, so a store
-/// without an identity is created anew, with a new one, unless its files show that it was used.
+/// without an identity is created anew, with a new one, unless its files show that it was used. The permission of a first start is
+/// written before, and stays in a store whose creation was interrupted.
 class DiskLogStore final : public LogStore
 {
 public:
-    explicit DiskLogStore(std::filesystem::path folder, Disk &disk = systemDisk());
+    /// \p firstStart is kept in the store if it is created now.
+    explicit DiskLogStore(std::filesystem::path folder, Disk &disk = systemDisk(), std::uint64_t firstStart = 0);
 
     Result<StoreContents> load() override;
     Result<void> writeHardState(const HardState &state) override;
@@ -36,12 +38,14 @@
 private:
     Result<Incarnation> loadIdentity();
     Result<Incarnation> createFiles();
+    Result<void> loadFirstStart(StoreContents &contents) const;
     Result<void> loadSnapshot(StoreContents &contents) const;
     Result<void> loadLog(StoreContents &contents);
     Result<void> replay(const Record &record, StoreContents &contents) const;
     Result<void> rewriteLog(std::span<const LogEntry> entries);
 
     DataFolder m_folder;
+    std::uint64_t m_firstStart;
     AppendFile m_log;
     HardState m_hardState;
     Bytes m_buffer;
--- a/packages/control/control/logstore.h
+++ b/packages/control/control/logstore.h
@@ -18,6 +18,8 @@
     SnapshotPointer snapshot;
     /// Consecutive; may begin before the index of the snapshot.
     std::vector<LogEntry> entries;
+    /// The instances with which a first start of the cluster was permitted when the store was created, see firststart.h; 0 for none.
+    std::uint64_t firstStart = 0;
 
     /// Nothing was ever written.
     bool isUnused() const;
--- a/packages/control/control/raftcodec.cpp
+++ b/packages/control/control/raftcodec.cpp
@@ -121,6 +121,9 @@
     message.round = from.round();
     message.challenge = from.challenge();
     message.isEmpty = from.is_empty();
+    if (from.first_start() <= static_cast<std::uint8_t>(FirstStart::ClusterSeen)) {
+        message.firstStart = static_cast<FirstStart>(from.first_start());
+    }
     if (from.contacts() != nullptr) {
         for (const flatbuffers::String *it : *from.contacts()) {
             message.contacts.emplace_back(it->str());
@@ -175,6 +178,7 @@
     table.add_challenge(message.challenge);
     table.add_is_empty(message.isEmpty);
     table.add_contacts(contacts);
+    table.add_first_start(static_cast<std::uint8_t>(message.firstStart));
     return finish(builder, table.Finish());
 }
 
--- a/packages/control/control/raftjoin.cpp
+++ b/packages/control/control/raftjoin.cpp
@@ -19,14 +19,13 @@
                    Admission admission)
     : m_self(std::move(self))
     , m_peers(std::move(peers))
+    , m_isBootstrapPermitted(bootstrap)
     , m_interval(interval)
     , m_random(random)
     , m_admission(admission)
 {
     std::erase(m_peers, m_self.instance);
     m_firstPeers = m_peers;
-    const bool isLowest = std::all_of(m_peers.begin(), m_peers.end(), [this](const InstanceId &it) { return m_self.instance < it; });
-    m_isBootstrapCandidate = bootstrap && isLowest;
 }
 
 void RaftJoin::setPeers(std::vector<InstanceId> peers)
@@ -102,8 +101,30 @@
 bool RaftJoin::mayBootstrap(const View &view, Instant now) const
 {
     const bool isRoundOpen = m_round != 0 && now - m_roundStartedAt <= m_interval;
-    return m_isBootstrapCandidate && view.isEmpty && !m_hasSeenCluster && isRoundOpen
-        && std::all_of(m_firstPeers.begin(), m_firstPeers.end(), [this](const InstanceId &it) { return m_emptyInstances.contains(it); });
+    if (!m_isBootstrapPermitted || !view.isEmpty || m_hasSeenCluster || !isRoundOpen) {
+        return false;
+    }
+    const bool areAllEmpty =
+        std::all_of(m_firstPeers.begin(), m_firstPeers.end(), [this](const InstanceId &it) { return m_emptyInstances.contains(it); });
+    const bool isLowest =
+        std::all_of(m_firstPeers.begin(), m_firstPeers.end(), [this](const InstanceId &it) { return m_self.instance < it; });
+    return areAllEmpty && (isLowest || mayReplaceLowest());
+}
+
+bool RaftJoin::mayReplaceLowest() const
+{
+    return std::all_of(m_firstPeers.begin(), m_firstPeers.end(), [this](const InstanceId &it) {
+        const FirstStart answer = m_emptyInstances.at(it);
+        return answer == FirstStart::NotPermitted || (answer == FirstStart::Permitted && m_self.instance < it);
+    });
+}
+
+FirstStart RaftJoin::firstStart() const
+{
+    if (m_hasSeenCluster) {
+        return FirstStart::ClusterSeen;
+    }
+    return m_isBootstrapPermitted ? FirstStart::Permitted : FirstStart::NotPermitted;
 }
 
 std::vector<RaftMessage> RaftJoin::handleRequest(const RaftMessage &message, const View &view, Instant now)
@@ -111,6 +132,7 @@
     RaftMessage reply = makeMessage(RaftKind::JoinReply, message.from);
     reply.round = message.round;
     reply.isEmpty = view.isEmpty;
+    reply.firstStart = firstStart();
     reply.contacts = knownContacts(view, now);
     if (view.isLeader) {
         std::erase_if(m_issuedChallenges, [now](const auto &row) { return now - row.second.second.issuedAt > ChallengeLifetime; });
@@ -148,7 +170,7 @@
     if (!message.isEmpty) {
         m_hasSeenCluster = true;
     } else {
-        m_emptyInstances.insert(message.from.instance);
+        m_emptyInstances[message.from.instance] = message.firstStart;
     }
     return requests;
 }
--- a/packages/control/control/raftjoin.h
+++ b/packages/control/control/raftjoin.h
@@ -2,7 +2,6 @@
 
 #include <map>
 #include <optional>
-#include <set>
 #include <vector>
 
 #include "base/random.h"
@@ -24,10 +23,14 @@
 ///
 /// A cluster is started only when all of these hold:
 /// - the settings enable it (bootstrap), and the store was never used,
-/// - this instance has the lowest id of all control instances in the settings,
-/// - within one round, every other control instance in the settings of the start answered that its store is empty.
+/// - within one round, every other control instance in the settings of the start answered that its store is empty,
+/// - this instance has the lowest id of all these, or within the same round those with lower ids answered that their settings do not
+///   enable a start, and no instance answered that it has heard of a started cluster.
 ///
-/// The last condition distinguishes a lost disk from a first start: once the cluster was started, a majority of the other stores
+/// The settings enable a start only once, so an instance whose process ends during the first start, for example because its disk is
+/// full, comes back without the permission. The next one then takes its place.
+///
+/// The second condition distinguishes a lost disk from a first start: once the cluster was started, a majority of the other stores
 /// is not empty. Answers contain the number of the round, which is random and belongs to one store, and a round lasts 500 ms;
 /// late answers and answers to an earlier store are ignored. An answer "not empty" ends all attempts of this process. The cluster
 /// starts with one voter; the others join it as learners and are promoted one by one, as after a lost disk, and no change is
@@ -108,6 +111,9 @@
     /// Records the contacts in \p message; returns those that have not been asked yet.
     std::vector<InstanceId> recordReferrals(const RaftMessage &message, Instant now);
     bool isPeer(const InstanceId &instance) const;
+    FirstStart firstStart() const;
+    /// Whether the instances with lower ids cannot start the cluster themselves.
+    bool mayReplaceLowest() const;
     RaftMessage makeRequest(const InstanceId &to, const View &view);
     RaftMessage makeMessage(RaftKind kind, ReplicaId to) const;
 
@@ -115,14 +121,15 @@
     std::vector<InstanceId> m_peers;
     /// The instances whose answers a first start requires.
     std::vector<InstanceId> m_firstPeers;
-    bool m_isBootstrapCandidate;
+    bool m_isBootstrapPermitted;
     Duration m_interval;
     RandomSource &m_random;
     Admission m_admission;
     std::uint64_t m_round = 0;
     Instant m_roundStartedAt {};
     bool m_hasSeenCluster = false;
-    std::set<InstanceId> m_emptyInstances;
+    /// The answers of instances with empty stores in this round.
+    std::map<InstanceId, FirstStart> m_emptyInstances;
     std::map<InstanceId, Referral> m_referrals;
     /// Received challenges by the instance that issued them.
     std::map<InstanceId, std::uint64_t> m_receivedChallenges;
--- a/packages/control/control/rafttypes.h
+++ b/packages/control/control/rafttypes.h
@@ -102,6 +102,16 @@
     JoinReply,
 };
 
+/// What an instance without a log says about the first start of its cluster. Builds that do not say it count as permitted.
+enum class FirstStart : std::uint8_t {
+    /// It may start the cluster.
+    Permitted,
+    /// It may not, and has not heard of a cluster since its process started.
+    NotPermitted,
+    /// It has heard of a cluster that was started.
+    ClusterSeen,
+};
+
 /// A message between replicas. The meaning of the general fields depends on the kind.
 struct RaftMessage {
     RaftKind kind = RaftKind::Append;
@@ -139,6 +149,8 @@
     bool isEmpty = false;
     /// JoinReply: instances that the sender knows to be or to have been members; it includes itself if it is a member.
     std::vector<InstanceId> contacts;
+    /// JoinReply: see raftjoin.h.
+    FirstStart firstStart = FirstStart::Permitted;
 };
 
 /// Consecutive number of a write of a RaftCore.
--- a/packages/control/control/record.h
+++ b/packages/control/control/record.h
@@ -10,7 +10,7 @@
 {
 
 /// Kinds of records in the data folder. The numbers are part of the format.
-enum class RecordType : std::uint8_t { HardState = 1, Entry = 2, Snapshot = 3, Identity = 4 };
+enum class RecordType : std::uint8_t { HardState = 1, Entry = 2, Snapshot = 3, Identity = 4, FirstStart = 5 };
 
 /// Bytes before the payload: magic number, length, checksum, synced length, type.
 constexpr std::size_t RecordHeaderSize = 25;
--- a/packages/control/tests/raftjointest.cpp
+++ b/packages/control/tests/raftjointest.cpp
@@ -13,10 +13,10 @@
 
 constexpr Duration Interval = std::chrono::milliseconds(500);
 
-RaftJoin makeJoin(const std::string &name, RandomSource &random, std::uint64_t store = 7)
+RaftJoin makeJoin(const std::string &name, RandomSource &random, std::uint64_t store = 7, bool bootstrap = true)
 {
     const std::vector<InstanceId> peers { InstanceId("c1"), InstanceId("c2"), InstanceId("c3") };
-    return { ReplicaId { InstanceId(name), Incarnation(store) }, peers, true, Interval, random };
+    return { ReplicaId { InstanceId(name), Incarnation(store) }, peers, bootstrap, Interval, random };
 }
 
 constexpr RaftJoin::View EmptyView { false, false, false, true, nullptr };
@@ -224,3 +224,41 @@
     (void)starter.receive(other.receive(further.at(0), EmptyView, now).at(0), EmptyView, now);
     CHECK_FALSE(starter.mayBootstrap(EmptyView, now));
 }
+
+// Guards against a cluster that never starts because the process of the instance with the lowest id ended during the first start:
+// the settings of its next process do not permit a start.
+TEST_CASE("the next instance starts the cluster when the lowest one no longer may", "[join]")
+{
+    struct Row {
+        const char *name;
+        bool isLowestPermitted;
+        bool isThirdPermitted;
+        /// An instance that has heard of a started cluster; empty for none.
+        std::string informed;
+        bool isStarted;
+    };
+    const Row row =
+        GENERATE(Row { "the lowest may not", false, true, "", true }, Row { "the lowest may", true, true, "", false },
+                 Row { "no other may", false, false, "", true }, Row { "the lowest has seen a cluster", false, true, "c1", false },
+                 Row { "the third has seen a cluster", false, true, "c3", false });
+    CAPTURE(row.name);
+    SeededRandom random(1);
+    const Instant now {};
+    RaftJoin lowest = makeJoin("c1", random, 8, row.isLowestPermitted);
+    RaftJoin second = makeJoin("c2", random);
+    RaftJoin third = makeJoin("c3", random, 9, row.isThirdPermitted);
+    RaftJoin member = makeJoin("c2", random, 6);
+    for (RaftJoin *it : { &lowest, &third }) {
+        const std::vector<RaftMessage> requests = it->tick(EmptyView, now);
+        if (requests.at(0).from.instance.value() == row.informed) {
+            RaftMessage request = requests.at(row.informed == "c1" ? 0 : 1);
+            (void)it->receive(member.receive(request, MemberView, now).at(0), EmptyView, now);
+        }
+    }
+    const std::vector<RaftMessage> requests = second.tick(EmptyView, now);
+    (void)second.receive(lowest.receive(requests.at(0), EmptyView, now).at(0), EmptyView, now);
+    CHECK_FALSE(second.mayBootstrap(EmptyView, now));
+    (void)second.receive(third.receive(requests.at(1), EmptyView, now).at(0), EmptyView, now);
+    CHECK(second.mayBootstrap(EmptyView, now) == row.isStarted);
+    CHECK_FALSE(third.mayBootstrap(EmptyView, now));
+}
--- a/packages/control/tests/storeinterruptiontest.cpp
+++ b/packages/control/tests/storeinterruptiontest.cpp
@@ -426,3 +426,33 @@
         REQUIRE(loadCode(disk) == ResultCode::StoreCorrupt);
     }
 }
+
+// Guards against a permission of the first start that is lost with the process or the power, and against a store that cannot be opened
+// since its creation was interrupted while the permission was written.
+TEST_CASE("a store that was created keeps the permission of the first start", "[store]")
+{
+    constexpr std::uint64_t Permission = 5;
+    const Stop stop = GENERATE(Stop::Before, Stop::Within);
+    bool isCreated = false;
+    for (std::size_t n = 0; !isCreated; ++n) {
+        CAPTURE(n);
+        SimulatedDisk disk;
+        REQUIRE(disk.createFolder("/volume"));
+        disk.stopAfter(n, stop);
+        isCreated = DiskLogStore(DataPath, disk, Permission).load().has_value();
+        std::vector<SimulatedDisk> ends = disk.lossesOfPower();
+        ends.push_back(disk);
+        for (SimulatedDisk &it : ends) {
+            it.restart();
+            if (const bool isFolderLost = it.open("/volume", O_RDONLY | O_DIRECTORY) < 0; isFolderLost) {
+                continue;
+            }
+            const Result<StoreContents> contents = DiskLogStore(DataPath, it).load();
+            REQUIRE(contents);
+            CHECK(contents->isUnused());
+            CHECK((contents->firstStart == Permission || (contents->firstStart == 0 && !isCreated)));
+            it.restart();
+            CHECK(DiskLogStore(DataPath, it, 7).load()->firstStart == contents->firstStart);
+        }
+    }
+}
--- a/packages/coordination/coordination/replica.cpp
+++ b/packages/coordination/coordination/replica.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "control/codecs.h"
+#include "control/firststart.h"
 #include "routing/codec.h"
 
 namespace Galenabarrow::Coordination
@@ -28,6 +29,9 @@
     if (!contents) {
         return tl::make_unexpected(contents.error());
     }
+    if (contents->firstStart != 0 && contents->firstStart == firstStartDigest(settings.seeds)) {
+        settings.bootstrap = true; // an earlier process of this instance was permitted to start the cluster
+    }
     std::unique_ptr<Replica> replica(new Replica(std::move(settings), std::move(store), random, *contents, now));
     if (replica->m_storeFailure) {
         return tl::make_unexpected(*replica->m_storeFailure);
--- a/packages/coordination/coordination/replica.h
+++ b/packages/coordination/coordination/replica.h
@@ -24,7 +24,8 @@
     InstanceId instance;
     /// Addresses of the instances to contact first.
     std::vector<InstanceId> seeds;
-    /// Lets the seed with the lowest name start a new cluster; see raftjoin.h.
+    /// Lets this seed start a new cluster if no seed with a lower name may; see raftjoin.h. Also set if the store keeps a permission that
+    /// names the same seeds.
     bool bootstrap = false;
     /// Number of voters of a complete cluster. When there are more members, one that does not answer is removed.
     std::uint32_t voters = 3;
--- a/packages/coordination/tests/replicacluster.h
+++ b/packages/coordination/tests/replicacluster.h
@@ -40,14 +40,23 @@
 
     /// \p count replicas, all of which are seeds and voters.
     explicit Cluster(std::uint64_t seed, std::size_t count = 3)
+        : Cluster(seed, count, nullptr)
+    {
+        for (std::size_t n = 0; n < count; ++n) {
+            addEmpty(nameOf(n), true);
+        }
+    }
+
+    /// The same with stores of another kind; nothing is started yet.
+    Cluster(std::uint64_t seed, std::size_t count, std::function<std::unique_ptr<Control::LogStore>(const std::string &)> stores)
         : random(seed)
         , voterTarget(static_cast<std::uint32_t>(count))
     {
-        for (std::size_t n = 0; n < count; ++n) {
-            seeds.emplace_back(nameOf(n));
+        if (stores) {
+            openStore = std::move(stores);
         }
         for (std::size_t n = 0; n < count; ++n) {
-            addEmpty(nameOf(n), true);
+            seeds.emplace_back(nameOf(n));
         }
     }
 
@@ -63,6 +72,12 @@
     }
 
     void start(const std::string &name, bool isFirstStart = false)
+    {
+        REQUIRE(tryStart(name, isFirstStart));
+    }
+
+    /// Fails when the store cannot be opened.
+    Result<void> tryStart(const std::string &name, bool isFirstStart = false)
     {
         ReplicaSettings settings;
         settings.instance = InstanceId(name);
@@ -74,9 +89,11 @@
         settings.timing.election = std::chrono::milliseconds(700);
         settings.timing.firstElection = std::chrono::milliseconds(150);
         settings.timing.join = std::chrono::milliseconds(250);
-        auto replica = Replica::open(settings, std::make_unique<Control::MemoryLogStore>(nodes[name].disk), random, now);
-        REQUIRE(replica);
-        nodes[name].replica = std::move(*replica);
+        auto replica = Replica::open(settings, openStore(name), random, now);
+        if (replica) {
+            nodes[name].replica = std::move(*replica);
+        }
+        return replica.map([](const auto &) {});
     }
 
     void kill(const std::string &name)
@@ -221,6 +238,10 @@
     std::map<std::string, Duration> nodeDelays;
     /// When set, a copy of each message arrives this much later.
     Duration copyDelay {};
+    /// Opens the store of a node; the one on its memory disk by default.
+    std::function<std::unique_ptr<Control::LogStore>(const std::string &)> openStore = [this](const std::string &name) {
+        return std::make_unique<Control::MemoryLogStore>(nodes[name].disk);
+    };
     std::map<std::string, Node> nodes;
     std::deque<Message> inFlight;
     /// Nodes on one side of a partition.
