Deliver no event of a closed descriptor to its successor

What callers could see: a connection attempt that is taken for established, so that a request counts as sent ("outcome unknown") though nothing was.

Cause: the event loop looked watches up by descriptor. When a callback closes another ready connection and opens one, the system gives the new one the same number, and the event of the old one, for example a hang-up, reaches it in the same round. Watches had a generation for this, which nothing compared.

Evidence: the new test replaces a ready descriptor within the round; before the change the new watch got 1 event without data.

Change: the generation travels with the event and is compared. After: 0 events; the tests of net pass.

--- a/packages/net/net/eventloop.cpp
+++ b/packages/net/net/eventloop.cpp
@@ -17,6 +17,26 @@
 constexpr int MaxSleepMilliseconds = 1000;
 /// With a ManualClock: real time without an event after which sockets on loopback count as idle.
 constexpr int QuietMilliseconds = 2;
+constexpr unsigned GenerationShift = 32;
+
+epoll_event makeEvent(int fd, std::uint32_t generation, std::uint32_t events)
+{
+    epoll_event event {};
+    event.events = events;
+    event.data.u64 = (std::uint64_t { generation } << GenerationShift) | static_cast<std::uint32_t>(fd);
+    return event;
+}
+
+int descriptorOf(const epoll_event &event)
+{
+    return static_cast<int>(static_cast<std::uint32_t>(event.data.u64));
+}
+
+std::uint32_t generationOf(const epoll_event &event)
+{
+    return static_cast<std::uint32_t>(event.data.u64 >> GenerationShift);
+}
+
 }
 
 EventLoop::EventLoop()
@@ -60,9 +80,7 @@
 {
     auto watch = std::make_shared<Watch>(Watch { ++m_lastGeneration, std::move(callback) });
     m_watches[fd] = watch;
-    epoll_event event {};
-    event.events = events;
-    event.data.fd = fd;
+    epoll_event event = makeEvent(fd, watch->generation, events);
     if (epoll_ctl(m_epoll, EPOLL_CTL_ADD, fd, &event) != 0) {
         throw std::system_error(errno, std::generic_category(), "epoll_ctl");
     }
@@ -70,9 +88,11 @@
 
 void EventLoop::modify(int fd, std::uint32_t events)
 {
-    epoll_event event {};
-    event.events = events;
-    event.data.fd = fd;
+    const auto it = m_watches.find(fd);
+    if (it == m_watches.end()) {
+        return;
+    }
+    epoll_event event = makeEvent(fd, it->second->generation, events);
     epoll_ctl(m_epoll, EPOLL_CTL_MOD, fd, &event);
 }
 
@@ -118,11 +138,12 @@
         }
         const int count = waitForEvents(events);
         m_now = m_clock.now();
-        // A callback may remove watches, its own included, so each one is looked up again and kept alive during its callback.
+        // A callback may remove watches, its own included, so each one is looked up again and kept alive during its callback. The
+        // descriptor may belong to another watch by then.
         for (int n = 0; n < count; ++n) {
             const auto &event = events[static_cast<std::size_t>(n)];
-            const auto it = m_watches.find(event.data.fd);
-            if (it == m_watches.end()) {
+            const auto it = m_watches.find(descriptorOf(event));
+            if (it == m_watches.end() || it->second->generation != generationOf(event)) {
                 continue;
             }
             const std::shared_ptr<Watch> watch = it->second;
--- a/packages/net/net/eventloop.h
+++ b/packages/net/net/eventloop.h
@@ -52,7 +52,8 @@
 
 private:
     struct Watch {
-        std::uint64_t generation = 0;
+        /// Distinguishes it from earlier watches of the same descriptor.
+        std::uint32_t generation = 0;
         IoCallback callback;
     };
     using TimerKey = std::pair<Instant, TimerId>;
@@ -71,7 +72,7 @@
     bool m_isRunning = false;
     Instant m_now {};
     TimerId m_lastTimer = 0;
-    std::uint64_t m_lastGeneration = 0;
+    std::uint32_t m_lastGeneration = 0;
     std::map<TimerKey, Callback> m_timers;
     std::unordered_map<TimerId, Instant> m_timerTimes;
     std::unordered_map<int, std::shared_ptr<Watch>> m_watches;
--- a/packages/net/tests/eventlooptest.cpp
+++ b/packages/net/tests/eventlooptest.cpp
@@ -1,6 +1,9 @@
 #include "net/eventloop.h"
 
+#include <array>
+
 #include <catch2/catch.hpp>
+#include <unistd.h>
 
 #include "net/framestream.h"
 
@@ -95,3 +98,43 @@
     }
     CHECK(token.use_count() == 1);
 }
+
+// Guards against a new connection that gets the event of a closed one: it has the descriptor of the one that was closed in the same round,
+// and a hang-up of that one would end its connecting.
+TEST_CASE("an event of a closed descriptor does not reach its successor")
+{
+    ManualClock clock;
+    EventLoop loop(clock);
+    std::array<std::array<int, 2>, 3> pipes {};
+    for (auto &it : pipes) {
+        REQUIRE(pipe(it.data()) == 0);
+    }
+    const auto &[first, second, idle] = pipes;
+    int closedBy = 0;
+    int stale = 0;
+    // Whichever of the two is called first replaces the other by a pipe without data.
+    const auto replace = [&](int other) {
+        ++closedBy;
+        loop.unwatch(other);
+        REQUIRE(dup2(idle[0], other) == other);
+        loop.watch(other, EPOLLIN, [&](std::uint32_t) { ++stale; });
+    };
+    loop.watch(first[0], EPOLLIN, [&](std::uint32_t) {
+        loop.unwatch(first[0]);
+        replace(second[0]);
+    });
+    loop.watch(second[0], EPOLLIN, [&](std::uint32_t) {
+        loop.unwatch(second[0]);
+        replace(first[0]);
+    });
+    REQUIRE(write(first[1], "x", 1) == 1);
+    REQUIRE(write(second[1], "x", 1) == 1);
+    loop.after(std::chrono::milliseconds(20), [&] { loop.stop(); });
+    loop.run();
+    CHECK(closedBy == 1);
+    CHECK(stale == 0);
+    for (const auto &it : pipes) {
+        close(it[0]);
+        close(it[1]);
+    }
+}
