End one exchange, not the process, after an unexpected error

Cause: no callback of the event loop caught exceptions, so they left EventLoop::run(); the product's HTTP server caught those of its library only, and its count of requests in progress never fell after another one.

Change: base/errorguard runs the work of one request, exchange or connection; an exception is logged with its subject and counted by kind, and ends that work with a true outcome: a request with 502 if an attempt was begun or it may have run, else 503; a handler with 500; a connection as failed, so its owner acts as after a reset. Core links record the index of an update after it was applied, so it is requested again.

Not covered: worker and tick threads of the product's daemon, and errors thrown while a body is being received (no test).

--- a/packages/coordination/coordination/corelink.cpp
+++ b/packages/coordination/coordination/corelink.cpp
@@ -289,10 +289,10 @@
             tryLocalDataCentre(m_loop.now());
         }
     }
-    m_knownIndex = std::max(m_knownIndex, update->index);
     if (m_updateCallback) {
         m_updateCallback(*update);
     }
+    m_knownIndex = std::max(m_knownIndex, update->index); // after an exception, the update is requested again
     if (connection.frames != nullptr && connection.frames->received() - connection.reportedBytes >= FeedWindow::ReportAfter) {
         report(connection);
     }
--- a/packages/coordination/coordination/corestatus.cpp
+++ b/packages/coordination/coordination/corestatus.cpp
@@ -1,7 +1,7 @@
 #include "coordination/corestatus.h"
 
-#include "base/log.h"
 #include "report/metricstext.h"
+#include "report/processmetrics.h"
 
 namespace Galenabarrow::Coordination
 {
@@ -36,7 +36,6 @@
         { "galenabarrow_core_remote_feed_bytes_total", Kind::Counter, "Bytes of updates sent to entries of other data centres.",
           status.remoteFeedBytes },
         { "galenabarrow_core_feeds_held_total", Kind::Counter, "Updates deferred because of a slow entry.", status.feedsDeferred },
-        { "galenabarrow_log_lines_lost_total", Kind::Counter, "Log lines dropped because the log reader was too slow.", Log::lostLines() },
     };
     Report::MetricsText text;
     for (const Row &it : rows) {
@@ -59,7 +58,7 @@
             text.sample({ { "kind", it.name } }, sent->second);
         }
     }
-    return text.text();
+    return text.text() + Report::processMetrics();
 }
 
 }
--- a/packages/coordination/coordination/replica.cpp
+++ b/packages/coordination/coordination/replica.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/errorguard.h"
 #include "control/codecs.h"
 #include "control/firststart.h"
 #include "routing/codec.h"
@@ -58,10 +59,21 @@
     if (m_storeFailure) {
         return;
     }
-    retireExcessMembers();
-    processOutput(m_raft.tick(now));
-    runJoin(now);
-    finishUndecided();
+    guardState([&] {
+        retireExcessMembers();
+        processOutput(m_raft.tick(now));
+        runJoin(now);
+        finishUndecided();
+    });
+}
+
+template<typename Work>
+void Replica::guardState(const Work &work)
+{
+    const auto subject = [this] { return m_settings.instance.value(); };
+    if (!runGuarded("replica", subject, work) && !m_storeFailure) {
+        m_storeFailure = Error { ResultCode::InternalError, "an unexpected error has left the replicated state undefined" };
+    }
 }
 
 void Replica::setSeeds(const std::vector<InstanceId> &seeds)
@@ -87,20 +99,25 @@
     if (m_storeFailure || message->to.instance != m_settings.instance) {
         return {};
     }
-    if (message->kind != RaftKind::JoinRequest && message->kind != RaftKind::JoinReply) {
-        if (message->to != m_raft.self()) {
-            m_join.recordMember(message->from.instance, now);
+    guardState([&] { processMessage(*message, now); });
+    return {};
+}
+
+void Replica::processMessage(const RaftMessage &message, Instant now)
+{
+    if (message.kind != RaftKind::JoinRequest && message.kind != RaftKind::JoinReply) {
+        if (message.to != m_raft.self()) {
+            m_join.recordMember(message.from.instance, now);
         }
-        processOutput(m_raft.receive(*message, now));
-        return {};
+        processOutput(m_raft.receive(message, now));
+        return;
     }
-    for (const RaftMessage &reply : m_join.receive(*message, joinView(), now)) {
+    for (const RaftMessage &reply : m_join.receive(message, joinView(), now)) {
         sendRaft(reply);
     }
     if (const std::optional<ReplicaId> joiner = m_join.takeJoiner()) {
         m_raft.addJoiner(Member { *joiner, joiner->instance.value(), false }, now);
     }
-    return {};
 }
 
 std::optional<ProposalId> Replica::propose(Bytes command, Instant now)
@@ -108,25 +125,29 @@
     if (m_storeFailure || !m_raft.log().membershipAt(m_raft.commitIndex()).isFormed || m_pending.size() >= MaxPendingProposals) {
         return std::nullopt;
     }
-    RaftOutput output;
-    const std::optional<RaftCore::Position> position = m_raft.propose(std::move(command), now, output);
     std::optional<ProposalId> proposalId;
-    if (position) {
-        proposalId = ProposalId(++m_lastProposalId);
-        m_pending[position->index] = PendingProposal { *proposalId, position->term };
-    }
-    processOutput(output);
+    guardState([&] {
+        RaftOutput output;
+        const std::optional<RaftCore::Position> position = m_raft.propose(std::move(command), now, output);
+        if (position) {
+            proposalId = ProposalId(++m_lastProposalId);
+            m_pending[position->index] = PendingProposal { *proposalId, position->term };
+        }
+        processOutput(output);
+    });
     return proposalId;
 }
 
 std::vector<RaftEnvelope> Replica::takeOutgoing(Instant now)
 {
     while (m_unsyncedWrite && !m_storeFailure) {
-        const WriteNumber number = *std::exchange(m_unsyncedWrite, std::nullopt);
-        checkStoreResult(m_store->sync());
-        if (!m_storeFailure) {
-            processOutput(m_raft.persisted(number, now));
-        }
+        guardState([&] {
+            const WriteNumber number = *std::exchange(m_unsyncedWrite, std::nullopt);
+            checkStoreResult(m_store->sync());
+            if (!m_storeFailure) {
+                processOutput(m_raft.persisted(number, now));
+            }
+        });
     }
     std::vector<RaftEnvelope> outgoing = std::exchange(m_outgoing, {});
     if (m_storeFailure) {
--- a/packages/coordination/coordination/replica.h
+++ b/packages/coordination/coordination/replica.h
@@ -74,7 +74,8 @@
     std::vector<RaftEnvelope> takeOutgoing(Instant now);
     std::vector<FinishedProposal> takeFinished();
 
-    /// Set when the store has failed. The replica then no longer takes part; the process should log the error and exit.
+    /// Set when the store has failed, or when an exception has left the replicated state undefined (InternalError). The replica then no
+    /// longer takes part; the process should log the error and exit.
     const std::optional<Error> &storeFailure() const;
     const Routing::RoutingState &state() const;
     bool isLeader() const;
@@ -99,6 +100,10 @@
 
     Replica(ReplicaSettings settings, std::unique_ptr<Control::LogStore> store, RandomSource &random,
             const Control::StoreContents &contents, Instant now);
+    /// Runs \p work on the replicated state. An exception makes the replica fail.
+    template<typename Work>
+    void guardState(const Work &work);
+    void processMessage(const Control::RaftMessage &message, Instant now);
     void processOutput(const Control::RaftOutput &output);
     void write(const Control::RaftOutput &output);
     void applyEntry(const Control::LogEntry &entry);
--- a/packages/coordination/tests/replicatest.cpp
+++ b/packages/coordination/tests/replicatest.cpp
@@ -1,5 +1,7 @@
 #include "coordination/replica.h"
 
+#include <stdexcept>
+
 #include <catch2/catch.hpp>
 
 #include "replicacluster.h"
@@ -173,3 +175,79 @@
     cluster.run(std::chrono::seconds(10));
     CHECK(cluster.leader().empty());
 }
+
+namespace
+{
+
+/// A store that throws when it is told to.
+class ThrowingStore final : public Control::LogStore
+{
+public:
+    ThrowingStore(std::shared_ptr<Control::MemoryDisk> disk, const bool &isThrowing)
+        : m_store(std::move(disk))
+        , m_isThrowing(isThrowing)
+    {
+    }
+
+    Result<Control::StoreContents> load() override
+    {
+        return m_store.load();
+    }
+    Result<void> writeHardState(const Control::HardState &state) override
+    {
+        return m_store.writeHardState(state);
+    }
+    Result<void> append(std::span<const Control::LogEntry> entries) override
+    {
+        if (m_isThrowing) {
+            throw std::runtime_error("unexpected");
+        }
+        return m_store.append(entries);
+    }
+    Result<void> saveSnapshot(const Control::Snapshot &snapshot, std::span<const Control::LogEntry> entries) override
+    {
+        return m_store.saveSnapshot(snapshot, entries);
+    }
+    Result<void> sync() override
+    {
+        return m_store.sync();
+    }
+
+private:
+    Control::MemoryLogStore m_store;
+    const bool &m_isThrowing;
+};
+
+}
+
+// Guards against a replica that takes part although an unexpected error has left its state undefined: it would vote for, and confirm,
+// what it does not have.
+TEST_CASE("a replica fails after an unexpected error in its state, and the others go on")
+{
+    const auto seed = GENERATE(range(1, 6));
+    const bool isLeader = GENERATE(true, false);
+    Cluster cluster(static_cast<std::uint64_t>(seed));
+    std::map<std::string, bool> isThrowing;
+    cluster.openStore = [&](const std::string &name) {
+        return std::make_unique<ThrowingStore>(cluster.nodes[name].disk, isThrowing[name]);
+    };
+    for (std::size_t n = 0; n < 3; ++n) {
+        cluster.kill(Cluster::nameOf(n));
+        cluster.start(Cluster::nameOf(n), true);
+    }
+    REQUIRE(cluster.runUntil([&] { return cluster.isComplete(3); }, CatchUp));
+    REQUIRE(cluster.proposeConfig(1, 0) == ResultCode::Ok);
+    const std::string broken = isLeader ? cluster.leader() : followersOf(cluster).front();
+    isThrowing[broken] = true;
+    const ResultCode result = cluster.proposeConfig(2, 1);
+    REQUIRE(cluster.nodes[broken].replica->storeFailure());
+    CHECK(cluster.nodes[broken].replica->storeFailure()->code == ResultCode::InternalError);
+    CHECK(cluster.nodes[broken].replica->takeOutgoing(cluster.now).empty());
+    CHECK((result == ResultCode::Ok) == !isLeader);
+    cluster.kill(broken);
+    REQUIRE(cluster.runUntil([&] { return !cluster.leader().empty(); }, Failover));
+    CHECK(cluster.proposeConfig(2, 1) == ResultCode::Ok);
+    isThrowing[broken] = false;
+    cluster.start(broken);
+    REQUIRE(cluster.runUntil([&] { return cluster.isComplete(3) && cluster.versionAt(broken) == Version(2); }, CatchUp));
+}
--- a/packages/daemon/daemon/httpserver.cpp
+++ b/packages/daemon/daemon/httpserver.cpp
@@ -13,6 +13,7 @@
 #include <Poco/Net/NetException.h>
 #include <Poco/Runnable.h>
 
+#include "base/errorguard.h"
 #include "daemon/httpinput.h"
 #include "daemon/wholemessage.h"
 #include "wire/socketwait.h"
@@ -155,6 +156,9 @@
             sendError(session, { ResultCode::HeaderInvalid, "the header section cannot be parsed" });
         } catch (const Poco::Exception &) {
             m_server.setReading(*this, false); // the connection failed, so no reply can be sent
+        } catch (const std::exception &error) {
+            m_server.setReading(*this, false);
+            recordUnexpectedError("connection", "", error.what());
         }
         return false;
     }
@@ -189,7 +193,18 @@
         }
         m_server.setReading(*this, false);
         ++m_server.m_counters.requests;
-        return send(session, m_server.m_handler(request), request.head);
+        return send(session, callHandler(request), request.head);
+    }
+
+    /// The outcome is unknown after an exception of the handler.
+    HttpReply callHandler(HttpRequest &request)
+    {
+        HttpReply reply;
+        if (!runGuarded(
+                "handler", [&] { return request.head.getURI(); }, [&] { reply = m_server.m_handler(request); })) {
+            reply = errorReply(500, Outcome::Unknown, ResultCode::InternalError, "an unexpected error");
+        }
+        return reply;
     }
 
     bool send(Session &session, const HttpReply &reply, const Poco::Net::HTTPRequest &head)
--- a/packages/daemon/tests/httpservertest.cpp
+++ b/packages/daemon/tests/httpservertest.cpp
@@ -1,5 +1,7 @@
 #include "daemon/httpserver.h"
 
+#include <stdexcept>
+#include <string>
 #include <thread>
 
 #include <catch2/catch.hpp>
@@ -46,3 +48,22 @@
     ticker.join();
     CHECK(server.counters().slowSenders == std::uint64_t { Rounds } * Senders);
 }
+
+// Guards against a request without a reply and a count of requests in progress that never falls, which would hold a stop.
+TEST_CASE("an exception of a handler is answered with an unknown outcome")
+{
+    const SteadyClock clock;
+    HttpServer server({}, clock);
+    REQUIRE(server.listen("127.0.0.1:0"));
+    server.serve([](HttpRequest &) -> HttpReply { throw std::runtime_error("unexpected"); });
+    Poco::Net::StreamSocket caller { Poco::Net::SocketAddress(server.address()) };
+    const std::string request = "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+    caller.sendBytes(request.data(), static_cast<int>(request.size()));
+    std::string received(4096, '\0');
+    received.resize(static_cast<std::size_t>(caller.receiveBytes(received.data(), static_cast<int>(received.size()))));
+    CHECK(received.starts_with("HTTP/1.1 500"));
+    CHECK(received.find("unknown") != std::string::npos);
+    caller.close();
+    server.stop();
+    CHECK(server.requestsInProgress() == 0);
+}
--- a/packages/gateway/gateway/gatewaynode.cpp
+++ b/packages/gateway/gateway/gatewaynode.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gatewaynode.h"
 
 #include "report/metricstext.h"
+#include "report/processmetrics.h"
 #include "routing/rules.h"
 
 namespace Galenabarrow::Gateway
@@ -84,10 +85,7 @@
                 "Time since the routing state was last confirmed to be up to date; -1 before the first confirmation.");
     const std::optional<Duration> age = stateAge();
     text.sample({}, age ? std::chrono::duration<double>(*age).count() : -1.0);
-    text.family("galenabarrow_log_lines_lost_total", Report::MetricsText::Kind::Counter,
-                "Log lines dropped because the log reader was too slow.");
-    text.sample({}, Log::lostLines());
-    return m_runner.metrics() + text.text();
+    return m_runner.metrics() + text.text() + Report::processMetrics();
 }
 
 void GatewayNode::apply(const Coordination::FeedUpdate &update)
--- a/packages/gateway/gateway/requestfields.cpp
+++ b/packages/gateway/gateway/requestfields.cpp
@@ -1,7 +1,9 @@
 #include "gateway/requestfields.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
+#include <cstdio>
 
 namespace Galenabarrow::Gateway
 {
@@ -17,6 +19,13 @@
     return std::to_string(std::chrono::floor<std::chrono::milliseconds>(duration).count());
 }
 
+std::string formatSeconds(Duration duration)
+{
+    std::array<char, 32> buf {};
+    std::snprintf(buf.data(), buf.size(), "%.3f", std::chrono::duration<double>(duration).count());
+    return buf.data();
+}
+
 std::optional<Duration> parseMilliseconds(const std::string *field)
 {
     if (field == nullptr) {
--- a/packages/gateway/gateway/requestrun.cpp
+++ b/packages/gateway/gateway/requestrun.cpp
@@ -58,12 +58,12 @@
     }
     m_exchange->onDisconnected([weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
-            self->onCallerDisconnected();
+            self->guard([&] { self->onCallerDisconnected(); });
         }
     });
     m_deadlineTimer = m_runner.m_loop.after(m_deadline - m_runner.m_loop.now(), [weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
-            self->onDeadlineExpired();
+            self->guard([&] { self->onDeadlineExpired(); });
         }
     });
     if (rejectIfStopping()) {
@@ -75,13 +75,13 @@
     }
     m_exchange->onBody([weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
-            self->onBodyReceived();
+            self->guard([&] { self->onBodyReceived(); });
         }
     });
     m_isHoldingBody = true;
     m_waitTimer = m_runner.m_loop.after(MaxBodyHold, [weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
-            self->endBodyHold();
+            self->guard([&] { self->endBodyHold(); });
         }
     });
 }
@@ -242,7 +242,7 @@
         }
         const bool isStarted = m_runner.m_prober.probe(it, [weak = weak_from_this(), selectionId, it](bool hasAnswered) {
             if (const auto self = weak.lock()) {
-                self->onProbeFinished(selectionId, it, hasAnswered);
+                self->guard([&] { self->onProbeFinished(selectionId, it, hasAnswered); });
             }
         });
         m_pendingProbes += isStarted ? 1 : 0;
@@ -297,7 +297,7 @@
     m_waitTimer = m_runner.m_loop.after(std::min<Duration>(ReprobeInterval, until - now), [weak = weak_from_this(), selectionId] {
         const auto self = weak.lock();
         if (self != nullptr && self->m_selectionId == selectionId && !self->m_isFinished && self->m_attempt == nullptr) {
-            self->select();
+            self->guard([&] { self->select(); });
         }
     });
 }
@@ -398,12 +398,13 @@
     m_sentAt = now;
     m_attemptStartedAt = now;
     m_start = m_runner.m_servers.recordAttemptStart(choice->server, m_route->name, now);
+    m_isAttemptOpen = true;
     UpstreamRequest request = makeRequest(now);
     m_sentBody = m_exchange->bodyLength() - request.bodyToFollow;
     m_attempt = m_runner.m_pool.send(row->server, std::move(request));
-    m_attempt->onWritable([this] { sendBody(); });
-    m_attempt->onResponse([this](Http::Response response) { handleResponse(std::move(response)); });
-    m_attempt->onFailure([this](AttemptFailure failure) { handleFailure(failure); });
+    m_attempt->onWritable([this] { guard([this] { sendBody(); }); });
+    m_attempt->onResponse([this](Http::Response response) { guard([&] { handleResponse(std::move(response)); }); });
+    m_attempt->onFailure([this](AttemptFailure failure) { guard([&] { handleFailure(failure); }); });
     startAttemptTimer();
 }
 
@@ -462,7 +463,7 @@
     const Duration attemptTimeout = std::max(m_route->objective, m_runner.m_servers.workTime(m_service) * AttemptTimeoutFactor);
     m_attemptTimer = m_runner.m_loop.after(attemptTimeout, [weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
-            self->onAttemptTimeout();
+            self->guard([&] { self->onAttemptTimeout(); });
         }
     });
 }
@@ -606,6 +607,7 @@
     m_sentBody = 0;
     const Instant now = m_runner.m_loop.now();
     m_runner.m_servers.recordAttemptEnd(m_choice.server, result, m_start, now - m_attemptStartedAt, now);
+    m_isAttemptOpen = false;
     if (m_attempt != nullptr) {
         m_attempt->cancel();
         // A callback of the attempt may be on the stack: destroy it later.
@@ -698,19 +700,46 @@
 
 void RequestRunner::Run::finish(const char *outcome, unsigned status)
 {
-    m_runner.m_loop.cancel(m_deadlineTimer);
-    m_runner.m_loop.cancel(m_attemptTimer);
-    m_isFinished = true;
-    leaveQueue();
+    release();
     const Instant now = m_runner.m_loop.now();
     m_runner.m_latencies.record(m_route->name, outcome, now - m_startedAt);
     const bool isGood = status >= 200 && status < 300 && m_tried.size() == 1 && now - m_startedAt <= m_route->objective;
     if (m_runner.m_log.admit(isGood, now)) {
         writeLogLine(outcome, status, now);
     }
+}
+
+void RequestRunner::Run::release()
+{
+    m_isFinished = true;
+    m_runner.m_loop.cancel(m_deadlineTimer);
+    m_runner.m_loop.cancel(m_attemptTimer);
+    leaveQueue();
     m_runner.m_loop.defer([&runner = m_runner, self = shared_from_this()] { runner.m_runs.erase(self); });
 }
 
+void RequestRunner::Run::endAfterError()
+{
+    if (m_isFinished) {
+        return; // it was answered, and what it held is released
+    }
+    const bool mayHaveRun = m_mayHaveRun || m_isAttemptOpen;
+    release();
+    if (m_isAttemptOpen) {
+        runGuarded(
+            "request", [this] { return m_requestId; }, [this] { endAttempt(AttemptResult::Broken); });
+    }
+    ++m_runner.m_counters.endedByError;
+    Http::Response response = Http::makeResponse(mayHaveRun ? 502 : 503);
+    if (!mayHaveRun) {
+        response.fields.add(m_runner.m_headerNames.retryAfter, formatSeconds(ShortRetryAfter));
+    }
+    m_exchange->respond(std::move(response));
+    m_reason = "unexpected_error";
+    const char *outcome = mayHaveRun ? "failed" : "rejected";
+    writeLogLine(outcome, mayHaveRun ? 502 : 503, m_runner.m_loop.now());
+}
+
 void RequestRunner::Run::writeLogLine(const char *outcome, unsigned status, Instant now) const
 {
     std::string tried;
--- a/packages/gateway/gateway/requestrun.h
+++ b/packages/gateway/gateway/requestrun.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/errorguard.h"
 #include "gateway/decisiontrail.h"
 #include "gateway/requestrunner.h"
 
@@ -18,6 +19,15 @@
     }
 
     void start();
+    /// Runs \p work for this request. An exception ends the request, see endAfterError(), and nothing else.
+    template<typename Work>
+    void guard(const Work &work)
+    {
+        if (!runGuarded(
+                "request", [this] { return m_requestId; }, work)) {
+            endAfterError();
+        }
+    }
     bool hasTried(const ServerId &server) const;
     /// Sends the request now that a server is known to be free; \p reason states how this is known, for the log line.
     void onSlotAvailable(const char *reason);
@@ -100,6 +110,10 @@
     /// free slot.
     Duration retryAfter() const;
     void finish(const char *outcome, unsigned status);
+    /// Ends the request after an unexpected error: with an unknown outcome if it may have run, else with a rejection.
+    void endAfterError();
+    /// Releases what the request holds at its end.
+    void release();
     void writeLogLine(const char *outcome, unsigned status, Instant now) const;
 
     RequestRunner &m_runner;
@@ -124,6 +138,8 @@
     DecisionTrail m_trail;
     const char *m_reason = "none";
     bool m_mayHaveRun = false;
+    /// From the choice of a server to the end of the attempt.
+    bool m_isAttemptOpen = false;
     bool m_isHoldingBody = false;
     bool m_isCallerDisconnected = false;
     bool m_isFinished = false;
--- a/packages/gateway/gateway/requestrunner.cpp
+++ b/packages/gateway/gateway/requestrunner.cpp
@@ -2,10 +2,9 @@
 
 #include "gateway/requestrun.h"
 
-#include <charconv>
-#include <cstdio>
 #include <utility>
 
+#include "base/errorguard.h"
 #include "gateway/requestfields.h"
 #include "report/metricstext.h"
 
@@ -86,14 +85,20 @@
     }
     const auto runs = m_runs;
     for (const auto &it : runs) {
-        it->endByStop();
+        it->guard([&] { it->endByStop(); });
     }
 }
 
 void RequestRunner::handle(const Http::ExchangePointer &exchange)
 {
     ++m_counters.received;
-    dispatch(exchange);
+    const auto subject = [&] {
+        const std::string *id = exchange->request().fields.find(m_headerNames.requestId);
+        return id == nullptr ? std::string() : *id;
+    };
+    if (!runGuarded("request", subject, [&] { dispatch(exchange); })) {
+        exchange->respond(Http::makeResponse(503)); // no request runs before it is guarded itself
+    }
 }
 
 void RequestRunner::dispatch(const Http::ExchangePointer &exchange)
@@ -117,7 +122,7 @@
     }
     auto run = std::make_shared<Run>(*this, exchange, std::move(route));
     m_runs.insert(run);
-    run->start();
+    run->guard([&] { run->start(); });
 }
 
 void RequestRunner::waitForConfig(const Http::ExchangePointer &exchange)
@@ -177,10 +182,8 @@
     // Jitter of up to half of the time, so that callers that were rejected together do not retry together.
     const Duration spread =
         retryAfter + Duration(static_cast<Duration::rep>(m_random.below(static_cast<std::uint64_t>(retryAfter.count()) / 2 + 1)));
-    std::array<char, 32> buf {};
-    std::snprintf(buf.data(), buf.size(), "%.3f", std::chrono::duration<double>(spread).count());
     Http::Response response = Http::makeResponse(503);
-    response.fields.add(m_headerNames.retryAfter, buf.data());
+    response.fields.add(m_headerNames.retryAfter, formatSeconds(spread));
     return response;
 }
 
@@ -207,6 +210,7 @@
         { "held_back", m_counters.heldBack },
         { "rejected_by_stop", m_counters.rejectedByStop },
         { "ended_by_stop", m_counters.endedByStop },
+        { "ended_by_error", m_counters.endedByError },
         { "server_crashed", m_crashes.checks().crashes() },
         { "connection_reset", m_crashes.checks().alive() },
         { "attempt", m_counters.attempts },
@@ -252,7 +256,7 @@
     for (const auto &[key, waiting] : it->second) {
         const auto run = waiting.lock();
         if (run != nullptr && !run->hasTried(server)) {
-            run->onSlotAvailable("slot_handed_over"); // modifies the queue being iterated
+            run->guard([&] { run->onSlotAvailable("slot_handed_over"); }); // modifies the queue being iterated
             return;
         }
     }
--- a/packages/gateway/gateway/requestrunner.h
+++ b/packages/gateway/gateway/requestrunner.h
@@ -52,6 +52,8 @@
     std::uint64_t rejectedByStop = 0;
     /// Requests that were in progress when this entry ended.
     std::uint64_t endedByStop = 0;
+    /// Requests that an unexpected error ended.
+    std::uint64_t endedByError = 0;
 };
 
 /// Serves the requests of callers: finds the route, chooses servers, sends attempts within the limits of the route and the
--- a/packages/http/http/server.cpp
+++ b/packages/http/http/server.cpp
@@ -4,6 +4,8 @@
 #include <cassert>
 #include <utility>
 
+#include "base/errorguard.h"
+
 namespace Galenabarrow::Http
 {
 
@@ -26,6 +28,12 @@
     void processInput();
     void rejectRequest(ResultCode code);
     void dispatchRequest();
+    /// Passes the request on to the handler. An exception of the handler is answered with 500: the outcome is unknown.
+    void callHandler();
+    /// Runs \p work for this connection, which ends if an exception is thrown.
+    template<typename Work>
+    void guard(const Work &work);
+    void sendResponse(Response response);
     bool mayDispatchBeforeBody() const;
     void dispatchBeforeBody();
     /// Passes received bytes of the body on to the exchange, or drops them after the response.
@@ -247,8 +255,25 @@
     Request request = m_reader.take();
     const std::uint64_t bodyLength = request.body.size();
     m_exchange = std::make_shared<Exchange>(std::move(request), bodyLength, m_server.m_loop.now(), m_stream->peer(), weak_from_this());
+    callHandler();
+}
+
+void ServerConnection::callHandler()
+{
     const ExchangePointer exchange = m_exchange;
-    m_server.m_handler(exchange);
+    if (!runGuarded(
+            "handler", [&] { return exchange->request().target; }, [&] { m_server.m_handler(exchange); })) {
+        exchange->respond(makeResponse(500));
+    }
+}
+
+template<typename Work>
+void ServerConnection::guard(const Work &work)
+{
+    if (!runGuarded(
+            "connection", [this] { return m_stream->peer(); }, work)) {
+        close();
+    }
 }
 
 bool ServerConnection::mayDispatchBeforeBody() const
@@ -268,8 +293,7 @@
     request.body.reserve(std::min<std::uint64_t>(length, m_server.m_limits.bodyBuffer));
     request.body.append(m_reader.takeBody());
     m_exchange = std::make_shared<Exchange>(std::move(request), length, m_server.m_loop.now(), m_stream->peer(), weak_from_this());
-    const ExchangePointer exchange = m_exchange;
-    m_server.m_handler(exchange);
+    callHandler();
     limitReading();
 }
 
@@ -312,6 +336,12 @@
 }
 
 void ServerConnection::respond(Response response)
+{
+    const auto self = shared_from_this();
+    guard([&] { sendResponse(std::move(response)); });
+}
+
+void ServerConnection::sendResponse(Response response)
 {
     const auto self = shared_from_this();
     const bool isHead = m_exchange->request().method == "HEAD";
@@ -335,7 +365,7 @@
     }
     armTimer();
     if (m_reader.state() == ReadState::Complete || m_reader.state() == ReadState::Failed) {
-        m_server.m_loop.defer([self] { self->processInput(); });
+        m_server.m_loop.defer([self] { self->guard([&] { self->processInput(); }); });
     }
 }
 
@@ -381,7 +411,7 @@
     const Duration timeout = state != ReadState::Partial ? limits.idleTimeout : isBody ? limits.bodyTimeout : limits.headerTimeout;
     m_timer = m_server.m_loop.after(timeout, [self = weak_from_this()] {
         if (const auto connection = self.lock()) {
-            connection->handleTimeout();
+            connection->guard([&] { connection->handleTimeout(); });
         }
     });
 }
--- a/packages/http/tests/servertest.cpp
+++ b/packages/http/tests/servertest.cpp
@@ -1,5 +1,7 @@
 #include "http/server.h"
 
+#include <stdexcept>
+
 #include <catch2/catch.hpp>
 
 #include "slowreader.h"
@@ -385,3 +387,22 @@
     fixture.runFor(300);
     CHECK(reader.received.size() > LargeAnswerFixture::AnswerBytes + 10'000);
 }
+
+// Guards against a process that ends since a handler threw, and against a connection that waits for ever.
+TEST_CASE("an exception of a handler is answered and ends no other exchange")
+{
+    Fixture fixture([](const ExchangePointer &exchange) {
+        if (exchange->request().target == "/bad") {
+            throw std::runtime_error("unexpected");
+        }
+        answerOk(exchange);
+    });
+    fixture.client->write("GET /bad HTTP/1.1\r\nHost: h\r\n\r\n");
+    fixture.runFor(20);
+    CHECK(fixture.received.starts_with("HTTP/1.1 500"));
+    fixture.received.clear();
+    fixture.client->write("GET /good HTTP/1.1\r\nHost: h\r\n\r\n");
+    fixture.runFor(20);
+    CHECK(fixture.received.starts_with("HTTP/1.1 200"));
+    CHECK(fixture.server.pendingCount() == 0);
+}
--- a/packages/net/net/stream.cpp
+++ b/packages/net/net/stream.cpp
@@ -12,6 +12,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "base/errorguard.h"
+
 namespace Galenabarrow::Net
 {
 
@@ -210,6 +212,14 @@
 void Stream::handle(std::uint32_t events)
 {
     const auto self = shared_from_this();
+    if (!runGuarded(
+            "connection", [this] { return m_peer; }, [&] { process(events); })) {
+        end(StreamEnd::Failed);
+    }
+}
+
+void Stream::process(std::uint32_t events)
+{
     if (!m_isConnected) {
         finishConnect();
         return;
@@ -389,7 +399,8 @@
     const EndCallback callback = std::move(m_endCallback);
     close();
     if (callback) {
-        callback(reason);
+        runGuarded(
+            "connection", [this] { return m_peer; }, [&] { callback(reason); });
     }
 }
 
@@ -444,7 +455,8 @@
         }
         std::array<char, INET_ADDRSTRLEN> host {};
         inet_ntop(AF_INET, &peer.sin_addr, host.data(), host.size());
-        m_callback(Stream::adopt(m_loop, fd, host.data()));
+        runGuarded(
+            "accept", [&] { return std::string(host.data()); }, [&] { m_callback(Stream::adopt(m_loop, fd, host.data())); });
     }
 }
 
--- a/packages/net/net/stream.h
+++ b/packages/net/net/stream.h
@@ -19,7 +19,7 @@
     Failed,
 };
 
-/// A TCP connection on an event loop. Callbacks are not called after close().
+/// A TCP connection on an event loop. Callbacks are not called after close(). An exception of a callback ends the connection as Failed.
 class Stream : public std::enable_shared_from_this<Stream>
 {
 public:
@@ -71,6 +71,7 @@
     Stream(EventLoop &loop, int fd, bool isConnected);
     void start();
     void handle(std::uint32_t events);
+    void process(std::uint32_t events);
     void finishConnect();
     void readAvailable();
     void flush();
--- a/packages/net/tests/eventlooptest.cpp
+++ b/packages/net/tests/eventlooptest.cpp
@@ -1,6 +1,7 @@
 #include "net/eventloop.h"
 
 #include <array>
+#include <stdexcept>
 
 #include <catch2/catch.hpp>
 #include <unistd.h>
@@ -138,3 +139,36 @@
         close(it[1]);
     }
 }
+
+// Guards against a process that ends since a callback of one connection threw, and against a connection whose owner is not told.
+TEST_CASE("an exception of a callback ends its connection and no other")
+{
+    ManualClock clock;
+    EventLoop loop(clock);
+    std::vector<std::shared_ptr<Stream>> accepted;
+    std::string received;
+    int failed = 0;
+    Listener listener(loop, [&](std::shared_ptr<Stream> stream) {
+        accepted.push_back(stream);
+        stream->onData([&](std::string_view bytes) {
+            if (bytes == "bad") {
+                throw std::runtime_error("unexpected");
+            }
+            received.append(bytes);
+        });
+        stream->onEnd([&](StreamEnd reason) {
+            failed += reason == StreamEnd::Failed ? 1 : 0;
+            throw std::runtime_error("unexpected");
+        });
+    });
+    REQUIRE(listener.listen({ "127.0.0.1", 28463 }));
+    const auto bad = Stream::connect(loop, { "127.0.0.1", 28463 });
+    const auto good = Stream::connect(loop, { "127.0.0.1", 28463 });
+    bad->write("bad");
+    loop.after(std::chrono::milliseconds(20), [&] { good->write("good"); });
+    loop.after(std::chrono::milliseconds(50), [&] { loop.stop(); });
+    loop.run();
+    CHECK(failed == 1);
+    CHECK_FALSE(accepted.at(0)->isOpen());
+    CHECK(received == "good");
+}
