Probe servers in an order that differs from entry to entry

What operators saw: after all entries were restarted, none seeing another, half of the servers were not probed for 10 s and longer.

Cause: for a new process all servers are due at once, and every entry probed them in the order of their names until its budget was spent. All entries together reached the same few servers.

Change: servers due for the same time are probed in the order of the weights of the probe assignment, which are the same for all who ask and differ from entry to entry. Draws as arguments of one call are sequenced in the tests of measuring, limits, membership and the call engine.

--- a/packages/entry/tests/callenginerandomtest.cpp
+++ b/packages/entry/tests/callenginerandomtest.cpp
@@ -76,7 +76,8 @@
         case 3:
         case 4:
             if (!m_sent.empty()) {
-                report(AttemptId(1 + m_random.below(m_sent.size())), static_cast<AttemptEnd>(m_random.below(7)));
+                const AttemptId attempt(1 + m_random.below(m_sent.size()));
+                report(attempt, static_cast<AttemptEnd>(m_random.below(7)));
             }
             break;
         case 5:
--- a/packages/limits/tests/limitstest.cpp
+++ b/packages/limits/tests/limitstest.cpp
@@ -337,7 +337,9 @@
     for (int n = 0; n < 2000; ++n) {
         std::vector<std::uint8_t> damaged = encode(request);
         damaged[random.below(damaged.size())] ^= static_cast<std::uint8_t>(1 + random.below(255));
-        damaged.resize(damaged.size() - random.below(2) * random.below(damaged.size()));
+        const bool isCut = random.below(2) != 0;
+        const std::size_t cut = random.below(damaged.size());
+        damaged.resize(damaged.size() - (isCut ? cut : 0));
         const Result<ShareRequest> result = decodeShareRequest(damaged);
         REQUIRE((result || result.error().code == ResultCode::FrameMalformed));
     }
--- a/packages/measuring/measuring/probescheduler.cpp
+++ b/packages/measuring/measuring/probescheduler.cpp
@@ -42,26 +42,33 @@
     }
     setIdleInterval(slots, activeServers);
     m_budget.setShare(slots, static_cast<std::uint32_t>(view.registeredEntries), now);
-    std::vector<std::pair<Instant, const ProbeTarget *>> due;
+    struct Due {
+        Instant at;
+        std::uint64_t weight;
+        const ProbeTarget *target;
+    };
+    std::vector<Due> due;
     for (const ProbeTarget &it : view.servers) {
         if (const auto at = dueAt(it, m_states[it.server], now); at && m_assignment.prober(it.server) == m_self) {
-            due.emplace_back(*at, &it);
+            due.push_back(Due { *at, ProbeAssignment::weight(m_self, it.server), &it });
         }
     }
     std::vector<Probe> probes;
     if (now < m_suppressedUntil) {
         return probes;
     }
-    // The server that has been due longest comes first, since otherwise a small budget would never reach the last ones.
-    std::sort(due.begin(), due.end(),
-              [](const auto &a, const auto &b) { return std::tie(a.first, a.second->server) < std::tie(b.first, b.second->server); });
+    // The server that has been due longest comes first, since otherwise a small budget would never reach the last ones. After a restart
+    // of all entries, all servers are due at once for each of them; in the same order, they would all probe the same few.
+    std::sort(due.begin(), due.end(), [](const Due &a, const Due &b) {
+        return std::tie(a.at, a.weight, a.target->server) < std::tie(b.at, b.weight, b.target->server);
+    });
     for (std::size_t n = 0; n < due.size() && m_pending.size() < m_settings.maxPending; ++n) {
         if (!m_budget.reserve(MeasurementKind::Probe, m_settings.deadline, now)) {
             m_counters.suppressed += due.size() - n;
             m_suppressedUntil = now + m_settings.suppressedRetryDelay;
             break;
         }
-        send(*due[n].second, probes);
+        send(*due[n].target, probes);
     }
     return probes;
 }
--- a/packages/measuring/tests/measuringtest.cpp
+++ b/packages/measuring/tests/measuringtest.cpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include <catch2/catch.hpp>
@@ -47,6 +48,7 @@
         settings.window = Window;
         Entry &entry = m_entries[n];
         entry.pending.clear();
+        entry.nextProbe.clear(); // a new process has probed nothing
         entry.budget = std::make_unique<MeasuringBudget>(settings, m_now);
         entry.sampler = std::make_unique<Sampler>(*entry.budget, 50us, m_random, m_now);
         setView(n, visible, unseen);
@@ -65,7 +67,7 @@
         entry.assigned.clear();
         for (std::size_t server = 0; server < entry.seen; ++server) {
             if (assignment.prober(serverId(server)) == entryId(n)) {
-                entry.assigned.push_back(server);
+                entry.assigned.emplace_back(ProbeAssignment::weight(entryId(n), serverId(server)), server);
             }
         }
         entry.budget->setShare(entry.seen * m_deployment.slotsPerServer, EntryCount, m_now);
@@ -86,6 +88,24 @@
         }
     }
 
+    /// Restarts all entries 20 times, 500 ms apart, then three times, 13 s apart. None sees another, so each probes every server.
+    void restartInSeries()
+    {
+        const auto restartAll = [this] {
+            for (std::size_t n = 0; n < EntryCount; ++n) {
+                start(n, 1, static_cast<std::uint32_t>(m_random.below(8)));
+            }
+        };
+        for (int round = 0; round < 20; ++round) {
+            restartAll();
+            run(500ms, 100);
+        }
+        for (int round = 0; round < 3; ++round) {
+            restartAll();
+            run(13s, 100);
+        }
+    }
+
     UsageMeter &usage()
     {
         return m_usage;
@@ -107,8 +127,8 @@
         std::unique_ptr<MeasuringBudget> budget;
         std::unique_ptr<Sampler> sampler;
         std::uint32_t seen = 0;
-        /// Servers that this entry probes according to its own view.
-        std::vector<std::size_t> assigned;
+        /// Servers that this entry probes according to its own view, with their weights.
+        std::vector<std::pair<std::uint64_t, std::size_t>> assigned;
         std::map<std::size_t, Instant> nextProbe;
         /// Probes in flight: the time of their end, and their cost.
         std::multimap<Instant, Duration> pending;
@@ -122,14 +142,15 @@
             entry.pending.erase(entry.pending.begin());
         }
         // The server that has been due longest comes first, since otherwise a small budget would never reach the last ones.
-        std::vector<std::pair<Instant, std::size_t>> due;
-        for (const std::size_t server : entry.assigned) {
-            if (m_now >= entry.nextProbe[server]) {
-                due.emplace_back(entry.nextProbe[server], server);
+        std::vector<std::tuple<Instant, std::uint64_t, std::size_t>> due;
+        for (const auto &[weight, server] : entry.assigned) {
+            const Instant at = entry.nextProbe[server];
+            if (m_now >= at) {
+                due.emplace_back(at, weight, server);
             }
         }
         std::sort(due.begin(), due.end());
-        for (const auto &[since, server] : due) {
+        for (const auto &[since, weight, server] : due) {
             if (!entry.budget->reserve(MeasurementKind::Probe, ProbeReserve, m_now)) {
                 break;
             }
@@ -180,27 +201,30 @@
     phase("under load", 60s, 100);
     phase("in a 100-fold burst", 3s, 10000);
     for (std::size_t n = 0; n < EntryCount; ++n) {
-        simulation.setView(n, 1 + simulation.random().below(EntryCount), static_cast<std::uint32_t>(simulation.random().below(8)));
+        const std::size_t visible = 1 + simulation.random().below(EntryCount);
+        const auto unseen = static_cast<std::uint32_t>(simulation.random().below(8));
+        simulation.setView(n, visible, unseen);
     }
     phase("with views that differ", 60s, 100);
-    const auto restartAll = [&] {
-        for (std::size_t n = 0; n < EntryCount; ++n) {
-            // Each restarted entry sees no other entry and so probes every server.
-            simulation.start(n, 1, static_cast<std::uint32_t>(simulation.random().below(8)));
-        }
-    };
-    for (int round = 0; round < 20; ++round) {
-        restartAll();
-        simulation.run(500ms, 100);
-    }
-    for (int round = 0; round < 3; ++round) {
-        restartAll();
-        simulation.run(13s, 100);
-    }
+    simulation.restartInSeries();
     phase("after mass restarts", 30s, 100);
     REQUIRE(simulation.recentlyProbed() >= deployment.servers / 2);
 }
 
+// Guards against restarted entries that all probe the same servers first, so that the budget never reaches the others.
+TEST_CASE("half of the servers are probed although all entries were restarted and none sees another", "[measuring]")
+{
+    const Deployment deployment = GENERATE(Abyssinia, ODalaigh);
+    const auto seed = static_cast<std::uint64_t>(GENERATE(range(51, 101)));
+    CAPTURE(deployment.name, seed);
+    Simulation simulation(deployment, seed);
+    simulation.run(20s, 100);
+    simulation.restartInSeries();
+    simulation.run(30s, 100);
+    CHECK(simulation.usage().maxPermille() <= deployment.budgetPermille);
+    CHECK(simulation.recentlyProbed() >= deployment.servers / 2);
+}
+
 // Guards against a burst whose first calls use up all samples, and against a sampled share that does not fall.
 TEST_CASE("the sampled share falls as the call rate rises", "[measuring]")
 {
--- a/packages/measuring/tests/probeschedulertest.cpp
+++ b/packages/measuring/tests/probeschedulertest.cpp
@@ -346,3 +346,31 @@
     REQUIRE(entry.scheduler.budget().spent(MeasurementKind::Probe) == Duration(50ms));
     REQUIRE(entry.scheduler.counters().timedOut == 1);
 }
+
+// Guards against entries that were restarted together and all probe the same servers first.
+TEST_CASE("entries to which all servers are due at once begin with different ones", "[measuring]")
+{
+    constexpr std::size_t Servers = 30;
+    std::set<ServerId> first;
+    for (std::size_t n = 0; n < EntryCount; ++n) {
+        Instant now(1h);
+        ProbeScheduler scheduler({}, {}, entryId(n), now);
+        ProbeView view;
+        view.liveEntries = { entryId(n) };
+        view.registeredEntries = EntryCount;
+        for (std::size_t server = 0; server < Servers; ++server) {
+            ProbeTarget target;
+            target.server = serverId(server);
+            target.slots = 3;
+            view.servers.push_back(target);
+        }
+        std::vector<Probe> probes = scheduler.tick(view, now);
+        for (int tick = 0; tick < 6000 && probes.empty(); ++tick) {
+            now += 10ms;
+            probes = scheduler.tick(view, now);
+        }
+        REQUIRE_FALSE(probes.empty());
+        first.insert(probes.front().server);
+    }
+    CHECK(first.size() > EntryCount / 2);
+}
--- a/packages/membership/tests/membershiptabletest.cpp
+++ b/packages/membership/tests/membershiptabletest.cpp
@@ -131,7 +131,9 @@
     for (int n = 0; n < 2000; ++n) {
         std::vector<std::uint8_t> damaged = bytes;
         damaged[random.below(damaged.size())] ^= static_cast<std::uint8_t>(1 + random.below(255));
-        damaged.resize(damaged.size() - random.below(2) * random.below(damaged.size()));
+        const bool isCut = random.below(2) != 0;
+        const std::size_t cut = random.below(damaged.size());
+        damaged.resize(damaged.size() - (isCut ? cut : 0));
         const Result<GossipRecords> result = decodeRecords(damaged, Start);
         REQUIRE((result || result.error().code == ResultCode::FrameMalformed));
     }
