Read the numbers of servers' statements in one place

The parsers of limits and of Retry-After stood twice, with the same guard against signs and exponents. One function reads plain decimal numbers now; the bounds stay where they belong. Its test passes, as do those of both fields.

--- a/packages/coordination/tests/fulldisktest.cpp
+++ b/packages/coordination/tests/fulldisktest.cpp
@@ -83,6 +83,12 @@
         return !leader.empty() && random.below(2) == 0 ? leader : names[turn % names.size()];
     }
 
+    Full pickFull()
+    {
+        const Full kinds[] = { Full::AtOnce, Full::WithinWrite, Full::AtSync };
+        return kinds[random.below(3)];
+    }
+
     bool isWhole() const
     {
         return cluster.isComplete(names.size());
@@ -194,10 +200,9 @@
     Machines machines(seed, count);
     machines.startAll();
     REQUIRE(machines.runUntil([&] { return machines.isWhole(); }, CatchUp));
-    const Full kinds[] = { Full::AtOnce, Full::WithinWrite, Full::AtSync };
     for (std::size_t turn = 0; turn < 6; ++turn) {
         FillableDisk &disk = *machines.disks[machines.pick(turn)];
-        disk.full = kinds[machines.random.below(3)];
+        disk.full = machines.pickFull();
         machines.run(machines.between(200, 4000));
         disk.full = Full::No;
         machines.run(machines.between(0, 1000));
@@ -214,10 +219,9 @@
     Machines machines(seed, count);
     machines.startAll();
     REQUIRE(machines.runUntil([&] { return machines.isWhole(); }, CatchUp));
-    const Full kinds[] = { Full::AtOnce, Full::WithinWrite, Full::AtSync };
     for (std::size_t turn = 0; turn < 4; ++turn) {
         const std::string name = machines.pick(turn);
-        const Full kind = kinds[machines.random.below(3)];
+        const Full kind = machines.pickFull();
         machines.disks[name]->full = kind;
         machines.run(machines.between(0, 1500));
         if (machines.random.below(2) == 0) {
--- a/packages/gateway/gateway/limitfield.cpp
+++ b/packages/gateway/gateway/limitfield.cpp
@@ -1,7 +1,8 @@
 #include "gateway/limitfield.h"
 
 #include <algorithm>
-#include <charconv>
+
+#include "gateway/requestfields.h"
 
 namespace Galenabarrow::Gateway
 {
@@ -14,13 +15,8 @@
 
 std::optional<double> parseLimit(std::string_view text)
 {
-    const bool isPlain = !text.empty() && text.find_first_not_of("0123456789.") == std::string_view::npos;
-    double value = 0;
-    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value, std::chars_format::fixed);
-    if (!isPlain || ec != std::errc() || end != text.data() + text.size() || value > MaxPerSecond) {
-        return std::nullopt;
-    }
-    return value;
+    const std::optional<double> value = parseDecimal(text);
+    return value && *value <= MaxPerSecond ? value : std::nullopt;
 }
 
 }
--- a/packages/gateway/gateway/noticefields.cpp
+++ b/packages/gateway/gateway/noticefields.cpp
@@ -1,9 +1,10 @@
 #include "gateway/noticefields.h"
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 
+#include "gateway/requestfields.h"
+
 namespace Galenabarrow::Gateway
 {
 
@@ -14,17 +15,12 @@
 
 std::optional<Duration> parseSeconds(std::string_view text)
 {
-    const bool isPlain = !text.empty() && text.find_first_not_of("0123456789.") == std::string_view::npos;
-    double value = 0;
-    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value, std::chars_format::fixed);
-    if (!isPlain || ec == std::errc::invalid_argument || end != text.data() + text.size()) {
-        return std::nullopt;
-    }
     constexpr double MaxSeconds = std::chrono::duration<double>(MaxNoticeTime).count();
-    if (ec == std::errc::result_out_of_range || value > MaxSeconds) {
-        return MaxNoticeTime;
+    const std::optional<double> value = parseDecimal(text);
+    if (!value) {
+        return std::nullopt;
     }
-    return Duration(static_cast<Duration::rep>(std::ceil(value * 1e6)));
+    return *value > MaxSeconds ? MaxNoticeTime : Duration(static_cast<Duration::rep>(std::ceil(*value * 1e6)));
 }
 
 }
--- a/packages/gateway/gateway/requestfields.cpp
+++ b/packages/gateway/gateway/requestfields.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <charconv>
 #include <cstdio>
+#include <limits>
 
 namespace Galenabarrow::Gateway
 {
@@ -40,6 +41,17 @@
     return std::chrono::milliseconds(std::min(value, MaxMilliseconds));
 }
 
+std::optional<double> parseDecimal(std::string_view text)
+{
+    const bool isPlain = !text.empty() && text.find_first_not_of("0123456789.") == std::string_view::npos;
+    double value = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value, std::chars_format::fixed);
+    if (!isPlain || ec == std::errc::invalid_argument || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return ec == std::errc::result_out_of_range ? std::numeric_limits<double>::infinity() : value;
+}
+
 bool statesNotExecuted(unsigned status)
 {
     return status == 408 || status == 421 || status == 429 || status == 503;
--- a/packages/gateway/gateway/requestfields.h
+++ b/packages/gateway/gateway/requestfields.h
@@ -2,6 +2,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "base/clock.h"
 
@@ -14,6 +15,8 @@
 std::string formatSeconds(Duration duration);
 /// Parses a number of whole milliseconds, 0 or more, and limits it to ten minutes; absent for null and for other text.
 std::optional<Duration> parseMilliseconds(const std::string *field);
+/// Parses a decimal number without sign and exponent; infinite if it is out of the range of double, absent for other text.
+std::optional<double> parseDecimal(std::string_view text);
 /// Whether callers take \p status to mean that their request has not run.
 bool statesNotExecuted(unsigned status);
 
--- a/packages/gateway/tests/requestfieldstest.cpp
+++ b/packages/gateway/tests/requestfieldstest.cpp
@@ -1,5 +1,7 @@
 #include "gateway/requestfields.h"
 
+#include <limits>
+
 #include <catch2/catch.hpp>
 
 using namespace Galenabarrow;
@@ -18,3 +20,16 @@
     CHECK(parseMilliseconds(&row.text) == row.expected);
     CHECK(parseMilliseconds(nullptr) == std::nullopt);
 }
+
+// Guards against numbers that are read in part, and against signs, exponents and words that from_chars accepts.
+TEST_CASE("only plain decimal numbers are read")
+{
+    CHECK(parseDecimal("0") == 0.0);
+    CHECK(parseDecimal("12.5") == 12.5);
+    CHECK(parseDecimal(".5") == 0.5);
+    CHECK(parseDecimal(std::string(400, '9')) == std::numeric_limits<double>::infinity());
+    for (const char *text : { "", "-1", "+1", "1e3", "nan", "inf", "1,5", "1.2.3", " 1", "1 ", "0x10", "." }) {
+        INFO(text);
+        CHECK_FALSE(parseDecimal(text));
+    }
+}
