--- a/packages/settings/settings/rules.cpp
+++ b/packages/settings/settings/rules.cpp
@@ -113,8 +113,8 @@
       "A server that was not heard from for this long is removed." },
     { "timings.drain_s", Requirement::Optional,
       DurationRule { 1, 3'600, Second, [](Target it) -> Duration & { return it.settings.timings.drain; } },
-      "Longest time of a graceful stop; calls still running then are cut off, so it should exceed the max-age of the directory plus the "
-      "longest deadline in the contracts." },
+      "Longest time of a graceful stop; calls whose deadline lies after its end are refused from its start, and calls that came before and "
+      "still run at its end are cut off, so it should exceed the max-age of the directory plus the longest deadline in the contracts." },
     { "limits.header_bytes", Requirement::Optional,
       IntegerRule { KiB, MiB, [](Target it) -> std::uint32_t & { return it.settings.limits.headerBytes; } },
       "Largest header section of a request." },
