--- a/review/harness2.py
+++ b/review/harness2.py
@@ -13,6 +13,7 @@
 import tempfile
 import threading
 import time
+import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 PROGRAM = [os.path.join(ROOT, "target/bin/galenabarrowd"), "--platform"]  # the words of `run` in deploy/system.toml
@@ -370,6 +371,10 @@
     except CannotRun as error:
         print("cannot run: %s" % error)
         status = 2
+    except Exception as error:  # a fault of the script is no break of the rule
+        traceback.print_exc()
+        print("cannot run: %r" % error)
+        status = 2
     finally:
         if system is not None:
             system.stop()
