review: case 10, two disks lost as a replaced core machine has ended lose the core

Cause: the successor becomes a sixth voter while its predecessor still answers, and the predecessor ends without leaving the core.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,95 +1,75 @@
-"""Uploads in chunks that come at once make an entry stop reading all of them; none is answered within its route's timeout."""
+"""A core machine is replaced, the new one first; as the old one has ended, two others lose their disks. The core never comes back."""
+import json
 import os
-import socket
+import shutil
+import signal
 import sys
-import threading
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(FOLDER))
-from harness2 import (HOST, TROUBLE, System, config, put_config, read_message, route, run_case)  # noqa: E402
+from harness2 import (TROUBLE, CannotRun, System, call, config, put_config, route, run_case)  # noqa: E402
 
-USUAL = 5  # uploads at once at an entry
-BURST = 2  # times as many
-BODY_BYTES = 20 * 1024 * 1024  # max_body_bytes is 64 MiB
-CHUNK = b"x" * 65536
-TIMEOUT_S = 5.0
-DEADLINE_MS = 8000
+LATER_S = float(os.environ.get("LATER_S", "0"))  # from the end of the old machine to the final fault
+CATCH_UP_S = 6.0
+DOWN_S = 1.0
+RECOVERY_S = 15.0
+CLOSING = 9  # the version that is acknowledged right before the final fault
 
 
-class Upload(threading.Thread):
-    def __init__(self, system, host, request):
-        super().__init__(daemon=True)
-        self.system = system
-        self.host = host
-        self.request = request
-        self.sent = 0
-        self.status = None
-        self.took = None
-
-    def run(self):
-        self.start_at = time.monotonic()
-        self.system.record.add("client sends %s POST /upload/ in chunks to %s" % (self.request, self.host))
-        try:
-            with socket.create_connection(self.system.front(self.host), timeout=DEADLINE_MS / 1000) as sock:
-                head = ("POST /upload/doc HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n"
-                        "Transfer-Encoding: chunked\r\n\r\n" % (HOST, self.request, DEADLINE_MS))
-                sock.sendall(head.encode())
-                while self.sent < BODY_BYTES:
-                    sock.settimeout(max(0.01, self.start_at + DEADLINE_MS / 1000 - time.monotonic()))
-                    sock.sendall(b"%x\r\n" % len(CHUNK) + CHUNK + b"\r\n")
-                    self.sent += len(CHUNK)
-                sock.sendall(b"0\r\n\r\n")
-                sock.settimeout(max(0.01, self.start_at + DEADLINE_MS / 1000 - time.monotonic()))
-                message = read_message(sock.makefile("rb"))
-                self.status = None if message is None else int(message[0].split()[1])
-        except socket.timeout:
-            pass
-        except OSError as error:  # the entry has closed the connection; its answer may have been lost with it
-            self.system.record.add("the connection of %s ends: %s" % (self.request, error))
-            self.status = 0
-        self.took = time.monotonic() - self.start_at
-        self.system.record.add("client gets %s for %s after %.2f s; %d of %d bytes were taken"
-                               % (self.status or "no answer", self.request, self.took, self.sent, BODY_BYTES))
-
-
-def wave(system, name, count):
-    uploads = [Upload(system, host, "%s-%d" % (name, number))
-               for number, host in enumerate(host for host in system.entries for _ in range(count))]
-    for it in uploads:
-        it.start()
-    for it in uploads:
-        it.join()
-    return uploads
+def read_back(system):
+    """What each running core machine answers to a read: a version, or the status."""
+    answers = {}
+    for host in system.cores:
+        reply = call(system.control(host), "GET", "/v1/config", timeout=1.5)
+        answers[host] = None if reply is None else reply.status if reply.status != 200 else json.loads(reply.body)["version"]
+    return answers
 
 
 def case(folder):
-    system = System(folder, memory_mb=260)
+    system = System(folder, cores=5, spare_cores=1, entries=1)
     try:
         system.start_all()
-        for number, zone in enumerate(system.zones):
-            system.add_backend("i-%d" % number, "drop", zone)
-        rules = [route("r1", "/upload/", "drop", kind="upload", timeout_s=TIMEOUT_S, slo_s=2.5)]
-        put_config(system, config(1, 0, rules, ["drop"]))
+        system.add_backend("i-0", "desk", "zone-a")
+        rules = [route("r1", "/stock/", "desk")]
+        put_config(system, config(1, 0, rules, ["desk"]))
         system.wait_ready()
-        time.sleep(3)
-        uploads = []
-        for number in range(4):
-            uploads += wave(system, "usual-%d" % number, USUAL)
-            time.sleep(0.5)
+        time.sleep(CATCH_UP_S)
+        old = system.cores[4]  # not one of the seeds
         if TROUBLE:
-            uploads += wave(system, "burst", USUAL * BURST)
-        else:
-            for number in range(2):
-                uploads += wave(system, "later-%d" % number, USUAL)
-        late = [it for it in uploads if it.took > TIMEOUT_S]
-        unanswered = [it for it in uploads if it.took > TIMEOUT_S + 0.5]
-        system.record.add("%d uploads; %d lasted longer than timeout_s, %d had no answer half a second after it; statuses %s"
-                          % (len(uploads), len(late), len(unanswered), sorted(str(it.status) for it in uploads)))
+            system.record.add("a new core machine starts: %s" % system.spare_cores[0])
+            system.cores.append(system.spare_cores[0])
+            system.start(system.cores[5], is_first=False)
+            time.sleep(CATCH_UP_S + 2)  # from here on the old machine does not count any more
+            system.signal(old, signal.SIGTERM)
+            system.processes[old].wait()
+            system.record.add("the old machine has ended: %s" % old)
+            system.cores.remove(old)
+        time.sleep(LATER_S)
+        status, acked_at = system.order("PUT", "/v1/config", json.dumps(config(CLOSING, 1, rules, ["desk"])).encode(), seconds=10)
+        if status != 200:
+            raise CannotRun("the closing change was not acknowledged: %s" % status)
+        lost = system.cores[:2]
+        for host in lost:
+            system.signal(host, signal.SIGKILL)
+        for host in lost:
+            system.processes[host].wait()
+            shutil.rmtree(os.path.join(system.folder, "data-" + host))
+            system.record.add("%s has lost its disk" % host)
+        time.sleep(DOWN_S)
+        for host in lost:
+            system.start(host, is_first=False)
+            system.record.add("%s is back with an empty disk" % host)
+        end = time.monotonic() + 2 * RECOVERY_S
+        answers = {}
+        while time.monotonic() < end and "%08x" % CLOSING not in answers.values():
+            time.sleep(1)
+            answers = read_back(system)
+            system.record.add("read back: %s" % answers)
         breaks = []
-        if len(unanswered) >= 8 and len(unanswered) > len(late) / 4:
-            breaks.append("CONFIG: %d of %d requests that lasted longer than timeout_s (%.0f s) had no final answer 0.5 s after it; "
-                          "the last one after %.1f s" % (len(unanswered), len(late), TIMEOUT_S, max(it.took for it in uploads)))
+        if "%08x" % CLOSING not in answers.values():
+            breaks.append("LOST: %.0f s after all machines are back, no core machine answers a read with the acknowledged version %08x: %s"
+                          % (2 * RECOVERY_S, CLOSING, answers))
         return system, breaks
     except BaseException:
         system.stop()
--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# TROUBLE=0: the same uploads without the burst.
+# TROUBLE=0: the same loss of two disks without the replacement before it. LATER_S=3: the loss 3 s after the old machine has ended.
 exec python3 "$(dirname "$0")/case.py"
--- a/review/harness2.py
+++ b/review/harness2.py
@@ -208,18 +208,22 @@
 
 
 class System:
-    """Three core instances and some entries as processes."""
+    """Core instances, three unless stated, and some entries as processes."""
 
-    def __init__(self, folder, zones=("zone-a", "zone-b", "zone-c"), entries=2, memory_mb=260, bounds=BOUNDS):
+    def __init__(self, folder, zones=("zone-a", "zone-b", "zone-c"), entries=2, memory_mb=260, bounds=BOUNDS, cores=3, spare_cores=0):
         self.record = Record(folder)
         self.folder = tempfile.mkdtemp(prefix="galenabarrow-review-")
         self.net = "127.%d.%d" % (random.randrange(20, 120), random.randrange(1, 250))
         self.zones = list(zones)
         self.memory_mb = memory_mb
         self.bounds = bounds
-        self.cores = ["%s.%d" % (self.net, 10 + n) for n in range(3)]
+        self.cores = ["%s.%d" % (self.net, 10 + n) for n in range(cores)]
+        self.seeds = self.cores[:3]
+        self.tolerated = (cores - 1) // 2
+        spare = ["%s.%d" % (self.net, 10 + cores + n) for n in range(spare_cores)]
         self.entries = ["%s.%d" % (self.net, 30 + n) for n in range(entries)]
-        self.port = free_ports(self.cores + self.entries, 8)
+        self.port = free_ports(self.cores + spare + self.entries, 8)
+        self.spare_cores = spare
         self.processes = {}
         self.backends = []
         self.requests = 0
@@ -242,7 +246,7 @@
     def start(self, host, is_first=True):
         is_core = host in self.cores
         path = os.path.join(self.folder, host + ".toml")
-        seeds = ",".join('"%s:%d"' % self.control(it) for it in self.cores)
+        seeds = ",".join('"%s:%d"' % self.control(it) for it in self.seeds)
         lines = ['node_name = "%s-%s"' % ("core" if is_core else "front", host), 'role = "%s"' % ("core" if is_core else "entry"),
                  'machine_class = "%s"' % ("core" if is_core else "front"),
                  'serves = [%s]' % ('"control","directory"' if is_core else '"front"'), 'ip = "%s"' % host,
@@ -261,7 +265,7 @@
         else:
             lines += ['front = "%s:%d"' % self.front(host), 'ready = "%s:%d"' % self.ready(host)]
         lines += ['[limits]', 'cpu_share = 1.0', 'cores = 1', 'memory_mb = %d' % self.memory_mb, 'max_fds = 4096', 'link_mbps = 1000.0',
-                  'disk_mb = 256', '[tolerate]', 'machines = 1', 'zones = 0', 'regions = 0']
+                  'disk_mb = 256', '[tolerate]', 'machines = %d' % self.tolerated, 'zones = 0', 'regions = 0']
         with open(path, "w") as file:
             file.write("\n".join(lines) + "\n")
         environment = {it: os.environ[it] for it in ("PATH", "HOME", "LANG") if it in os.environ}
@@ -360,6 +364,7 @@
 
 def run_case(folder, case):
     """Calls case(system) -> list of breaks; exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # so that the processes are ended
     system = None
     try:
         system, breaks = case(folder)
