--- a/review/10/case.py
+++ b/review/10/case.py
@@ -26,8 +26,8 @@
     return answers
 
 
-def case(folder):
-    system = System(folder, cores=5, spare_cores=1, entries=1)
+def case(record):
+    system = System(record, cores=5, spare_cores=1, entries=1)
     try:
         system.start_all()
         system.add_backend("i-0", "desk", "zone-a")
@@ -76,4 +76,4 @@
         raise
 
 
-run_case(FOLDER, case)
+run_case(os.path.join(FOLDER, "record.txt"), case)
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -50,8 +50,8 @@
     time.sleep(1)
 
 
-def case(folder):
-    system = System(folder)
+def case(record):
+    system = System(record)
     try:
         system.start_all()
         for number, zone in enumerate(["zone-a", "zone-a", "zone-b", "zone-c"]):
@@ -68,4 +68,4 @@
         raise
 
 
-run_case(FOLDER, case)
+run_case(os.path.join(FOLDER, "record.txt"), case)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -54,11 +54,11 @@
     return [request for request, reply in results if reply is not None and reply.status == 200 and reply.is_whole], statuses, results
 
 
-def case(folder):
-    system = System(folder)
+def case(record):
+    system = System(record)
     try:
         system.start_all()
-        old = [system.add_backend("o-%d" % n, "orders", system.zones[n % 3]) for n in range(4)]
+        old = [system.add_backend("o-%d" % n, "orders", system.zones[n % 3]) for n in range(5)]
         for number, zone in enumerate(system.zones):
             system.add_backend("d-%d" % number, "desk", zone)
         stock = route("r1", "/stock/", "desk")
@@ -69,17 +69,17 @@
         put_config(system, config(2, 1, [stock, order], ["desk", "orders"]))
         time.sleep(3)
         before = [ask(system, "/stock/", "GET"), ask(system, "/order/", "POST")]
-        if TROUBLE:  # two releases in a row, each of half of the backends of the service
-            for half in (old[:2], old[2:]):
-                for backend in half:
+        if TROUBLE:  # three releases in a row, each of two fifths of the backends of the service at most
+            for part in (old[:2], old[2:4], old[4:]):
+                for backend in part:
                     number = len(system.backends)
                     address = ("%s.%d" % (system.net, 100 + number), system.port + 7)
                     system.backends.append(NewBackend(system, "n-%d" % number, "orders", backend.zone, address))
                 time.sleep(2)
-                for backend in half:
+                for backend in part:
                     leave(system, backend)
                 time.sleep(DRAIN_S + 1)
-                for backend in half:
+                for backend in part:
                     call(system.control(system.cores[0]), "DELETE", "/v1/instances/" + backend.name)
                     backend.stop()
         time.sleep(5)
@@ -101,4 +101,4 @@
         raise
 
 
-run_case(FOLDER, case)
+run_case(os.path.join(FOLDER, "record.txt"), case)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -45,8 +45,8 @@
     return results
 
 
-def case(folder):
-    system = System(folder)
+def case(record):
+    system = System(record)
     system.arrived = {}
     try:
         system.start_all()
@@ -85,4 +85,4 @@
         raise
 
 
-run_case(FOLDER, case)
+run_case(os.path.join(FOLDER, "record.txt"), case)
