control: let a replaced core instance leave before its planned stop

Cause: a learner became a voter whenever it had caught up, so a core of five had six voters, which need four votes, until the old instance had been silent for 0.7 s. A member left only by falling silent.

Change: with a target for the number of voters, the leader keeps that number odd, so a sixth member stays a learner. A core instance that stops sends a LeaveRequest; the leader promotes the successor, removes the sender and replies. The process ends then, or at the end of its grace period. A silent voter is removed once its successor has caught up, and the promotion follows at the commit. Results of proposals are held while the number of voters is even in the middle of a replacement.

A swap in one step is not safe, as the majorities of the two memberships need not overlap.

--- a/packages/control/control/raftcodec.cpp
+++ b/packages/control/control/raftcodec.cpp
@@ -186,7 +186,7 @@
 {
     const auto *root = verifiedRoot<Fb::RaftMessage>(bytes);
     RaftMessage message;
-    if (root == nullptr || root->kind() > static_cast<std::uint8_t>(RaftKind::JoinReply)) {
+    if (root == nullptr || root->kind() > static_cast<std::uint8_t>(RaftKind::LeaveReply)) {
         return malformed("message between replicas");
     }
     unpackHeader(*root, message);
--- a/packages/control/control/raftcore.cpp
+++ b/packages/control/control/raftcore.cpp
@@ -28,8 +28,14 @@
 RaftOutput RaftCore::tick(Instant now)
 {
     stepDownWithoutQuorum(now);
+    requestLeave(now);
     if (m_role == Role::Leader) {
+        if (m_replacementStartedAt && now - *m_replacementStartedAt >= m_timing.election) {
+            m_replacementStartedAt.reset(); // the successor does not respond any more
+        }
         manageMembership(now);
+    }
+    if (m_role == Role::Leader) {
         sendHeartbeats(now);
     } else if (now >= m_electionDeadline) {
         startPreVote(now);
@@ -49,6 +55,8 @@
         { RaftKind::AppendReply, &RaftCore::handleAppendReply },
         { RaftKind::SnapshotChunk, &RaftCore::handleSnapshotChunk },
         { RaftKind::SnapshotReply, &RaftCore::handleSnapshotReply },
+        { RaftKind::LeaveRequest, &RaftCore::handleLeaveRequest },
+        { RaftKind::LeaveReply, &RaftCore::handleLeaveReply },
     };
     const auto handler = Handlers.find(message.kind);
     if (handler == Handlers.end() || message.to != m_self) {
@@ -56,7 +64,9 @@
     }
     // A leader whose process was suspended must step down before it handles messages that were queued meanwhile.
     stepDownWithoutQuorum(now);
-    if (acceptTerm(message, now)) {
+    // A replica that was removed while it leaves may be in an older term.
+    const bool isAboutLeaving = message.kind == RaftKind::LeaveRequest || message.kind == RaftKind::LeaveReply;
+    if (isAboutLeaving || acceptTerm(message, now)) {
         (this->*handler->second)(message, now);
     }
     return takeOutput();
--- a/packages/control/control/raftcore.h
+++ b/packages/control/control/raftcore.h
@@ -66,6 +66,16 @@
     std::map<ReplicaId, AdmissionRefusal> takeRefusedJoiners();
     /// Sets the replicas that a leader removes from the membership when they no longer respond.
     void setRetiredReplicas(std::vector<ReplicaId> retired);
+    /// Sets the number of voters of a complete cluster. While there are more members, the leader keeps the number of voters odd, and
+    /// replaces those that no longer respond or that leave. 0 (the default): every learner becomes a voter, and none is replaced.
+    void setVoterTarget(std::size_t voters);
+    /// Requests that the leader removes this replica as soon as another one can take its place; for a planned stop.
+    void startLeaving();
+    /// Whether this replica is known to be no member any more, so that its end loses no vote.
+    bool hasLeft() const;
+    /// Whether this leader is in the middle of replacing a voter, with an even number of voters. An acknowledgement that is given now may
+    /// not survive as many losses as the complete cluster does; this lasts at most an election timeout.
+    bool isReplacingVoter() const;
     /// Starts a cluster with this replica as the only voter; the store must be unused.
     RaftOutput bootstrap(std::uint32_t target, std::vector<std::uint8_t> state, const std::string &address, Instant now);
     /// Creates a snapshot of \p state, the state after the last committed entry that was returned, and drops the entries more
@@ -142,10 +152,22 @@
     void manageMembership(Instant now);
     bool promoteLearner(Instant now);
     bool hasCaughtUp(Progress &row, Instant now) const;
+    /// The learners that may become voters now.
+    std::vector<ReplicaId> promotableLearners(Instant now);
+    bool isVoterLeaving() const;
+    /// Makes an even number of voters odd when no learner can be promoted.
+    bool demoteExcessVoter(Instant now);
+    void setVoter(const ReplicaId &id, bool isVoter, Instant now);
     bool admitJoiner(Instant now);
-    bool removeRetired(Instant now);
+    bool removeReplica(Instant now);
+    std::optional<ReplicaId> findRemovable(Instant now);
     void proposeMembership(Membership membership, Instant now);
 
+    // leaving
+    void requestLeave(Instant now);
+    void handleLeaveRequest(const RaftMessage &message, Instant now);
+    void handleLeaveReply(const RaftMessage &message, Instant now);
+
     // output
     RaftMessage makeMessage(RaftKind kind, const ReplicaId &to, Instant now) const;
     RaftMessage makeReply(RaftKind kind, const RaftMessage &request, Instant now) const;
@@ -184,6 +206,14 @@
     std::map<InstanceId, Joiner> m_joiners;
     std::map<ReplicaId, AdmissionRefusal> m_refusedJoiners;
     std::vector<ReplicaId> m_retired;
+    std::size_t m_voterTarget = 0;
+    /// Members that have told this leader that they leave.
+    std::set<ReplicaId> m_leaving;
+    std::optional<Instant> m_replacementStartedAt;
+    /// This replica leaves.
+    bool m_isLeaving = false;
+    bool m_hasLeft = false;
+    std::optional<Instant> m_leaveRequestedAt;
 
     WriteNumber m_lastWrite;
     std::deque<Write> m_writes;
--- a/packages/control/control/raftelection.cpp
+++ b/packages/control/control/raftelection.cpp
@@ -30,6 +30,8 @@
     m_role = Role::Follower;
     m_leader = std::move(leader);
     m_joiners.clear();
+    m_leaving.clear();
+    m_replacementStartedAt.reset();
 }
 
 void RaftCore::startPreVote(Instant now)
--- a/packages/control/control/raftleader.cpp
+++ b/packages/control/control/raftleader.cpp
@@ -11,8 +11,6 @@
 {
 /// Maximum size of the commands in one append; well below the maximum size of a frame.
 constexpr std::size_t MaxAppendBytes = std::size_t { 256 } * 1024;
-/// A joiner that proved to be alive longer ago than this is not added.
-constexpr Duration JoinerLifetime = std::chrono::seconds(2);
 }
 
 void RaftCore::appendEntry(LogEntry entry, Instant now)
@@ -126,7 +124,8 @@
     row->match = std::max(row->match, message.index);
     row->next = std::max(row->next, next(row->match));
     advanceCommit(now);
-    if (row->snapshot == nullptr && row->next <= m_log.lastIndex()) {
+    row = m_role == Role::Leader ? m_progress.find(message.from) : nullptr; // the commit may have changed the membership
+    if (row != nullptr && row->snapshot == nullptr && row->next <= m_log.lastIndex()) {
         sendAppend(message.from, *row, now);
     }
 }
@@ -159,26 +158,12 @@
     if (index > m_commit && m_log.termAt(index) == m_hardState.term) {
         commitTo(index);
         broadcast(now);
+        if (m_replacementStartedAt) {
+            manageMembership(now); // without waiting for the next tick
+        }
     }
 }
 
-void RaftCore::addJoiner(const Member &member, Instant now)
-{
-    if (m_role == Role::Leader && member.id.instance != m_self.instance) {
-        m_joiners[member.id.instance] = Joiner { member, now };
-    }
-}
-
-std::map<ReplicaId, AdmissionRefusal> RaftCore::takeRefusedJoiners()
-{
-    return std::exchange(m_refusedJoiners, {});
-}
-
-void RaftCore::setRetiredReplicas(std::vector<ReplicaId> retired)
-{
-    m_retired = std::move(retired);
-}
-
 RaftOutput RaftCore::bootstrap(std::uint32_t target, std::vector<std::uint8_t> state, const std::string &address, Instant now)
 {
     assert(m_log.snapshot() == nullptr && m_log.lastIndex() == LogIndex());
@@ -198,105 +183,4 @@
     return takeOutput();
 }
 
-void RaftCore::manageMembership(Instant now)
-{
-    // A membership change waits until the previous one and an entry of this term are committed. Otherwise two leaders could
-    // change the same membership into two whose quorums do not overlap.
-    if (m_commit < m_log.membershipIndex() || m_commit < m_termStart) {
-        return;
-    }
-    std::erase_if(m_joiners, [now](const auto &row) { return now - row.second.provenAt > JoinerLifetime; });
-    if (!admitJoiner(now) && !removeRetired(now)) {
-        promoteLearner(now);
-    }
-}
-
-bool RaftCore::promoteLearner(Instant now)
-{
-    Membership membership = m_log.membership();
-    for (Member &member : membership.members) {
-        Progress *row = m_progress.find(member.id);
-        if (member.isVoter || row == nullptr) {
-            continue;
-        }
-        if (hasCaughtUp(*row, now) && now - row->lastContactAt < m_timing.election) {
-            member.isVoter = true;
-            proposeMembership(std::move(membership), now);
-            return true;
-        }
-    }
-    return false;
-}
-
-bool RaftCore::hasCaughtUp(Progress &row, Instant now) const
-{
-    // While changes are accepted in quick succession, a learner never has all of them at once. So it has also caught up when the
-    // entries committed at some moment were synced on it within an election timeout (Ongaro's thesis, section 4.2.1).
-    const bool isRoundOver = row.roundEnd != LogIndex() && row.match >= row.roundEnd;
-    const bool isRoundShort = isRoundOver && now - row.roundStartedAt < m_timing.election;
-    if (isRoundOver || row.roundEnd == LogIndex()) {
-        row.roundEnd = m_commit;
-        row.roundStartedAt = now;
-    }
-    return isRoundShort || row.match >= m_commit;
-}
-
-bool RaftCore::admitJoiner(Instant now)
-{
-    while (!m_joiners.empty()) {
-        const Member joiner = m_joiners.begin()->second.member;
-        m_joiners.erase(m_joiners.begin());
-        Membership membership = m_log.membership();
-        const Member *present = membership.findInstance(joiner.id.instance);
-        if (present != nullptr && present->id == joiner.id) {
-            continue;
-        }
-        const Progress *row = present == nullptr ? nullptr : m_progress.find(present->id);
-        if (row != nullptr && now - row->lastContactAt < m_timing.election) {
-            // The joiner repeats its request.
-            m_refusedJoiners[joiner.id] = AdmissionRefusal::PreviousReplicaResponds;
-            continue;
-        }
-        if (present != nullptr) {
-            // The instance now runs with another store. The old replica is removed first; the new one repeats its request.
-            membership.members.erase(membership.members.begin() + (present - membership.members.data()));
-        } else if (membership.members.size() < MaxReplicas) {
-            membership.members.push_back(joiner);
-        } else {
-            m_refusedJoiners[joiner.id] = AdmissionRefusal::ClusterFull;
-            continue;
-        }
-        proposeMembership(std::move(membership), now);
-        return true;
-    }
-    return false;
-}
-
-bool RaftCore::removeRetired(Instant now)
-{
-    Membership membership = m_log.membership();
-    const auto isRemovable = [&](const Member &member) {
-        const Progress *row = m_progress.find(member.id);
-        const bool isRetired = std::find(m_retired.begin(), m_retired.end(), member.id) != m_retired.end();
-        return isRetired && row != nullptr && now - row->lastContactAt >= m_timing.election;
-    };
-    const auto it = std::find_if(membership.members.begin(), membership.members.end(), isRemovable);
-    if (it == membership.members.end()) {
-        return false;
-    }
-    membership.members.erase(it);
-    proposeMembership(std::move(membership), now);
-    return true;
-}
-
-void RaftCore::proposeMembership(Membership membership, Instant now)
-{
-    membership.isFormed = membership.isFormed || membership.voterCount() >= membership.target;
-    LogEntry entry;
-    entry.kind = EntryKind::MembershipChange;
-    entry.membership = std::move(membership);
-    appendEntry(std::move(entry), now);
-    broadcast(now);
-}
-
 }
--- a/packages/control/control/rafttypes.h
+++ b/packages/control/control/rafttypes.h
@@ -100,6 +100,10 @@
     SnapshotReply,
     JoinRequest,
     JoinReply,
+    /// From a member that is stopping; earlier builds drop it.
+    LeaveRequest,
+    /// To a replica that has been removed after its LeaveRequest.
+    LeaveReply,
 };
 
 /// What an instance without a log says about the first start of its cluster. Builds that do not say it count as permitted.
--- a/packages/coordination/coordination/corenode.cpp
+++ b/packages/coordination/coordination/corenode.cpp
@@ -76,6 +76,16 @@
 }
 
 const Replica &CoreNode::replica() const
+void CoreNode::startLeaving()
+{
+    m_replica->startLeaving();
+}
+
+bool CoreNode::hasLeft() const
+{
+    return m_replica->hasLeft();
+}
+
 {
     return *m_replica;
 }
--- a/packages/coordination/coordination/corenode.h
+++ b/packages/coordination/coordination/corenode.h
@@ -52,6 +52,10 @@
     void setSeeds(const std::vector<InstanceId> &seeds);
     /// \p callback is called when the store has failed for good; the process should then exit.
     void onStoreFailure(std::function<void(const Error &)> callback);
+    /// Leaves the core if another instance can take the place of this one, for a planned stop.
+    void startLeaving();
+    /// Whether the core has as many votes without this instance, or nothing can take its place. Meaningful after startLeaving().
+    bool hasLeft() const;
 
     /// Proposes a change of the configuration to the replicas. The result is Ok, VersionConflict or ConfigInvalid, or
     /// ChangeOutcomeUnknown or NoQuorum when it is not known whether the change is accepted.
--- a/packages/coordination/coordination/membershiplog.cpp
+++ b/packages/coordination/coordination/membershiplog.cpp
@@ -77,7 +77,10 @@
             continue;
         }
         ++m_changeCount;
-        add(known == nullptr ? "member_added" : "member_promoted", it.id, { { "voter", it.isVoter ? "yes" : "no" } });
+        add(known == nullptr ? "member_added"
+                : it.isVoter ? "member_promoted"
+                             : "member_demoted",
+            it.id, { { "voter", it.isVoter ? "yes" : "no" } });
         m_refused.erase(it.id);
     }
 }
--- a/packages/coordination/coordination/replica.cpp
+++ b/packages/coordination/coordination/replica.cpp
@@ -60,6 +60,10 @@
 {
     m_raft.emplace(ReplicaId { m_settings.instance, contents.incarnation }, m_settings.timing, m_random, contents.hardState,
                    contents.snapshot, contents.entries, now);
+    m_raft->setVoterTarget(m_settings.voters);
+    if (m_isLeaving) {
+        m_raft->startLeaving();
+    }
     m_join.emplace(m_raft->self(), m_settings.seeds, m_settings.bootstrap, m_settings.timing.join, m_random, RaftJoin::Admission::Open);
     m_state = {};
     if (contents.snapshot != nullptr) {
@@ -76,7 +80,6 @@
         return;
     }
     guardState([&] {
-        retireExcessMembers();
         processOutput(m_raft->tick(now));
         runJoin(now);
         finishUndecided();
@@ -125,6 +128,19 @@
     }
 }
 
+void Replica::startLeaving()
+{
+    m_isLeaving = true;
+    m_raft->startLeaving();
+}
+
+bool Replica::hasLeft() const
+{
+    const Membership &membership = m_raft->log().membership();
+    const bool isReplaceable = membership.members.size() > m_settings.voters || membership.find(m_raft->self()) == nullptr;
+    return isStopped() || !isReplaceable || m_raft->hasLeft();
+}
+
 void Replica::setSeeds(const std::vector<InstanceId> &seeds)
 {
     std::vector<InstanceId> kept;
@@ -256,6 +272,9 @@
 }
 
 const std::optional<RaftJoin::Attempt> &Replica::joinAttempt() const
+    if (!isStopped() && m_raft->isReplacingVoter()) {
+        return {}; // an acknowledgement must survive the loss of as many voters as the complete cluster may lose
+    }
 {
     return m_join->attempt();
 }
@@ -395,20 +414,6 @@
     m_join->setPeers(std::move(peers));
 }
 
-void Replica::retireExcessMembers()
-{
-    const Membership &membership = m_raft->log().membership();
-    std::vector<ReplicaId> retired;
-    if (membership.members.size() > m_settings.voters) {
-        for (const Member &member : membership.members) {
-            if (member.id != m_raft->self()) {
-                retired.push_back(member.id);
-            }
-        }
-    }
-    m_raft->setRetiredReplicas(std::move(retired));
-}
-
 RaftJoin::View Replica::joinView() const
 {
     RaftJoin::View view;
@@ -421,3 +426,6 @@
 }
 
 }
+    if (m_isLeaving) {
+        return;
+    }
--- a/packages/coordination/coordination/replica.h
+++ b/packages/coordination/coordination/replica.h
@@ -28,7 +28,7 @@
     /// Lets this seed start a new cluster if no seed with a lower name may; see raftjoin.h. Also set if the store keeps a permission that
     /// names the same seeds.
     bool bootstrap = false;
-    /// Number of voters of a complete cluster. When there are more members, one that does not answer is removed.
+    /// Number of voters of a complete cluster. When there are more members, one that does not answer or that leaves is removed.
     std::uint32_t voters = 3;
     Control::RaftTiming timing;
     /// Log entries between two snapshots.
@@ -65,6 +65,10 @@
 
     /// Runs the timers of elections and of the join protocol. To be called every 20 to 50 ms.
     void tick(Instant now);
+    /// Leaves the cluster if another replica can take the place of this one, for a planned stop. This replica does not join again.
+    void startLeaving();
+    /// Whether the end of this replica loses no vote, or nothing can take its place. Meaningful after startLeaving().
+    bool hasLeft() const;
     /// Replaces the seeds, for a change of the settings at run time. An unused store that may start a cluster keeps the earlier
     /// ones as well, since a first start requires an answer from each of them.
     void setSeeds(const std::vector<InstanceId> &seeds);
@@ -129,7 +133,6 @@
     void sendRaft(const Control::RaftMessage &message);
     void runJoin(Instant now);
     void updatePeers();
-    void retireExcessMembers();
     Control::RaftJoin::View joinView() const;
 
     ReplicaSettings m_settings;
@@ -151,4 +154,5 @@
     std::vector<FinishedProposal> m_finished;
 };
 
+    bool m_isLeaving = false;
 }
