coordination: refuse orders that are older than an accepted one

Requests reached the evacuated data centre.

Cause: an order without a version was proposed whenever it was read and applied to whatever the state was then. It could wait in a socket or in a message to the leader, longer than its sender.

Change: an order is proposed 25 ms after it was read, unless its sender has closed its connection by then, and not at all within 0.1 s of a stall of 0.5 s or more. It states the last log entry that its instance knew, and the leader refuses it when a later order for the same data centre was accepted or proposed since, or, for a withdrawal without a start time, when the server was registered again. A repetition that changes nothing is accepted. The check is the leader's and not part of what a log entry does, so replicas of both builds agree; earlier builds ignore the new member.

Ruled out: the close of the sender alone does not cover a message to the leader; what the instance knew alone does not cover an instance that catches up before it reads its socket.

--- a/packages/coordination/coordination/corenode.cpp
+++ b/packages/coordination/coordination/corenode.cpp
@@ -21,6 +21,12 @@
 /// Shorter than the second after which a caller of the control API turns to another instance.
 constexpr Duration ForwardTimeout = std::chrono::milliseconds(850);
 constexpr Duration ReadTimeout = std::chrono::milliseconds(850);
+/// Time between an order and its proposal: a sender that gave up has closed its connection, and the close may arrive after the order.
+constexpr Duration OrderDelay = std::chrono::milliseconds(25);
+/// A process whose ticks are further apart was stalled; shorter than the second after which a sender turns to another instance.
+constexpr Duration StallLimit = std::chrono::milliseconds(500);
+/// Time after a stall in which received orders may have waited since before it.
+constexpr Duration StallRecovery = std::chrono::milliseconds(100);
 /// Announcements are rejected when the last confirmation by a quorum is older than this, so that servers turn to an instance
 /// with a quorum.
 constexpr Duration MaxConfirmationAge = std::chrono::milliseconds(1500);
@@ -70,12 +76,6 @@
     m_replica->setSeeds(seeds);
 }
 
-void CoreNode::onStoreFailure(std::function<void(const Error &)> callback)
-{
-    m_storeFailureCallback = std::move(callback);
-}
-
-const Replica &CoreNode::replica() const
 void CoreNode::startLeaving()
 {
     m_replica->startLeaving();
@@ -86,6 +86,12 @@
     return m_replica->hasLeft();
 }
 
+void CoreNode::onStoreFailure(std::function<void(const Error &)> callback)
+{
+    m_storeFailureCallback = std::move(callback);
+}
+
+const Replica &CoreNode::replica() const
 {
     return *m_replica;
 }
@@ -121,6 +127,7 @@
     status.evacuations = m_replica->state().activeEvacuations();
     status.isSuspended = m_replica->suspension().has_value();
     status.suspensions = m_replica->suspensionCount();
+    status.ordersDropped = m_ordersDropped;
     status.quotas = m_quotas.status();
     status.silentServers = silentServers().size();
     status.silentLinks = m_links.silentCount();
@@ -128,8 +135,26 @@
     return status;
 }
 
+void CoreNode::detectStall()
+{
+    const Instant now = m_loop.now();
+    if (m_tickedAt != Instant {} && now - m_tickedAt > StallLimit) {
+        m_stalledUntil = now + StallRecovery;
+        m_log.warn("stalled",
+                   { { "duration_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now - m_tickedAt).count()) } });
+    }
+    m_tickedAt = now;
+}
+
+bool CoreNode::wasStalled() const
+{
+    const Instant now = m_loop.now();
+    return now - m_tickedAt > StallLimit || (m_stalledUntil && now < *m_stalledUntil);
+}
+
 void CoreNode::tick()
 {
+    detectStall();
     m_replica->tick(m_loop.now());
     m_links.tick();
     dropSilentEntries();
@@ -278,7 +303,7 @@
 
 void CoreNode::announce(const Routing::BackendServer &update, ResultCallback done)
 {
-    if (!isUpToDate()) {
+    if (!isUpToDate() || wasStalled()) {
         done(failure(ResultCode::NoQuorum, "no quorum has confirmed the state recently"));
         return;
     }
@@ -312,20 +337,38 @@
                  { "known_sequence", known == servers.end() ? "none" : std::to_string(known->second.sequence) } });
 }
 
-void CoreNode::withdraw(const Routing::BackendServer &withdrawal, ResultCallback done)
+void CoreNode::withdraw(const Routing::BackendServer &withdrawal, PresenceCheck isSenderPresent, ResultCallback done)
 {
-    // Proposed even when it would not change the state of this replica, which may lag behind.
     Routing::Command command;
     command.withdrawal = withdrawal;
-    propose(command, std::move(done));
+    proposeOrder(std::move(command), std::move(isSenderPresent), std::move(done));
 }
 
-void CoreNode::evacuate(const DataCentreId &dataCentre, bool isActive, ResultCallback done)
+void CoreNode::evacuate(const DataCentreId &dataCentre, bool isActive, PresenceCheck isSenderPresent, ResultCallback done)
 {
-    // Proposed even when it would not change the state of this replica, which may lag behind.
     Routing::Command command;
     command.evacuation = Routing::Evacuation { dataCentre, isActive, {} };
-    propose(command, std::move(done));
+    proposeOrder(std::move(command), std::move(isSenderPresent), std::move(done));
+}
+
+void CoreNode::proposeOrder(Routing::Command order, PresenceCheck isSenderPresent, ResultCallback done)
+{
+    if (wasStalled()) {
+        done(failure(ResultCode::NoQuorum, "the order may have waited while this process did not run"));
+        return;
+    }
+    order.knownIndex = m_replica->commitIndex();
+    m_loop.after(OrderDelay, [this, order = std::move(order), isSenderPresent = std::move(isSenderPresent), done = std::move(done)] {
+        if (isSenderPresent()) {
+            // Proposed even when it would not change the state of this replica, which may lag behind.
+            propose(order, done);
+            return;
+        }
+        ++m_ordersDropped;
+        m_log.info("order_dropped",
+                   { { "subject", order.evacuation ? order.evacuation->dataCentre.value() : order.withdrawal->id.value() },
+                     { "reason", "the sender has closed its connection" } });
+    });
 }
 
 std::optional<bool> CoreNode::isKnownDataCentre(const DataCentreId &dataCentre) const
@@ -357,11 +400,16 @@
         done(checked);
         return;
     }
-    if (const std::optional<ProposalId> proposalId = m_replica->propose(bytes, m_loop.now())) {
+    const Result<ProposalId> proposalId = m_replica->propose(command, bytes, m_loop.now());
+    if (proposalId) {
         m_proposals.emplace(*proposalId, std::move(done));
         scheduleProcessing();
         return;
     }
+    if (proposalId.error().code != ResultCode::NotLeader) {
+        done(tl::make_unexpected(proposalId.error()));
+        return;
+    }
     const std::optional<InstanceId> leader = m_replica->leader();
     if (!leader || *leader == m_settings.replica.instance) {
         done(failure(ResultCode::NoQuorum, "no leader is known"));
@@ -488,7 +536,8 @@
     const ResultCallback reply = [this, to = envelope.sender, correlation = envelope.correlation](const Result<void> &result) {
         m_links.send(to, Wire::MessageKind::ProposeReply, correlation, encodeResult(result));
     };
-    if (const Result<Routing::Command> command = Routing::decodeCommand(envelope.payload); !command) {
+    const Result<Routing::Command> command = Routing::decodeCommand(envelope.payload);
+    if (!command) {
         reply(tl::make_unexpected(command.error()));
         return;
     }
@@ -496,9 +545,9 @@
         reply(checked);
         return;
     }
-    const std::optional<ProposalId> proposalId = m_replica->propose(envelope.payload, m_loop.now());
+    const Result<ProposalId> proposalId = m_replica->propose(*command, envelope.payload, m_loop.now());
     if (!proposalId) {
-        reply(failure(ResultCode::NotLeader, "this replica is not the leader"));
+        reply(tl::make_unexpected(proposalId.error()));
         return;
     }
     m_proposals.emplace(*proposalId, reply);
--- a/packages/coordination/coordination/corenode.h
+++ b/packages/coordination/coordination/corenode.h
@@ -39,6 +39,8 @@
     using ResultCallback = std::function<void(const Result<void> &)>;
     /// Called with the newest accepted configuration, or with null when no quorum confirmed it in time.
     using ConfigCallback = std::function<void(const Routing::RoutingConfig *)>;
+    /// Whether the sender of an order still waits for its result.
+    using PresenceCheck = std::function<bool()>;
 
     CoreNode(Net::EventLoop &loop, CoreSettings settings, std::unique_ptr<Replica> replica, const Wire::FrameCodec &codec,
              RandomSource &random);
@@ -50,12 +52,12 @@
     Result<void> start();
     /// Replaces the seeds, for a change of the settings at run time.
     void setSeeds(const std::vector<InstanceId> &seeds);
-    /// \p callback is called when the store has failed for good; the process should then exit.
-    void onStoreFailure(std::function<void(const Error &)> callback);
     /// Leaves the core if another instance can take the place of this one, for a planned stop.
     void startLeaving();
     /// Whether the core has as many votes without this instance, or nothing can take its place. Meaningful after startLeaving().
     bool hasLeft() const;
+    /// \p callback is called when the store has failed for good; the process should then exit.
+    void onStoreFailure(std::function<void(const Error &)> callback);
 
     /// Proposes a change of the configuration to the replicas. The result is Ok, VersionConflict or ConfigInvalid, or
     /// ChangeOutcomeUnknown or NoQuorum when it is not known whether the change is accepted.
@@ -63,11 +65,13 @@
     /// Processes the announcement of a backend server. An announcement that changes the state is proposed to the replicas.
     /// The result is Ok once the announced state is committed.
     void announce(const Routing::BackendServer &update, ResultCallback done);
-    /// Proposes the removal of a backend server to the replicas.
-    void withdraw(const Routing::BackendServer &withdrawal, ResultCallback done);
+    /// Proposes the removal of a backend server to the replicas. A sender without a result sends its order to another instance, and may
+    /// send another one after that. So an order is dropped, without a call of \p done, when its sender has left, and fails with NoQuorum
+    /// or VersionConflict when it may be older than one that was accepted meanwhile.
+    void withdraw(const Routing::BackendServer &withdrawal, PresenceCheck isSenderPresent, ResultCallback done);
     /// Proposes to evacuate a data centre, or to end its evacuation, to the replicas. The result is Ok once the order is committed, also
-    /// when it changes nothing.
-    void evacuate(const DataCentreId &dataCentre, bool isActive, ResultCallback done);
+    /// when it changes nothing. Late orders are handled as by withdraw().
+    void evacuate(const DataCentreId &dataCentre, bool isActive, PresenceCheck isSenderPresent, ResultCallback done);
     /// Whether a server or an evacuation names the data centre; absent when none that this instance knows does, and it may lag behind.
     std::optional<bool> isKnownDataCentre(const DataCentreId &dataCentre) const;
     /// Reads the newest accepted configuration, confirmed by a quorum after this call.
@@ -104,6 +108,11 @@
     void scheduleProcessing();
     void processReplicaOutput();
     void propose(const Routing::Command &command, ResultCallback done);
+    /// Proposes an order without a version of its own, see withdraw().
+    void proposeOrder(Routing::Command order, PresenceCheck isSenderPresent, ResultCallback done);
+    /// Whether this process did not run for a while until just now. What it reads may then have been sent long ago.
+    bool wasStalled() const;
+    void detectStall();
     void expireForwarded();
     void finishReads();
     void accept(std::shared_ptr<Net::Stream> stream);
@@ -168,6 +177,9 @@
     std::uint64_t m_lastCorrelation = 0;
     std::map<std::uint64_t, ForwardedProposal> m_forwarded;
     std::list<PendingRead> m_reads;
+    Instant m_tickedAt {};
+    std::optional<Instant> m_stalledUntil;
+    std::uint64_t m_ordersDropped = 0;
     EntryDirectory m_entries;
     std::uint64_t m_entriesLost = 0;
     std::uint64_t m_feedBytes = 0;
--- a/packages/coordination/coordination/corestatus.cpp
+++ b/packages/coordination/coordination/corestatus.cpp
@@ -34,6 +34,8 @@
         { "galenabarrow_core_store_suspended", Kind::Gauge,
           "1 while the store cannot be written and this instance takes no part in the log.", status.isSuspended ? 1U : 0U },
         { "galenabarrow_core_store_suspensions_total", Kind::Counter, "Times that the store could not be written.", status.suspensions },
+        { "galenabarrow_core_orders_dropped_total", Kind::Counter, "Orders that were not proposed because their sender had left.",
+          status.ordersDropped },
         { "galenabarrow_core_silent_links_total", Kind::Counter, "Connections to other core instances closed because they were silent.",
           status.silentLinks },
         { "galenabarrow_core_cold_servers", Kind::Gauge, "Backend servers that have just started and whose requests are limited.",
--- a/packages/coordination/coordination/corestatus.h
+++ b/packages/coordination/coordination/corestatus.h
@@ -41,6 +41,8 @@
     bool isSuspended = false;
     /// How often that began.
     std::uint64_t suspensions = 0;
+    /// Orders that were not proposed because their sender had left.
+    std::uint64_t ordersDropped = 0;
     /// Cold servers with a limit of their requests, see ColdServers.
     std::uint64_t coldServers = 0;
     /// Connections to other core instances that were closed because they were silent.
--- a/packages/coordination/coordination/replica.cpp
+++ b/packages/coordination/coordination/replica.cpp
@@ -196,13 +196,62 @@
         const std::optional<RaftCore::Position> position = m_raft->propose(std::move(command), now, output);
         if (position) {
             proposalId = ProposalId(++m_lastProposalId);
-            m_pending[position->index] = PendingProposal { *proposalId, position->term };
+            m_pending[position->index] = PendingProposal { *proposalId, position->term, std::nullopt };
         }
         processOutput(output);
     });
     return proposalId;
 }
 
+Result<ProposalId> Replica::propose(const Routing::Command &command, Bytes bytes, Instant now)
+{
+    const bool isOrder = command.evacuation || command.withdrawal;
+    // Until its term is confirmed, a leader may not have applied every accepted order.
+    if (isOrder && isLeader() && !confirmedAt(now)) {
+        return failure(ResultCode::NoQuorum, "no quorum has confirmed the leader yet");
+    }
+    if (isOrder && isLeader() && isOutdated(command)) {
+        return failure(ResultCode::VersionConflict, "the order is older than the last one for the same subject");
+    }
+    const std::optional<ProposalId> proposalId = propose(std::move(bytes), now);
+    if (!proposalId) {
+        return failure(ResultCode::NotLeader, "this replica is not the leader");
+    }
+    const auto it =
+        std::find_if(m_pending.rbegin(), m_pending.rend(), [&](const auto &row) { return row.second.proposalId == *proposalId; });
+    if (it != m_pending.rend()) {
+        it->second.evacuation = command.evacuation;
+    }
+    return *proposalId;
+}
+
+bool Replica::isOutdated(const Routing::Command &order) const
+{
+    if (order.knownIndex == LogIndex()) {
+        return false;
+    }
+    if (order.evacuation) {
+        const std::optional<Routing::Evacuation> last = lastEvacuation(order.evacuation->dataCentre);
+        // A repetition of the last order changes nothing and is accepted.
+        return last && last->isActive != order.evacuation->isActive && last->changedAt > order.knownIndex;
+    }
+    // Without a start time, a late withdrawal would apply to a server that has started since.
+    const auto server = m_state.servers().find(order.withdrawal->id);
+    return order.withdrawal->born == 0 && server != m_state.servers().end() && server->second.state == Routing::ServerState::Ready
+        && server->second.changedAt > order.knownIndex;
+}
+
+std::optional<Routing::Evacuation> Replica::lastEvacuation(const DataCentreId &dataCentre) const
+{
+    for (auto it = m_pending.rbegin(); it != m_pending.rend(); ++it) {
+        if (it->second.evacuation && it->second.evacuation->dataCentre == dataCentre) {
+            return Routing::Evacuation { dataCentre, it->second.evacuation->isActive, it->first };
+        }
+    }
+    const auto it = m_state.evacuations().find(dataCentre);
+    return it == m_state.evacuations().end() ? std::nullopt : std::optional(it->second);
+}
+
 std::vector<RaftEnvelope> Replica::takeOutgoing(Instant now)
 {
     while (m_unsyncedWrite && !isStopped()) {
@@ -223,6 +272,9 @@
 
 std::vector<FinishedProposal> Replica::takeFinished()
 {
+    if (!isStopped() && m_raft->isReplacingVoter()) {
+        return {}; // an acknowledgement must survive the loss of as many voters as the complete cluster may lose
+    }
     return std::exchange(m_finished, {});
 }
 
@@ -272,9 +324,6 @@
 }
 
 const std::optional<RaftJoin::Attempt> &Replica::joinAttempt() const
-    if (!isStopped() && m_raft->isReplacingVoter()) {
-        return {}; // an acknowledgement must survive the loss of as many voters as the complete cluster may lose
-    }
 {
     return m_join->attempt();
 }
@@ -394,6 +443,9 @@
 
 void Replica::runJoin(Instant now)
 {
+    if (m_isLeaving) {
+        return;
+    }
     updatePeers();
     for (const RaftMessage &message : m_join->tick(joinView(), now)) {
         sendRaft(message);
@@ -426,6 +478,3 @@
 }
 
 }
-    if (m_isLeaving) {
-        return;
-    }
--- a/packages/coordination/coordination/replica.h
+++ b/packages/coordination/coordination/replica.h
@@ -77,6 +77,9 @@
     /// Proposes an encoded command. Absent when this replica is not the leader of a complete cluster, or when too many
     /// proposals are pending.
     std::optional<ProposalId> propose(Bytes command, Instant now);
+    /// Proposes \p command, whose encoded form is \p bytes. Fails with NotLeader as above, and with VersionConflict when the command is an
+    /// order that is older than one for the same subject that was accepted or proposed since: a late copy must not undo it.
+    Result<ProposalId> propose(const Routing::Command &command, Bytes bytes, Instant now);
 
     /// Syncs the store if there are unsynced writes, and returns the messages to send since the last call. To be called after
     /// each batch of other calls, so that one sync covers the whole batch.
@@ -110,6 +113,7 @@
     struct PendingProposal {
         ProposalId proposalId;
         Term term;
+        std::optional<Routing::Evacuation> evacuation;
     };
 
     Replica(ReplicaSettings settings, std::unique_ptr<Control::LogStore> store, RandomSource &random,
@@ -125,6 +129,9 @@
     void processMessage(const Control::RaftMessage &message, Instant now);
     void processOutput(const Control::RaftOutput &output);
     void write(const Control::RaftOutput &output);
+    bool isOutdated(const Routing::Command &order) const;
+    /// The last order for a data centre that this leader has accepted or proposed.
+    std::optional<Routing::Evacuation> lastEvacuation(const DataCentreId &dataCentre) const;
     void applyEntry(const Control::LogEntry &entry);
     void finishUndecided();
     void finishPending(const char *reason);
@@ -147,6 +154,7 @@
     std::optional<Control::RaftCore> m_raft;
     std::optional<Control::RaftJoin> m_join;
     Routing::RoutingState m_state;
+    bool m_isLeaving = false;
     std::uint64_t m_lastProposalId = 0;
     std::optional<Control::WriteNumber> m_unsyncedWrite;
     std::map<LogIndex, PendingProposal> m_pending;
@@ -154,5 +162,4 @@
     std::vector<FinishedProposal> m_finished;
 };
 
-    bool m_isLeaving = false;
 }
--- a/packages/coordination/tests/feedsizetest.cpp
+++ b/packages/coordination/tests/feedsizetest.cpp
@@ -339,7 +339,8 @@
     server.address = "127.0.0.1:80";
     server.software = std::string(std::size_t { 10 } << 20U, 'v');
     fixture.core->announce(server, done);
-    fixture.core->withdraw(server, done);
+    fixture.core->withdraw(
+        server, [] { return true; }, done);
     fixture.runFor(std::chrono::seconds(1));
     CHECK(codes == std::vector<ResultCode>(3, ResultCode::ConfigInvalid));
     CHECK(fixture.core->replica().state().servers().empty());
--- a/packages/gateway/tests/evacuatedserverstest.cpp
+++ b/packages/gateway/tests/evacuatedserverstest.cpp
@@ -108,7 +108,8 @@
 void evacuate(Cluster &cluster, const DataCentreId &dataCentre, bool isActive)
 {
     bool isCommitted = false;
-    cluster.core.front()->evacuate(dataCentre, isActive, [&](const Result<void> &result) { isCommitted = result.has_value(); });
+    cluster.core.front()->evacuate(
+        dataCentre, isActive, [] { return true; }, [&](const Result<void> &result) { isCommitted = result.has_value(); });
     cluster.runFor(std::chrono::milliseconds(500));
     REQUIRE(isCommitted);
 }
--- a/packages/routing/routing/codec.cpp
+++ b/packages/routing/routing/codec.cpp
@@ -261,6 +261,7 @@
     }
     return encodeTable<Fb::Command>(to);
 }
+    to.known_index = command.knownIndex.value();
 
 Result<Command> decodeCommand(std::span<const std::uint8_t> bytes)
 {
@@ -283,5 +284,6 @@
     }
     return command;
 }
+    command.knownIndex = LogIndex(from->known_index);
 
 }
--- a/packages/routing/routing/model.h
+++ b/packages/routing/routing/model.h
@@ -107,7 +107,6 @@
     CallerLimits limits;
     std::vector<Route> routes;
     std::vector<Service> services;
-    /// Without accounts, requests need no key.
     std::vector<ClientAccount> accounts;
     std::string extra;
 
@@ -193,3 +192,6 @@
 };
 
 }
+    /// For withdrawals and evacuations: the last log entry that the instance had applied when it received the order. 0 when not known;
+    /// earlier builds do not state it. Only the leader uses it, before the command enters the log.
+    LogIndex knownIndex;
