http: read a response alike however its bytes are divided

Cause: with a memory limit, no limit is set for the body of a response.

Change: no limit is the largest number, and the parser is not run eagerly, so that the error of each part is reported.

--- a/packages/http/http/reader.cpp
+++ b/packages/http/http/reader.cpp
@@ -23,6 +23,9 @@
 constexpr std::size_t GrowthFactor = 4;
 /// Larger response headers are rejected.
 constexpr std::uint32_t MaxResponseHeader = 65536;
+/// An eager parser drops the error of a body above the limit when the input goes on after the header section, so the result would depend on
+/// how the bytes are divided.
+constexpr bool ParsesEagerly = false;
 
 template<typename Parser>
 std::size_t feedParser(Parser &parser, const std::string &input, std::size_t used, boost::beast::error_code &ec)
@@ -203,7 +206,7 @@
             return m_state;
         }
         m_parser = std::make_unique<Parser>();
-        m_parser->parser.eager(true);
+        m_parser->parser.eager(ParsesEagerly);
         m_parser->parser.header_limit(
             static_cast<std::uint32_t>(std::min<std::size_t>(m_limits.headerBytes, std::numeric_limits<std::uint32_t>::max())));
         m_parser->parser.body_limit(m_limits.bodyBytes);
@@ -232,13 +235,10 @@
 void ResponseReader::expect(bool isHead, std::optional<std::uint64_t> maxBody)
 {
     m_parser = std::make_unique<Parser>();
-    m_parser->parser.eager(true);
+    m_parser->parser.eager(ParsesEagerly);
     m_parser->parser.header_limit(MaxResponseHeader);
-    if (maxBody) {
-        m_parser->parser.body_limit(*maxBody);
-    } else {
-        m_parser->parser.body_limit(boost::none);
-    }
+    // The parser compares a stated length also with a limit that is absent, and finds every length above it.
+    m_parser->parser.body_limit(maxBody.value_or(std::numeric_limits<std::uint64_t>::max()));
     m_parser->parser.skip(isHead);
     m_state = ReadState::Idle;
     if (!m_input.empty()) {
