routing: tell an empty list of client accounts from an absent one

Cause: a configuration had a list of accounts and nothing that told an empty list from none, without which no key is needed.

Change: RoutingConfig::hasAccounts, which commands, images, updates to entries and patches keep. A patch that removes the last account leaves the empty list. With a list, requests on routes that are not public need a valid key, so an empty one gets 401.

Replaced test: "an index is empty without accounts, but not with accounts that have no keys" required that AccountIndex({}) needs no key, which was the fault. "an index requires keys unless there is no list of accounts" checks the same three cases with an empty list on the other side.

--- a/packages/gateway/gateway/accountindex.cpp
+++ b/packages/gateway/gateway/accountindex.cpp
@@ -17,9 +17,9 @@
 }
 
 AccountIndex::AccountIndex(const std::vector<Routing::ClientAccount> &accounts, RandomSource &random)
-    : m_isEmpty(accounts.empty())
+    : m_requiresKeys(true)
 {
-    if (m_isEmpty) {
+    if (accounts.empty()) {
         return;
     }
     m_seed = random.next();
@@ -31,9 +31,9 @@
     }
 }
 
-bool AccountIndex::isEmpty() const
+bool AccountIndex::requiresKeys() const
 {
-    return m_isEmpty;
+    return m_requiresKeys;
 }
 
 AccountPointer AccountIndex::find(std::string_view key) const
--- a/packages/gateway/gateway/accountindex.h
+++ b/packages/gateway/gateway/accountindex.h
@@ -20,13 +20,13 @@
 class AccountIndex
 {
 public:
-    /// An index without accounts.
+    /// Stands for a configuration without a list of accounts.
     AccountIndex() = default;
-    /// Draws the seed of the hash from \p random if there are accounts.
+    /// The index of a list of accounts, which may be empty. Draws the seed of the hash from \p random if there are accounts.
     AccountIndex(const std::vector<Routing::ClientAccount> &accounts, RandomSource &random);
 
-    /// Whether the configuration has no accounts, so that requests need no key.
-    bool isEmpty() const;
+    /// Whether there is a list of accounts, even if it is empty.
+    bool requiresKeys() const;
     /// The account of \p key; null if no account has it. The time depends on the length of \p key, but not on how much of it is right.
     AccountPointer find(std::string_view key) const;
 
@@ -53,7 +53,7 @@
 
     /// Keeps callers from finding keys with equal digests, or from learning a digest from the time of a lookup.
     std::uint64_t m_seed = 0;
-    bool m_isEmpty = true;
+    bool m_requiresKeys = false;
     std::unordered_multimap<Digest, Entry, DigestHash> m_entries;
 };
 
--- a/packages/gateway/gateway/keycheck.cpp
+++ b/packages/gateway/gateway/keycheck.cpp
@@ -79,8 +79,8 @@
 
 KeyCheck checkKey(const AccountIndex &accounts, const Http::Fields &fields, const Routing::Route &route)
 {
-    const ClientIdentity anonymous { !accounts.isEmpty(), nullptr };
-    if (accounts.isEmpty() || route.isPublic) {
+    const ClientIdentity anonymous { accounts.requiresKeys(), nullptr };
+    if (!accounts.requiresKeys() || route.isPublic) {
         return { KeyResult::Accepted, anonymous };
     }
     const std::string_view key = readKey(fields);
--- a/packages/gateway/gateway/keycheck.h
+++ b/packages/gateway/gateway/keycheck.h
@@ -11,9 +11,9 @@
 
 /// The client account of a request, by the configuration that the request started with.
 struct ClientIdentity {
-    /// Whether that configuration has client accounts. Without them, the header fields of a request are forwarded unchanged.
+    /// Whether that configuration has a list of client accounts. Without one, the header fields of a request are forwarded unchanged.
     bool hasAccounts = false;
-    /// Null without accounts and on public routes.
+    /// Null without a list of accounts and on public routes.
     AccountPointer account;
 
     /// The name of the account; empty without one.
--- a/packages/gateway/gateway/requestrunner.cpp
+++ b/packages/gateway/gateway/requestrunner.cpp
@@ -55,7 +55,7 @@
 void RequestRunner::setConfig(const Routing::RoutingConfig &config)
 {
     m_routes = std::make_unique<Routing::RouteTable>(config);
-    m_accounts = AccountIndex(config.accounts, m_random);
+    m_accounts = config.requiresKeys() ? AccountIndex(config.accounts, m_random) : AccountIndex();
     m_version = config.version;
     m_splits.reset();
     m_quotas.setConfig(config);
--- a/packages/gateway/tests/accountindextest.cpp
+++ b/packages/gateway/tests/accountindextest.cpp
@@ -63,16 +63,16 @@
     CHECK(nameOf(index, beginning) == "none");
 }
 
-// Guards against access without a key while no key is configured yet: an account without keys still requires one.
-TEST_CASE("an index is empty without accounts, but not with accounts that have no keys")
+// Guards against access without a key while there is no valid key: an account without keys and an empty list of accounts require one.
+TEST_CASE("an index requires keys unless there is no list of accounts")
 {
     SeededRandom random(1);
-    CHECK(AccountIndex().isEmpty());
-    CHECK(AccountIndex({}, random).isEmpty());
+    CHECK_FALSE(AccountIndex().requiresKeys());
     CHECK(nameOf(AccountIndex(), "secret") == "none");
-    const AccountIndex index({ makeAccount("a", {}) }, random);
-    CHECK_FALSE(index.isEmpty());
-    CHECK(nameOf(index, "secret") == "none");
+    for (const AccountIndex &index : { AccountIndex({}, random), AccountIndex({ makeAccount("a", {}) }, random) }) {
+        CHECK(index.requiresKeys());
+        CHECK(nameOf(index, "secret") == "none");
+    }
 }
 
 // Guards against earlier deployments that behave differently: their random choices must not shift.
--- a/packages/gateway/tests/clientaccounttest.cpp
+++ b/packages/gateway/tests/clientaccounttest.cpp
@@ -102,7 +102,12 @@
         servers.apply(update, loop.now());
     }
 
-    void configure(std::vector<Routing::ClientAccount> accounts)
+    void configureWithoutAccounts()
+    {
+        configure({}, false);
+    }
+
+    void configure(std::vector<Routing::ClientAccount> accounts, bool hasAccounts = true)
     {
         Routing::RoutingConfig config;
         config.version = Version(++version);
@@ -111,6 +116,7 @@
         config.routes[2].priority = 5;
         config.services = { { ServiceId("desk"), "/health", 0, "" } };
         config.accounts = std::move(accounts);
+        config.hasAccounts = hasAccounts;
         runner.setConfig(config);
     }
 
@@ -181,6 +187,22 @@
     CHECK(fixture.call("/a", "Authorization: Bearer key1\r\n") == "200"); // the connection is still usable
 }
 
+// Guards against an entry that is open to everybody, and passes keys and forged account names on, once the last account was removed.
+TEST_CASE("without an account left every key is refused and reaches no server")
+{
+    const std::string lines = GENERATE("", "Authorization: Bearer key1\r\n", "Authorization: Bearer other\r\nx-account: first\r\n");
+    INFO(lines);
+    AccountFixture fixture;
+    fixture.configure({ makeAccount("first", { "key1" }) });
+    CHECK(fixture.call("/a", "Authorization: Bearer key1\r\n") == "200");
+    fixture.configure({});
+    CHECK(fixture.call("/a", lines) == "401");
+    CHECK(fixture.backend.requests() == 1);
+    CHECK(fixture.call("/public/a", lines) == "200");
+    CHECK(fieldOf(fixture.backend.received.back(), "Authorization") == "absent");
+    CHECK(fieldOf(fixture.backend.received.back(), "x-account") == "absent");
+}
+
 // Guards against a key in a place that is read by people or by monitoring.
 TEST_CASE("a key is in no response and no metric")
 {
@@ -269,10 +291,10 @@
 }
 
 // Guards against any change for deployments without accounts.
-TEST_CASE("without accounts both header fields are forwarded unchanged")
+TEST_CASE("without a list of accounts both header fields are forwarded unchanged")
 {
     AccountFixture fixture;
-    fixture.configure({});
+    fixture.configureWithoutAccounts();
     CHECK(fixture.call("/a", "Authorization: Bearer key1\r\nx-account: mine\r\n") == "200");
     CHECK(fixture.call("/a", "") == "200");
     REQUIRE(fixture.backend.requests() == 2);
@@ -304,7 +326,7 @@
     const bool startsWithAccounts = GENERATE(true, false);
     AccountFixture fixture;
     const std::vector<Routing::ClientAccount> accounts { makeAccount("first", { "key1" }) };
-    fixture.configure(startsWithAccounts ? accounts : std::vector<Routing::ClientAccount> {});
+    fixture.configure(startsWithAccounts ? accounts : std::vector<Routing::ClientAccount> {}, startsWithAccounts);
     fixture.backend.behaviour = Behaviour::Shed;
     fixture.backend.work = std::chrono::milliseconds(50);
     fixture.caller->send("/a", "Authorization: Bearer key1\r\nx-account: mine\r\n");
@@ -312,7 +334,7 @@
     REQUIRE(fixture.backend.requests() == 1);
     ScriptedServer other(fixture.loop, 1);
     fixture.addServer(other); // for the next attempt
-    fixture.configure(startsWithAccounts ? std::vector<Routing::ClientAccount> {} : accounts);
+    fixture.configure(startsWithAccounts ? std::vector<Routing::ClientAccount> {} : accounts, !startsWithAccounts);
     fixture.runFor(100);
     CHECK(fixture.caller->status() == "200");
     REQUIRE(other.requests() == 1);
--- a/packages/routing/routing/codec.cpp
+++ b/packages/routing/routing/codec.cpp
@@ -174,6 +174,7 @@
     for (const ClientAccount &it : config.accounts) {
         to->accounts.push_back(pack(it));
     }
+    to->has_accounts = config.requiresKeys();
     return to;
 }
 
@@ -198,6 +199,7 @@
     for (const auto &it : from.accounts) {
         config.accounts.push_back(unpack(*it));
     }
+    config.hasAccounts = from.has_accounts || !config.accounts.empty(); // earlier builds do not write it
     return config;
 }
 
@@ -259,9 +261,9 @@
     if (command.evacuation) {
         to.evacuation = pack(*command.evacuation);
     }
+    to.known_index = command.knownIndex.value();
     return encodeTable<Fb::Command>(to);
 }
-    to.known_index = command.knownIndex.value();
 
 Result<Command> decodeCommand(std::span<const std::uint8_t> bytes)
 {
@@ -282,8 +284,8 @@
     if (from->evacuation != nullptr) {
         command.evacuation = unpack(*from->evacuation);
     }
+    command.knownIndex = LogIndex(from->known_index);
     return command;
 }
-    command.knownIndex = LogIndex(from->known_index);
 
 }
--- a/packages/routing/routing/confighistory.cpp
+++ b/packages/routing/routing/confighistory.cpp
@@ -80,7 +80,7 @@
 void ConfigHistory::record(LogIndex at, const ConfigChange &change, const RoutingConfig &before, const RoutingConfig &after)
 {
     // A patch carries only routes, services, accounts and limits: a change of other members requires the whole configuration.
-    if (before.version == Version() || before.extra != after.extra) {
+    if (before.version == Version() || before.extra != after.extra || before.hasAccounts != after.hasAccounts) {
         restart(at);
         return;
     }
--- a/packages/routing/routing/model.h
+++ b/packages/routing/routing/model.h
@@ -108,8 +108,16 @@
     std::vector<Route> routes;
     std::vector<Service> services;
     std::vector<ClientAccount> accounts;
+    /// There is a list of accounts, which may be empty: no key is valid then.
+    bool hasAccounts = false;
     std::string extra;
 
+    /// Whether requests on routes that are not public need the key of an account.
+    bool requiresKeys() const
+    {
+        return hasAccounts || !accounts.empty();
+    }
+
     bool operator==(const RoutingConfig &) const = default;
 };
 
@@ -189,9 +197,9 @@
     /// Only id, born and receivedAt are used; born is 0 if the withdrawal does not state it.
     std::optional<BackendServer> withdrawal;
     std::optional<Evacuation> evacuation;
-};
-
-}
     /// For withdrawals and evacuations: the last log entry that the instance had applied when it received the order. 0 when not known;
     /// earlier builds do not state it. Only the leader uses it, before the command enters the log.
     LogIndex knownIndex;
+};
+
+}
--- a/packages/routing/routing/rules.cpp
+++ b/packages/routing/routing/rules.cpp
@@ -176,6 +176,7 @@
     if (!change.isPatch) {
         RoutingConfig config = change.config;
         config.version = change.version;
+        config.hasAccounts = config.requiresKeys();
         return config;
     }
     RoutingConfig config = current;
@@ -192,6 +193,8 @@
     upsert(config.routes, change.config.routes, routeName);
     upsert(config.services, change.config.services, serviceName);
     upsert(config.accounts, change.config.accounts, accountName);
+    // A patch that removes the last account leaves the empty list.
+    config.hasAccounts = config.requiresKeys();
     return config;
 }
 
