gateway: end an attempt at once when a response has no valid status

The product's own daemon passed every status except 100 on.

Cause: a status below 200 counted as interim and any other one as final.

Change: 200 to 599 is final. 100 to 199 without 101, without a body and at most 32 times for one request is interim. Everything else fails the attempt at once, like bytes that are no response. Both readers of servers' responses use base/httpstatus.h.

--- a/packages/daemon/daemon/upstreamsession.cpp
+++ b/packages/daemon/daemon/upstreamsession.cpp
@@ -7,6 +7,7 @@
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Timespan.h>
 
+#include "base/httpstatus.h"
 #include "wire/socketwait.h"
 
 namespace Galenabarrow::Daemon
@@ -89,7 +90,7 @@
 
 ResponseEnd UpstreamSession::receiveHead(Poco::Net::HTTPResponse &head)
 {
-    do {
+    for (unsigned n = 0; n <= MaxInterimResponses; ++n) {
         std::string text;
         switch (readHead(text, MaxResponseHead)) {
         case HeadEnd::Whole:
@@ -108,8 +109,14 @@
         } catch (const Poco::Net::MessageException &) {
             return ResponseEnd::Malformed;
         }
-    } while (head.getStatus() == Poco::Net::HTTPResponse::HTTP_CONTINUE);
-    return ResponseEnd::Whole;
+        if (isFinalStatus(head.getStatus())) {
+            return ResponseEnd::Whole;
+        }
+        if (!isInterimStatus(head.getStatus()) || head.hasContentLength() || head.getChunkedTransferEncoding()) {
+            return ResponseEnd::Malformed;
+        }
+    }
+    return ResponseEnd::Malformed;
 }
 
 ResponseEnd UpstreamSession::receiveChunks(std::string &body)
--- a/packages/daemon/tests/upstreamtest.cpp
+++ b/packages/daemon/tests/upstreamtest.cpp
@@ -103,6 +103,14 @@
           ResultCode::AnswerTooLarge },
         { "chunk above the limit", head + "Transfer-Encoding: chunked\r\n\r\n800001\r\nwhole", AttemptEnd::FailedAfterSend,
           ResultCode::AnswerTooLarge },
+        { "early hints first", "HTTP/1.1 103 Early Hints\r\n\r\n" + Whole, AttemptEnd::Answered, ResultCode::Ok },
+        { "status 000", "HTTP/1.1 000 OK\r\nContent-Length: 5\r\n\r\nwhole", AttemptEnd::FailedAfterSend, ResultCode::ConnectionLost },
+        { "status 099", "HTTP/1.1 099 OK\r\nContent-Length: 5\r\n\r\nwhole", AttemptEnd::FailedAfterSend, ResultCode::ConnectionLost },
+        { "status 101", "HTTP/1.1 101 Switching Protocols\r\n\r\n" + Whole, AttemptEnd::FailedAfterSend, ResultCode::ConnectionLost },
+        { "status 199 with a body", "HTTP/1.1 199 OK\r\nContent-Length: 5\r\n\r\nwhole", AttemptEnd::FailedAfterSend,
+          ResultCode::ConnectionLost },
+        { "status 600", "HTTP/1.1 600 OK\r\nContent-Length: 5\r\n\r\nwhole", AttemptEnd::FailedAfterSend, ResultCode::ConnectionLost },
+        { "status 999", "HTTP/1.1 999 OK\r\nContent-Length: 5\r\n\r\nwhole", AttemptEnd::FailedAfterSend, ResultCode::ConnectionLost },
         { "no HTTP", "hello\r\n\r\n", AttemptEnd::FailedAfterSend, ResultCode::ConnectionLost },
     }));
     INFO(row.name);
--- a/packages/gateway/gateway/upstreampool.cpp
+++ b/packages/gateway/gateway/upstreampool.cpp
@@ -4,6 +4,8 @@
 #include <cassert>
 #include <charconv>
 
+#include "base/httpstatus.h"
+
 namespace Galenabarrow::Gateway
 {
 
@@ -131,6 +133,7 @@
         m_requestId = std::move(request.requestId);
         m_isHead = request.isHead;
         m_bodyToFollow = request.bodyToFollow;
+        m_interimResponses = 0;
         expectResponse();
         m_stream->write(request.bytes);
         m_isStarted = true;
@@ -256,6 +259,10 @@
             return;
         }
         Http::Response response = m_reader.head();
+        if (!isFinalStatus(static_cast<int>(response.status))) {
+            fail(AttemptFailure::Broken);
+            return;
+        }
         if (ownerOf(response) != ResponseOwner::Current) {
             m_reader.takeBody();
             return;
@@ -331,10 +338,15 @@
         while (m_attempt != nullptr && m_reader.state() == Http::ReadState::Complete) {
             const bool hasSurplus = m_reader.hasSurplus();
             Http::Response response = m_reader.take();
-            if (response.status < 200) {
+            if (isInterim(response)) {
+                ++m_interimResponses;
                 expectResponse();
                 continue;
             }
+            if (!isFinalStatus(static_cast<int>(response.status))) {
+                fail(AttemptFailure::Broken);
+                return;
+            }
             const ResponseOwner owner = ownerOf(response);
             m_hadUnnamedResponse = m_hadUnnamedResponse || response.fields.find(m_pool.m_requestIdField) == nullptr;
             if (owner == ResponseOwner::Current) {
@@ -351,6 +363,13 @@
         }
     }
 
+    /// Whether the final response may still follow. A body is read as the next response, so a response that announces one is none.
+    bool isInterim(const Http::Response &response) const
+    {
+        const bool hasBody = response.fields.find("Content-Length") != nullptr || response.fields.find("Transfer-Encoding") != nullptr;
+        return isInterimStatus(static_cast<int>(response.status)) && !hasBody && m_interimResponses < MaxInterimResponses;
+    }
+
     /// Decides which exchange a response belongs to, for requests and health checks alike. Servers echo the id of a request, and may
     /// send any response once more where the next one is expected. So a response with ids belongs to the request that all of them name.
     /// A response without an id belongs to the health check in progress, since a copy of an earlier one states the same. It belongs to a
@@ -446,6 +465,7 @@
     /// The header section of the current request was written. The body must not be written before it.
     bool m_isStarted = false;
     std::uint64_t m_bodyToFollow = 0;
+    unsigned m_interimResponses = 0;
     std::string m_requestId;
     bool m_isHead = false;
     /// A response was received that is not known to belong to the exchange in progress then.
