--- a/packages/control/control/raftcore.h
+++ b/packages/control/control/raftcore.h
@@ -150,17 +150,17 @@
 
     // membership on the leader
     void manageMembership(Instant now);
-    bool promoteLearner(Instant now);
+    bool promoteLearner(const std::vector<ReplicaId> &learners, Instant now);
     bool hasCaughtUp(Progress &row, Instant now) const;
-    /// The learners that may become voters now.
+    /// The learners that may become voters now. To be called once in each check, since it starts new rounds of catching up.
     std::vector<ReplicaId> promotableLearners(Instant now);
     bool isVoterLeaving() const;
     /// Makes an even number of voters odd when no learner can be promoted.
     bool demoteExcessVoter(Instant now);
     void setVoter(const ReplicaId &id, bool isVoter, Instant now);
     bool admitJoiner(Instant now);
-    bool removeReplica(Instant now);
-    std::optional<ReplicaId> findRemovable(Instant now);
+    bool removeReplica(const std::vector<ReplicaId> &learners, Instant now);
+    std::optional<ReplicaId> findRemovable(const std::vector<ReplicaId> &learners, Instant now);
     void proposeMembership(Membership membership, Instant now);
 
     // leaving
--- a/packages/control/control/raftmembership.cpp
+++ b/packages/control/control/raftmembership.cpp
@@ -3,6 +3,7 @@
 #include "control/raftcore.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace Galenabarrow::Control
@@ -114,14 +115,14 @@
     if (!isEven(membership.voterCount())) {
         m_replacementStartedAt.reset();
     }
-    if (!admitJoiner(now) && !removeReplica(now) && !promoteLearner(now)) {
+    const std::vector<ReplicaId> learners = promotableLearners(now);
+    if (!admitJoiner(now) && !removeReplica(learners, now) && !promoteLearner(learners, now)) {
         demoteExcessVoter(now);
     }
 }
 
-bool RaftCore::promoteLearner(Instant now)
+bool RaftCore::promoteLearner(const std::vector<ReplicaId> &learners, Instant now)
 {
-    const std::vector<ReplicaId> learners = promotableLearners(now);
     const std::size_t voters = m_log.membership().voterCount();
     // The number of voters stays odd: an even one needs a larger majority but survives no more losses.
     const bool isWanted = m_voterTarget == 0 || voters < m_voterTarget || isEven(voters) || learners.size() >= 2 || isVoterLeaving();
@@ -221,9 +222,9 @@
     return false;
 }
 
-bool RaftCore::removeReplica(Instant now)
+bool RaftCore::removeReplica(const std::vector<ReplicaId> &learners, Instant now)
 {
-    const std::optional<ReplicaId> removed = findRemovable(now);
+    const std::optional<ReplicaId> removed = findRemovable(learners, now);
     if (!removed) {
         return false;
     }
@@ -236,9 +237,11 @@
     return true;
 }
 
-std::optional<ReplicaId> RaftCore::findRemovable(Instant now)
+std::optional<ReplicaId> RaftCore::findRemovable(const std::vector<ReplicaId> &learners, Instant now)
 {
     const Membership &membership = m_log.membership();
+    const std::size_t voters = membership.voterCount();
+    const bool hasExcess = m_voterTarget != 0 && membership.members.size() > m_voterTarget;
     const auto isSilent = [&](const Member &member) {
         const Progress *row = m_progress.find(member.id);
         return row != nullptr && now - row->lastContactAt >= m_timing.election;
@@ -246,28 +249,22 @@
     const auto isRetired = [&](const Member &member) {
         return std::find(m_retired.begin(), m_retired.end(), member.id) != m_retired.end() && isSilent(member);
     };
-    const auto isLeaving = [&](const Member &member) { return m_leaving.contains(member.id); };
-    const auto find = [&](const auto &condition) -> std::optional<ReplicaId> {
-        const auto it = std::find_if(membership.members.begin(), membership.members.end(), condition);
-        return it == membership.members.end() ? std::nullopt : std::optional(it->id);
-    };
-    if (const auto retired = find(isRetired)) {
-        return retired;
-    }
-    if (m_voterTarget == 0 || membership.members.size() <= m_voterTarget) {
-        return std::nullopt;
-    }
-    const std::size_t voters = membership.voterCount();
     // A voter that still responds keeps its vote until its successor has one. A silent one cannot vote, so it is removed first, but only
     // when its successor has caught up: until then, the removal would gain nothing.
-    if (const auto leaving = find([&](const Member &it) { return isLeaving(it) && (!it.isVoter || voters > m_voterTarget); })) {
-        return leaving;
-    }
-    if (const auto learner = find([&](const Member &it) { return !it.isVoter && isSilent(it); })) {
-        return learner;
+    const auto isLeaving = [&](const Member &member) {
+        return hasExcess && m_leaving.contains(member.id) && (!member.isVoter || voters > m_voterTarget);
+    };
+    const auto isSilentLearner = [&](const Member &member) { return hasExcess && !member.isVoter && isSilent(member); };
+    const bool hasSuccessor = voters > m_voterTarget || (voters == m_voterTarget && !learners.empty());
+    const auto isReplaceable = [&](const Member &member) { return hasExcess && hasSuccessor && member.isVoter && isSilent(member); };
+    const std::vector<std::function<bool(const Member &)>> conditions { isRetired, isLeaving, isSilentLearner, isReplaceable };
+    for (const auto &condition : conditions) {
+        const auto it = std::find_if(membership.members.begin(), membership.members.end(), condition);
+        if (it != membership.members.end()) {
+            return it->id;
+        }
     }
-    const bool isReplaceable = voters > m_voterTarget || (voters == m_voterTarget && !promotableLearners(now).empty());
-    return isReplaceable ? find([&](const Member &it) { return it.isVoter && isSilent(it); }) : std::nullopt;
+    return std::nullopt;
 }
 
 void RaftCore::proposeMembership(Membership membership, Instant now)
--- a/packages/coordination/tests/replacementhistorytest.cpp
+++ b/packages/coordination/tests/replacementhistorytest.cpp
@@ -102,7 +102,7 @@
         if (lostCount() >= ToleratedLosses || names.size() < CoreSize - 1) {
             return;
         }
-        const std::string name = names[m_random.below(names.size())];
+        const std::string &name = names[m_random.below(names.size())];
         const auto length = std::chrono::milliseconds(200 + m_random.below(4000));
         switch (m_random.below(5)) {
         case 0: // a successor, which counts as lost until it has had the time to catch up
