--- a/packages/daemon/daemon/upstreamclient.cpp
+++ b/packages/daemon/daemon/upstreamclient.cpp
@@ -189,7 +189,7 @@
         return;
     }
     setEnd(response, Entry::AttemptEnd::Answered, ResultCode::Ok);
-    response.status = static_cast<std::uint16_t>(head.getStatus());
+    response.status = static_cast<std::uint16_t>(session.status());
     response.reason = head.getReason();
     response.headers.assign(head.begin(), head.end());
 }
--- a/packages/daemon/daemon/upstreamsession.cpp
+++ b/packages/daemon/daemon/upstreamsession.cpp
@@ -1,7 +1,9 @@
 #include "daemon/upstreamsession.h"
 
+#include <algorithm>
 #include <charconv>
 #include <sstream>
+#include <string_view>
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
@@ -29,6 +31,20 @@
     return ec == std::errc() && (end == line.data() + line.size() || *end == ';' || *end == ' ');
 }
 
+/// The status in the first line of \p head; 0 without a valid one. POCO's own type cannot hold every number that a server may send.
+int parseStatus(std::string_view head)
+{
+    constexpr std::string_view Blanks = " \t\r\n";
+    constexpr std::size_t Digits = 3;
+    head.remove_prefix(std::min(head.find_first_not_of(Blanks), head.size())); // as POCO does
+    head.remove_prefix(std::min(head.find_first_of(Blanks), head.size()));
+    head.remove_prefix(std::min(head.find_first_not_of(Blanks), head.size()));
+    const std::string_view text = head.substr(0, head.find_first_of(Blanks));
+    int status = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), status);
+    return text.size() == Digits && ec == std::errc() && end == text.data() + text.size() ? status : 0;
+}
+
 bool hasNoBody(const std::string &method, int status)
 {
     return method == "HEAD" || status == Poco::Net::HTTPResponse::HTTP_NO_CONTENT || status == Poco::Net::HTTPResponse::HTTP_NOT_MODIFIED;
@@ -69,7 +85,7 @@
 {
     body.clear();
     const ResponseEnd headEnd = receiveHead(head);
-    if (headEnd != ResponseEnd::Whole || hasNoBody(method, head.getStatus())) {
+    if (headEnd != ResponseEnd::Whole || hasNoBody(method, m_status)) {
         return headEnd;
     }
     if (head.getChunkedTransferEncoding()) {
@@ -88,6 +104,11 @@
     return readBody(body, static_cast<std::size_t>(length)) ? ResponseEnd::Whole : ResponseEnd::CutShort;
 }
 
+int UpstreamSession::status() const
+{
+    return m_status;
+}
+
 ResponseEnd UpstreamSession::receiveHead(Poco::Net::HTTPResponse &head)
 {
     for (unsigned n = 0; n <= MaxInterimResponses; ++n) {
@@ -102,6 +123,10 @@
         case HeadEnd::TooLarge:
             return ResponseEnd::TooLarge;
         }
+        m_status = parseStatus(text);
+        if (!isFinalStatus(m_status) && !isInterimStatus(m_status)) {
+            return ResponseEnd::Malformed;
+        }
         head.clear();
         std::istringstream stream(text);
         try {
@@ -109,10 +134,10 @@
         } catch (const Poco::Net::MessageException &) {
             return ResponseEnd::Malformed;
         }
-        if (isFinalStatus(head.getStatus())) {
+        if (isFinalStatus(m_status)) {
             return ResponseEnd::Whole;
         }
-        if (!isInterimStatus(head.getStatus()) || head.hasContentLength() || head.getChunkedTransferEncoding()) {
+        if (head.hasContentLength() || head.getChunkedTransferEncoding()) {
             return ResponseEnd::Malformed;
         }
     }
--- a/packages/daemon/daemon/upstreamsession.h
+++ b/packages/daemon/daemon/upstreamsession.h
@@ -39,10 +39,14 @@
     /// Reads a complete response to \p method. Throws Poco exceptions when the connection fails. A body whose length is
     /// not stated counts as cut short, because its end cannot be distinguished from a lost connection.
     ResponseEnd receiveWhole(const std::string &method, Poco::Net::HTTPResponse &head, std::string &body);
+    /// The status of the last response; its getStatus() is undefined for numbers beyond POCO's list.
+    int status() const;
 
 private:
     ResponseEnd receiveHead(Poco::Net::HTTPResponse &head);
     ResponseEnd receiveChunks(std::string &body);
+
+    int m_status = 0;
 };
 
 /// Largest response body in bytes.
--- a/packages/daemon/tests/upstreamtest.cpp
+++ b/packages/daemon/tests/upstreamtest.cpp
@@ -109,6 +109,7 @@
         { "status 101", "HTTP/1.1 101 Switching Protocols\r\n\r\n" + Whole, AttemptEnd::FailedAfterSend, ResultCode::ConnectionLost },
         { "status 199 with a body", "HTTP/1.1 199 OK\r\nContent-Length: 5\r\n\r\nwhole", AttemptEnd::FailedAfterSend,
           ResultCode::ConnectionLost },
+        { "status 599", "HTTP/1.1 599 OK\r\nContent-Length: 5\r\n\r\nwhole", AttemptEnd::Answered, ResultCode::Ok },
         { "status 600", "HTTP/1.1 600 OK\r\nContent-Length: 5\r\n\r\nwhole", AttemptEnd::FailedAfterSend, ResultCode::ConnectionLost },
         { "status 999", "HTTP/1.1 999 OK\r\nContent-Length: 5\r\n\r\nwhole", AttemptEnd::FailedAfterSend, ResultCode::ConnectionLost },
         { "no HTTP", "hello\r\n\r\n", AttemptEnd::FailedAfterSend, ResultCode::ConnectionLost },
