--- a/packages/coordination/tests/replacementhistorytest.cpp
+++ b/packages/coordination/tests/replacementhistorytest.cpp
@@ -206,7 +206,8 @@
 // Guards against accepted changes, or a core, that are lost when replacements meet other faults.
 TEST_CASE("random replacements lose no accepted change", "[history]")
 {
-    const auto seed = static_cast<std::uint64_t>(GENERATE(range(1, 13)));
+    // With 144, 237 and 291 the core did not recover while a replica that had been replaced stayed a voter after its stop.
+    const auto seed = static_cast<std::uint64_t>(GENERATE(1, 2, 3, 4, 5, 6, 7, 8, 9, 144, 237, 291));
     CAPTURE(seed);
     History(seed).run();
 }
