--- a/review/harness3.py
+++ b/review/harness3.py
@@ -314,8 +314,8 @@
                 body = await reader.readexactly(int(fields.get('content-length', 0)))
                 if not await self.respond(reader, writer, method, target, fields, body):
                     break
-        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, ValueError):
-            pass
+        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, ValueError, asyncio.CancelledError):
+            pass  # the peer has gone, or the case is over
         finally:
             self.writers.discard(writer)
             writer.close()
