--- a/review/harness3.py
+++ b/review/harness3.py
@@ -11,6 +11,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -115,6 +116,8 @@
     """Core and entry processes; the first core processes are the seeds."""
 
     def __init__(self, record, cores=3, entries=2, binary=None, zones=('a', 'b', 'c')):
+        # A case that is ended from outside ends its processes too.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         self.record = record
         self.folder = tempfile.mkdtemp(prefix='galenabarrow-review3-')
         self.processes = {}
@@ -164,7 +167,8 @@
         text += '[zones]\n' + ''.join('%s = "r"\n' % it for it in self.zones) + '[listen]\n'
         for what in ('control', 'directory') if is_core else ('front', 'ready'):
             text += '%s = "%s"\n' % (what, self.address(name, what))
-        text += '[limits]\ncpu_share = 0.6\ncores = 1\nmemory_mb = 256\nmax_fds = 4100\nlink_mbps = 1000.0\ndisk_mb = 256\n'
+        text += '[limits]\ncpu_share = 0.6\ncores = 1\nmemory_mb = %d\nmax_fds = 4100\nlink_mbps = 1000.0\ndisk_mb = %d\n'
+        text = text % ((256, 256) if is_core else (260, 0))
         text += '[tolerate]\nmachines = %d\nzones = 0\nregions = 0\n' % (2 if len(self.core) >= 5 else 1)
         path = os.path.join(self.folder, name + '.toml')
         with open(path, 'w') as file:
